--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Two commands need nothing but Go: make demo, make test.
+DEPLOYMENT ?= alpenpass
+FOR ?= 20s
+
+.PHONY: build test demo lint format generate faults events
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race -timeout 8m ./... ./bench/...
+
+demo:
+	go run ./cmd/hornbeamctl demo -deployment $(DEPLOYMENT) -for $(FOR)
+
+lint:
+	.ci/tools golangci-lint run ./... ./bench/...
+
+format:
+	.ci/tools golangci-lint fmt ./... ./bench/...
+
+generate:
+	.ci/tools buf generate
+
+events:
+	go test ./internal/event -run TestCatalogueMatchesDocs -update
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench measures hornbeamlock under load and faults.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/hornbeamctl/main.go
@@ -0,0 +1,4 @@
+// Command hornbeamctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/hornbeamlockd/main.go
@@ -0,0 +1,4 @@
+// Command hornbeamlockd is the entry instance.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/blackboard/table.go
@@ -0,0 +1,172 @@
+// Package blackboard holds what an instance knows, as sharded tables that
+// controllers read and write. Each table has one writing controller, named in
+// docs/ARCHITECTURE.md; request goroutines only read, except that they raise
+// replay positions and spend shares. It never performs I/O.
+package blackboard
+
+import (
+	"hash/maphash"
+	"sync"
+)
+
+const shardCount = 64
+
+// Table is a map divided into shards, each under its own lock. The zero value
+// is not usable; call NewTable.
+type Table[K comparable, V any] struct {
+	seed   maphash.Seed
+	shards [shardCount]shard[K, V]
+	signal signal
+}
+
+type shard[K comparable, V any] struct {
+	mu   sync.RWMutex
+	rows map[K]V // guarded by mu
+}
+
+// NewTable returns an empty table.
+func NewTable[K comparable, V any]() *Table[K, V] {
+	t := &Table[K, V]{seed: maphash.MakeSeed()}
+	for i := range t.shards {
+		t.shards[i].rows = make(map[K]V)
+	}
+	return t
+}
+
+func (t *Table[K, V]) shardOf(key K) *shard[K, V] {
+	return &t.shards[maphash.Comparable(t.seed, key)%shardCount]
+}
+
+// Get returns the row of key and whether there is one.
+func (t *Table[K, V]) Get(key K) (V, bool) {
+	s := t.shardOf(key)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	row, ok := s.rows[key]
+	return row, ok
+}
+
+// Put sets the row of key and wakes the watchers.
+func (t *Table[K, V]) Put(key K, row V) {
+	s := t.shardOf(key)
+	s.mu.Lock()
+	s.rows[key] = row
+	s.mu.Unlock()
+	t.signal.raise()
+}
+
+// Update replaces the row of key by what change returns, under the shard's lock,
+// and returns the new row. Change gets the zero value when there is no row. When
+// it reports false the table stays as it is and no watcher wakes. Change must
+// not use the table.
+func (t *Table[K, V]) Update(key K, change func(row V, exists bool) (V, bool)) V {
+	s := t.shardOf(key)
+	s.mu.Lock()
+	old, exists := s.rows[key]
+	next, changed := change(old, exists)
+	if changed {
+		s.rows[key] = next
+	}
+	s.mu.Unlock()
+	if !changed {
+		return old
+	}
+	t.signal.raise()
+	return next
+}
+
+// Delete removes the row of key, if there is one, and wakes the watchers.
+func (t *Table[K, V]) Delete(key K) {
+	s := t.shardOf(key)
+	s.mu.Lock()
+	_, existed := s.rows[key]
+	delete(s.rows, key)
+	s.mu.Unlock()
+	if existed {
+		t.signal.raise()
+	}
+}
+
+// Snapshot copies the table. Rows of different shards may be of different
+// instants.
+func (t *Table[K, V]) Snapshot() map[K]V {
+	all := make(map[K]V)
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.RLock()
+		for key, row := range s.rows {
+			all[key] = row
+		}
+		s.mu.RUnlock()
+	}
+	return all
+}
+
+// Len counts the rows.
+func (t *Table[K, V]) Len() int {
+	n := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.RLock()
+		n += len(s.rows)
+		s.mu.RUnlock()
+	}
+	return n
+}
+
+// Changed returns a channel that is closed at the next change of the table. Call
+// it before reading, so that no change is missed.
+func (t *Table[K, V]) Changed() <-chan struct{} { return t.signal.changed() }
+
+// Cell is a single value under a lock, with the same watching as a Table.
+type Cell[V any] struct {
+	mu     sync.RWMutex
+	value  V // guarded by mu
+	signal signal
+}
+
+// NewCell returns a cell that holds value.
+func NewCell[V any](value V) *Cell[V] { return &Cell[V]{value: value} }
+
+// Get returns the value.
+func (c *Cell[V]) Get() V {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.value
+}
+
+// Set replaces the value and wakes the watchers.
+func (c *Cell[V]) Set(value V) {
+	c.mu.Lock()
+	c.value = value
+	c.mu.Unlock()
+	c.signal.raise()
+}
+
+// Changed returns a channel that is closed at the next Set. Call it before Get.
+func (c *Cell[V]) Changed() <-chan struct{} { return c.signal.changed() }
+
+// signal wakes watchers by closing a channel that is made only on demand.
+type signal struct {
+	mu      sync.Mutex
+	waiting chan struct{} // guarded by mu; nil while nobody watches
+}
+
+func (s *signal) changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting == nil {
+		s.waiting = make(chan struct{})
+	}
+	return s.waiting
+}
+
+func (s *signal) raise() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting == nil {
+		return
+	}
+	close(s.waiting)
+	s.waiting = nil
+}
--- /dev/null
+++ b/internal/event/limit.go
@@ -0,0 +1,4 @@
+package event
+
+// Events 7001 to 7999: rates, shares and queues.
+var limitEvents = []Event{}
--- /dev/null
+++ b/internal/event/membership.go
@@ -0,0 +1,4 @@
+package event
+
+// Events 6001 to 6999: instances, leases and peer connections.
+var membershipEvents = []Event{}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,58 @@
+// Package metrics keeps one instance's counters and gauges as expvar variables.
+// They are grouped per instance and not published globally, so that several
+// instances can live in one process. docs/OPERATIONS.md lists the names.
+package metrics
+
+import (
+	"expvar"
+	"net/http"
+	"sync"
+)
+
+// Set is the variables of one instance.
+type Set struct {
+	mu   sync.Mutex
+	vars *expvar.Map // guarded by mu against double registration
+}
+
+// NewSet returns a set without variables.
+func NewSet() *Set { return &Set{vars: new(expvar.Map).Init()} }
+
+// Counter returns the counter of that name, made at the first call. Names are
+// lower case with underscores and end in their unit, for example
+// "gateway_statements_total".
+func (s *Set) Counter(name string) *expvar.Int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if existing, ok := s.vars.Get(name).(*expvar.Int); ok {
+		return existing
+	}
+	counter := new(expvar.Int)
+	s.vars.Set(name, counter)
+	return counter
+}
+
+// Labelled returns the counters of that name, one for each label value.
+func (s *Set) Labelled(name string) *expvar.Map {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if existing, ok := s.vars.Get(name).(*expvar.Map); ok {
+		return existing
+	}
+	labelled := new(expvar.Map).Init()
+	s.vars.Set(name, labelled)
+	return labelled
+}
+
+// Gauge sets a function that is asked at every reading.
+func (s *Set) Gauge(name string, read func() any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vars.Set(name, expvar.Func(read))
+}
+
+// ServeHTTP writes all variables as one JSON object.
+func (s *Set) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = w.Write([]byte(s.vars.String()))
+}
