--- /dev/null
+++ b/internal/statement/classify.go
@@ -0,0 +1,157 @@
+package statement
+
+import "strings"
+
+func refused(what string) Statement { return Statement{Class: Refused, Name: what} }
+
+// classifyOne classes one statement without its semicolon.
+func classifyOne(tokens []token) Statement {
+	if feature := refusedFeature(tokens); feature != "" {
+		return refused(feature)
+	}
+	switch first := tokens[0].text; first {
+	case "select", "values", "table", "with", "(":
+		return classifyQuery(tokens)
+	case "show":
+		return classifyShow(tokens)
+	case "explain":
+		return classifyExplain(tokens)
+	case "copy":
+		return classifyCopy(tokens)
+	case "begin", "start", "commit", "end", "rollback", "abort":
+		return classifyControl(tokens)
+	case "savepoint", "release", "declare", "fetch", "move", "close", "lock":
+		return Statement{Class: InTransaction}
+	case "set":
+		return classifySet(tokens)
+	case "reset":
+		return classifyReset(tokens)
+	case "deallocate":
+		return classifyDeallocate(tokens)
+	case "discard":
+		return classifyDiscard(tokens)
+	case "insert", "update", "delete", "merge":
+		return Statement{Class: Write, TaintsSession: !onlyKnownCalls(tokens)}
+	default:
+		return Statement{Class: Write, TaintsSession: true}
+	}
+}
+
+// classifyQuery classes SELECT, VALUES, TABLE and WITH.
+func classifyQuery(tokens []token) Statement {
+	pure := onlyKnownCalls(tokens)
+	if !pure || changesOrLocksRows(tokens) {
+		return Statement{Class: Write, TaintsSession: !pure}
+	}
+	return Statement{Class: Read}
+}
+
+// changesOrLocksRows finds data-modifying parts, INTO and locking clauses.
+func changesOrLocksRows(tokens []token) bool {
+	for i, t := range tokens {
+		if t.kind != word {
+			continue
+		}
+		switch t.text {
+		case "insert", "update", "delete", "merge", "into":
+			return true
+		case "for":
+			if i+1 < len(tokens) && startsLockingClause(tokens[i+1].text) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func startsLockingClause(text string) bool {
+	return text == "update" || text == "share" || text == "no" || text == "key"
+}
+
+func classifyShow(tokens []token) Statement {
+	name, _ := settingName(tokens[1:])
+	if strings.HasPrefix(name, ProxyPrefix) {
+		return Statement{Class: ProxyShow, Name: name}
+	}
+	return Statement{Class: Read}
+}
+
+func classifyExplain(tokens []token) Statement {
+	for _, t := range tokens {
+		if t.is("analyze") || t.is("analyse") {
+			return Statement{Class: Write, TaintsSession: true}
+		}
+	}
+	return Statement{Class: Read}
+}
+
+// classifyCopy classes COPY: to the caller it is a read, else a write.
+func classifyCopy(tokens []token) Statement {
+	toCaller := false
+	for i, t := range tokens {
+		if t.is("stdout") && tokens[i-1].is("to") {
+			toCaller = true
+		}
+	}
+	if toCaller && onlyKnownCalls(tokens) && !changesOrLocksRows(tokens) {
+		return Statement{Class: Read}
+	}
+	return Statement{Class: Write, TaintsSession: !onlyKnownCalls(tokens)}
+}
+
+// classifyControl classes the statements that begin and end transactions.
+func classifyControl(tokens []token) Statement {
+	if contains(tokens, "prepared") {
+		return refused("two-phase commit")
+	}
+	switch tokens[0].text {
+	case "begin", "start":
+		return Statement{Class: Begin, ReadOnly: containsPair(tokens, "read", "only")}
+	case "commit", "end":
+		return Statement{Class: Commit}
+	default:
+		if contains(tokens, "to") {
+			return Statement{Class: InTransaction}
+		}
+		return Statement{Class: Rollback}
+	}
+}
+
+func classifyDeallocate(tokens []token) Statement {
+	rest := tokens[1:]
+	if len(rest) > 0 && rest[0].is("prepare") {
+		rest = rest[1:]
+	}
+	if len(rest) != 1 {
+		return refused("this form of DEALLOCATE")
+	}
+	if rest[0].is("all") {
+		return Statement{Class: Deallocate}
+	}
+	return Statement{Class: Deallocate, Name: rest[0].text}
+}
+
+func classifyDiscard(tokens []token) Statement {
+	if len(tokens) == 2 && tokens[1].is("all") {
+		return Statement{Class: DiscardAll}
+	}
+	return refused("DISCARD of anything but ALL")
+}
+
+func contains(tokens []token, text string) bool {
+	for _, t := range tokens {
+		if t.is(text) {
+			return true
+		}
+	}
+	return false
+}
+
+func containsPair(tokens []token, first, second string) bool {
+	for i := 1; i < len(tokens); i++ {
+		if tokens[i-1].is(first) && tokens[i].is(second) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/statement/scan.go
@@ -0,0 +1,208 @@
+package statement
+
+import (
+	"regexp"
+	"strings"
+)
+
+type tokenKind uint8
+
+const (
+	word tokenKind = iota
+	quotedIdentifier
+	stringLiteral
+	number
+	symbol
+)
+
+// token is one lexical element. The text of words is in lower case; the text of
+// strings and quoted identifiers has no quotes; raw is as written.
+type token struct {
+	kind tokenKind
+	text string
+	raw  string
+}
+
+// is tells whether t is the keyword or symbol given.
+func (t token) is(text string) bool {
+	return (t.kind == word || t.kind == symbol) && t.text == text
+}
+
+var traceparentComment = regexp.MustCompile(`traceparent='([0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2})'`)
+
+// scanner holds the rest of the text to read.
+type scanner struct {
+	sql         string
+	at          int
+	tokens      []token
+	traceparent string
+}
+
+// scan cuts sql into tokens. It reports false when a quote or a comment does not
+// end.
+func scan(sql string) (tokens []token, traceparent string, ok bool) {
+	s := &scanner{sql: sql, tokens: make([]token, 0, 16)}
+	for s.at < len(sql) {
+		if !s.next() {
+			return nil, s.traceparent, false
+		}
+	}
+	return s.tokens, s.traceparent, true
+}
+
+func (s *scanner) rest() string { return s.sql[s.at:] }
+
+// next reads one token or skips one blank or comment.
+func (s *scanner) next() bool {
+	c := s.sql[s.at]
+	switch {
+	case c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f' || c == '\v':
+		s.at++
+		return true
+	case strings.HasPrefix(s.rest(), "--"):
+		return s.lineComment()
+	case strings.HasPrefix(s.rest(), "/*"):
+		return s.blockComment()
+	case c == '\'':
+		return s.quoted('\'', false, stringLiteral)
+	case c == '"':
+		return s.quoted('"', false, quotedIdentifier)
+	case c == '$':
+		return s.dollar()
+	case isDigit(c):
+		return s.run(number, func(c byte) bool { return isDigit(c) || c == '.' || isLetter(c) })
+	case isLetter(c):
+		return s.wordOrPrefixedString()
+	default:
+		return s.emit(symbol, s.at+1)
+	}
+}
+
+// emit adds the token that ends before end.
+func (s *scanner) emit(kind tokenKind, end int) bool {
+	raw := s.sql[s.at:end]
+	text := raw
+	if kind == word {
+		text = strings.ToLower(raw)
+	}
+	s.tokens = append(s.tokens, token{kind: kind, text: text, raw: raw})
+	s.at = end
+	return true
+}
+
+func (s *scanner) run(kind tokenKind, part func(byte) bool) bool {
+	end := s.at + 1
+	for end < len(s.sql) && part(s.sql[end]) {
+		end++
+	}
+	return s.emit(kind, end)
+}
+
+func (s *scanner) lineComment() bool {
+	end := strings.IndexAny(s.rest(), "\r\n")
+	if end < 0 {
+		end = len(s.rest())
+	}
+	s.at += end
+	return true
+}
+
+// blockComment skips a comment, which may hold others.
+func (s *scanner) blockComment() bool {
+	depth := 0
+	start := s.at
+	for s.at < len(s.sql) {
+		switch {
+		case strings.HasPrefix(s.rest(), "/*"):
+			depth++
+			s.at += 2
+		case strings.HasPrefix(s.rest(), "*/"):
+			depth--
+			s.at += 2
+		default:
+			s.at++
+		}
+		if depth == 0 {
+			s.noteTraceparent(s.sql[start:s.at])
+			return true
+		}
+	}
+	return false
+}
+
+func (s *scanner) noteTraceparent(comment string) {
+	if match := traceparentComment.FindStringSubmatch(comment); match != nil {
+		s.traceparent = match[1]
+	}
+}
+
+// quoted reads a string or identifier in which a doubled quote stands for one.
+func (s *scanner) quoted(quote byte, backslashes bool, kind tokenKind) bool {
+	start := s.at
+	var text strings.Builder
+	for i := start + 1; i < len(s.sql); i++ {
+		c := s.sql[i]
+		switch {
+		case backslashes && c == '\\' && i+1 < len(s.sql):
+			text.WriteByte(s.sql[i+1])
+			i++
+		case c == quote && i+1 < len(s.sql) && s.sql[i+1] == quote:
+			text.WriteByte(quote)
+			i++
+		case c == quote:
+			s.tokens = append(s.tokens, token{kind: kind, text: text.String(), raw: s.sql[start : i+1]})
+			s.at = i + 1
+			return true
+		default:
+			text.WriteByte(c)
+		}
+	}
+	return false
+}
+
+// dollar reads a dollar-quoted string, a parameter, or a lone dollar.
+func (s *scanner) dollar() bool {
+	end := s.at + 1
+	for end < len(s.sql) && (isLetter(s.sql[end]) || isDigit(s.sql[end])) {
+		end++
+	}
+	isTag := end == s.at+1 || !isDigit(s.sql[s.at+1])
+	if !isTag || end >= len(s.sql) || s.sql[end] != '$' {
+		return s.emit(symbol, end)
+	}
+	tag := s.sql[s.at : end+1]
+	length := strings.Index(s.sql[end+1:], tag)
+	if length < 0 {
+		return false
+	}
+	closing := end + 1 + length
+	s.tokens = append(s.tokens, token{kind: stringLiteral, text: s.sql[end+1 : closing], raw: s.sql[s.at : closing+len(tag)]})
+	s.at = closing + len(tag)
+	return true
+}
+
+// wordOrPrefixedString reads a word, or a string such as E'...' or U&'...'.
+func (s *scanner) wordOrPrefixedString() bool {
+	rest := s.rest()
+	if len(rest) > 1 && rest[1] == '\'' && strings.ContainsRune("eEbBxXnN", rune(rest[0])) {
+		s.at++
+		return s.quoted('\'', rest[0] == 'e' || rest[0] == 'E', stringLiteral)
+	}
+	if len(rest) > 2 && (rest[0] == 'u' || rest[0] == 'U') && rest[1] == '&' && (rest[2] == '\'' || rest[2] == '"') {
+		// Unicode escapes are not decoded: the names stay unknown.
+		s.at += 2
+		kind := stringLiteral
+		if rest[2] == '"' {
+			kind = quotedIdentifier
+		}
+		return s.quoted(rest[2], false, kind)
+	}
+	return s.run(word, func(c byte) bool { return isLetter(c) || isDigit(c) || c == '$' })
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+// isLetter includes every byte of a multi-byte character, as the server does.
+func isLetter(c byte) bool {
+	return c == '_' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= 0x80
+}
