--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 DEPLOYMENT ?= alpenpass
 FOR ?= 20s
 
-.PHONY: build test demo lint format generate faults events
+.PHONY: build test demo lint format generate faults docs-tables
 
 build:
 	go build -o bin/ ./cmd/...
@@ -22,5 +22,7 @@
 generate:
 	.ci/tools buf generate
 
-events:
+# Rewrites docs/EVENTS.md and docs/SETTINGS.md from the code.
+docs-tables events:
 	go test ./internal/event -run TestCatalogueMatchesDocs -update
+	go test ./internal/settings -run TestSchemaMatchesDocs -update
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,160 @@
+// Package settings is the JSON settings file of an entry instance. A file is
+// checked whole: every unknown field, wrong type and value out of range is
+// reported by the field's path. docs/SETTINGS.md is written from the struct tags.
+package settings
+
+import "time"
+
+// Settings is the whole file.
+type Settings struct {
+	Instance   Instance   `json:"instance" doc:"Who the instance is."`
+	Callers    Callers    `json:"callers" doc:"Where callers connect, PostgreSQL protocol."`
+	Operators  Operators  `json:"operators" doc:"Where operators connect, gRPC."`
+	Peers      Peers      `json:"peers" doc:"Where other instances connect, QUIC."`
+	Operations Operations `json:"operations" doc:"Metrics, liveness and readiness, HTTP."`
+	Platform   Platform   `json:"platform" doc:"The platform's service."`
+	Endpoints  Endpoints  `json:"endpoints" doc:"Connections to database servers."`
+	Groups     Groups     `json:"groups" doc:"Detection and promotion in database groups."`
+	Membership Membership `json:"membership" doc:"Heartbeats and serving leases between instances."`
+	Limits     Limits     `json:"limits" doc:"Rates, queues and retries."`
+	Telemetry  Telemetry  `json:"telemetry" doc:"OpenTelemetry spans."`
+	Log        Log        `json:"log" doc:"The JSON log on standard error."`
+}
+
+// Instance names the instance and its place.
+type Instance struct {
+	ID            string `json:"id" validate:"required,max=63,hostname_rfc1123" doc:"Unique in the fleet."`
+	FailureDomain string `json:"failure_domain" validate:"required,max=63,hostname_rfc1123" doc:"The failure domain that the instance runs in."`
+	Region        string `json:"region" validate:"max=63" doc:"The region of the failure domain, for logs and traces."`
+}
+
+// Callers is the callers' listener.
+type Callers struct {
+	Listen         string        `json:"listen" validate:"required,ip_port" doc:"IP address and TCP port."`
+	TLS            ServerTLS     `json:"tls" doc:"Certificate shown to callers; without one, TLS is refused."`
+	MaxConnections int           `json:"max_connections" validate:"min=1,max=1000000" doc:"Most callers connected at once."`
+	RequestTimeout time.Duration `json:"request_timeout" validate:"min=10ms,max=1h" doc:"Time a statement may wait for a place to run, unless the caller sets hornbeamlock.timeout."`
+	LoginTimeout   time.Duration `json:"login_timeout" validate:"min=100ms,max=5m" doc:"Time for startup and authentication."`
+	DrainTimeout   time.Duration `json:"drain_timeout" validate:"min=0s,max=24h" doc:"Time that running transactions get at shutdown; 0s waits for all."`
+}
+
+// ServerTLS is a certificate for a listener.
+type ServerTLS struct {
+	CertificateFile string `json:"certificate_file" validate:"required_with=KeyFile" doc:"PEM file with the certificate chain."`
+	KeyFile         string `json:"key_file" validate:"required_with=CertificateFile" doc:"PEM file with the private key."`
+}
+
+// MutualTLS is a certificate with the authority that the other side must be
+// signed by.
+type MutualTLS struct {
+	CertificateFile string `json:"certificate_file" validate:"required_with=KeyFile CAFile" doc:"PEM file with the certificate chain."`
+	KeyFile         string `json:"key_file" validate:"required_with=CertificateFile CAFile" doc:"PEM file with the private key."`
+	CAFile          string `json:"ca_file" validate:"required_with=CertificateFile KeyFile" doc:"PEM file with the authority of the other side's certificate."`
+}
+
+// Operators is the administration listener.
+type Operators struct {
+	Listen string    `json:"listen" validate:"required,ip_port" doc:"IP address and TCP port."`
+	TLS    MutualTLS `json:"tls" doc:"Mutual TLS; without it only a loopback listen address is accepted."`
+}
+
+// Peers is the listener for other instances.
+type Peers struct {
+	Listen string    `json:"listen" validate:"required,ip_port" doc:"IP address and UDP port, as other instances reach it."`
+	TLS    MutualTLS `json:"tls" validate:"required" doc:"Mutual TLS between instances."`
+	Seeds  []string  `json:"seeds" validate:"max=64,dive,ip_port" doc:"Peer addresses to ask first, used while the platform is down."`
+}
+
+// Operations is the listener for metrics and probes.
+type Operations struct {
+	Listen string `json:"listen" validate:"required,ip_port" doc:"IP address and TCP port."`
+}
+
+// Platform is the platform's gRPC service.
+type Platform struct {
+	Address string        `json:"address" validate:"required,ip_port" doc:"IP address and TCP port of table, object store and instance list."`
+	Timeout time.Duration `json:"timeout" validate:"min=50ms,max=1m" doc:"Time for one call."`
+}
+
+// Endpoints bounds the connections to database servers.
+type Endpoints struct {
+	ConnectTimeout  time.Duration `json:"connect_timeout" validate:"min=10ms,max=1m" doc:"Time to open and authenticate a connection."`
+	SilenceTimeout  time.Duration `json:"silence_timeout" validate:"min=100ms,max=1h" doc:"Time without any byte, with a statement in flight, after which a connection is given up."`
+	IdleProbeAfter  time.Duration `json:"idle_probe_after" validate:"min=100ms,max=1h" doc:"Idle time after which a connection is probed before use."`
+	ReplicaWait     time.Duration `json:"replica_wait" validate:"min=0s,max=10s" doc:"Longest wait for a replica that is nearly up to a session's floor."`
+	MaxQueued       int           `json:"max_queued" validate:"min=1,max=1000000" doc:"Most statements that wait for one endpoint."`
+	MaxQueuedShared int           `json:"max_queued_organisation" validate:"min=1,max=1000000" doc:"Most statements of one organisation that wait for one endpoint."`
+}
+
+// Groups bounds detection and promotion.
+type Groups struct {
+	SampleInterval time.Duration `json:"sample_interval" validate:"min=20ms,max=1m" doc:"Time between two samples of a group by its observers."`
+	SuspectAfter   time.Duration `json:"suspect_after" validate:"min=100ms,max=1m" doc:"Time without an answer after which a primary is suspected."`
+	Observers      int           `json:"observers" validate:"min=1,max=9" doc:"Instances that sample a group steadily."`
+}
+
+// Membership bounds heartbeats and leases.
+type Membership struct {
+	HeartbeatInterval time.Duration `json:"heartbeat_interval" validate:"min=50ms,max=10s" doc:"Time between two heartbeats to a peer."`
+	Lease             time.Duration `json:"lease" validate:"min=300ms,max=1m,gtfield=HeartbeatInterval" doc:"Length of a serving lease; above heartbeat_interval."`
+	IsolationLimit    time.Duration `json:"isolation_limit" validate:"min=1s,max=24h" doc:"Time that a failure domain goes on serving without contact to the platform and to all other failure domains."`
+}
+
+// Limits bounds admission.
+type Limits struct {
+	AdmissionWait time.Duration `json:"admission_wait" validate:"min=0s,max=10s" doc:"Longest wait for the organisation's rate before a statement is refused."`
+	ShareLease    time.Duration `json:"share_lease" validate:"min=1s,max=1h" doc:"Length of the lease by which an instance holds its part of a limit."`
+	OpenRate      float64       `json:"open_rate" validate:"min=0,max=1000000" doc:"Statements per second without a key at this instance, for services open to all."`
+	RetryRatio    float64       `json:"retry_ratio" validate:"min=0,max=1" doc:"Retries allowed per statement of an organisation."`
+}
+
+// Telemetry chooses the span exporter.
+type Telemetry struct {
+	Exporter    string  `json:"exporter" validate:"oneof=none stdout otlp" doc:"none, stdout or otlp."`
+	OTLPAddress string  `json:"otlp_address" validate:"required_if=Exporter otlp,omitempty,ip_port" doc:"IP address and TCP port of the OTLP gRPC collector."`
+	SampleRatio float64 `json:"sample_ratio" validate:"min=0,max=1" doc:"Part of the requests traced when the caller does not decide."`
+}
+
+// Log chooses what is logged.
+type Log struct {
+	Level string `json:"level" validate:"oneof=debug info warn error" doc:"debug, info, warn or error."`
+}
+
+// Default returns the settings that a file starts from. Identity, addresses and
+// certificates have no default.
+func Default() Settings {
+	return Settings{
+		Callers: Callers{
+			MaxConnections: 10_000,
+			RequestTimeout: 10 * time.Second,
+			LoginTimeout:   5 * time.Second,
+		},
+		Platform: Platform{Timeout: 2 * time.Second},
+		Endpoints: Endpoints{
+			ConnectTimeout:  2 * time.Second,
+			SilenceTimeout:  10 * time.Second,
+			IdleProbeAfter:  15 * time.Second,
+			ReplicaWait:     20 * time.Millisecond,
+			MaxQueued:       1000,
+			MaxQueuedShared: 500,
+		},
+		Groups: Groups{
+			SampleInterval: 250 * time.Millisecond,
+			SuspectAfter:   time.Second,
+			Observers:      3,
+		},
+		Membership: Membership{
+			HeartbeatInterval: time.Second,
+			Lease:             3 * time.Second,
+			IsolationLimit:    10 * time.Minute,
+		},
+		Limits: Limits{
+			AdmissionWait: 100 * time.Millisecond,
+			ShareLease:    30 * time.Second,
+			OpenRate:      100,
+			RetryRatio:    0.1,
+		},
+		Telemetry: Telemetry{Exporter: "none", SampleRatio: 0.01},
+		Log:       Log{Level: "info"},
+	}
+}
