Give operators a command line over the administration API

Cause: operators had a schema but no program. Change: hornbeamctl with a command table, help with examples, json output on every listing, and exit codes that tell refused from unknown outcome.

--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,156 @@
+// Package ctl is the operators' command line: a table of commands, each with its
+// flags, that call the administration API of any instance.
+package ctl
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// Exit codes of hornbeamctl.
+const (
+	ExitOK = 0
+	// ExitFailed means that the call failed; the text says whether anything changed.
+	ExitFailed = 1
+	// ExitUsage means that the command line was wrong; nothing was called.
+	ExitUsage = 2
+	// ExitRefused means that the change was not accepted and nothing changed.
+	ExitRefused = 3
+	// ExitUnknown means that the outcome is unknown: repeat the command with the
+	// same -change-id.
+	ExitUnknown = 4
+)
+
+const defaultCallTimeout = 15 * time.Second
+
+// environment is what a command runs in.
+type environment struct {
+	out, errOut io.Writer
+	options     options
+}
+
+// options are the flags that every command takes.
+type options struct {
+	address  string
+	certFile string
+	keyFile  string
+	caFile   string
+	output   string
+	timeout  time.Duration
+	author   string
+	changeID string
+	base     uint64
+}
+
+// command is one entry of the command table.
+type command struct {
+	name     string
+	synopsis string
+	example  string
+	// setup registers the command's own flags and returns what runs it.
+	setup func(flags *flag.FlagSet) runner
+}
+
+// runner carries a command out with the arguments that follow the flags.
+type runner func(ctx context.Context, env *environment, args []string) error
+
+// usageError is a wrong command line.
+type usageError struct{ text string }
+
+func (e *usageError) Error() string { return e.text }
+
+func usagef(format string, args ...any) error {
+	return &usageError{text: fmt.Sprintf(format, args...)}
+}
+
+// Main runs the command line and returns the exit code.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+	name, rest := splitCommand(args)
+	if name == "" || name == "help" || name == "-h" || name == "--help" {
+		printOverview(out)
+		return ExitOK
+	}
+	chosen, ok := findCommand(name)
+	if !ok {
+		fmt.Fprintf(errOut, "hornbeamctl: unknown command %q; see hornbeamctl help\n", name)
+		return ExitUsage
+	}
+	env := &environment{out: out, errOut: errOut}
+	return runCommand(ctx, env, chosen, rest)
+}
+
+func runCommand(ctx context.Context, env *environment, chosen command, args []string) int {
+	flags := flag.NewFlagSet(chosen.name, flag.ContinueOnError)
+	flags.SetOutput(env.errOut)
+	registerOptions(flags, &env.options)
+	run := chosen.setup(flags)
+	flags.Usage = func() { printCommand(env.errOut, chosen, flags) }
+	err := flags.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitOK
+	}
+	if err != nil {
+		return ExitUsage
+	}
+	if env.options.output != "table" && env.options.output != "json" {
+		fmt.Fprintln(env.errOut, "hornbeamctl: -o wants table or json")
+		return ExitUsage
+	}
+	err = run(ctx, env, flags.Args())
+	if err != nil {
+		fmt.Fprintf(env.errOut, "hornbeamctl %s: %s\n", chosen.name, errorText(err))
+	}
+	return exitCode(err)
+}
+
+func registerOptions(flags *flag.FlagSet, o *options) {
+	flags.StringVar(&o.address, "address", envOr("HORNBEAMCTL_ADDRESS", "127.0.0.1:6433"), "IP address and port of any instance's operators listener")
+	flags.StringVar(&o.certFile, "cert", os.Getenv("HORNBEAMCTL_CERT"), "PEM file with the operator's certificate")
+	flags.StringVar(&o.keyFile, "key", os.Getenv("HORNBEAMCTL_KEY"), "PEM file with the operator's private key")
+	flags.StringVar(&o.caFile, "ca", os.Getenv("HORNBEAMCTL_CA"), "PEM file with the authority of the instances' certificates")
+	flags.StringVar(&o.output, "o", "table", "output: table or json")
+	flags.DurationVar(&o.timeout, "timeout", defaultCallTimeout, "time for the whole call")
+	flags.StringVar(&o.author, "author", os.Getenv("USER"), "who makes the change, for the history")
+	flags.StringVar(&o.changeID, "change-id", "", "identifier of the change; give the same one to repeat a change whose outcome is unknown")
+	flags.Uint64Var(&o.base, "base", 0, "version that the change builds on; 0 takes the version in force")
+}
+
+func envOr(name, otherwise string) string {
+	if value := os.Getenv(name); value != "" {
+		return value
+	}
+	return otherwise
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return ExitUsage
+	}
+	switch status.Code(err) {
+	case codes.InvalidArgument, codes.FailedPrecondition, codes.NotFound, codes.AlreadyExists, codes.Unavailable:
+		return ExitRefused
+	case codes.Aborted, codes.DeadlineExceeded:
+		return ExitUnknown
+	default:
+		return ExitFailed
+	}
+}
+
+func errorText(err error) string {
+	if s, ok := status.FromError(err); ok {
+		return s.Message()
+	}
+	return err.Error()
+}
