--- /dev/null
+++ b/internal/session/session.go
@@ -0,0 +1,101 @@
+// Package session holds the state of one caller's session that has to outlive a
+// single endpoint connection: the floor, the settings and the prepared
+// statements. It uses no blackboard table and performs no I/O. A State belongs to
+// one goroutine. Its invariant: the floor never falls while the session lasts,
+// unless the caller resets it.
+package session
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/statement"
+)
+
+// State is one session's state.
+type State struct {
+	Floor    Floor
+	Options  Options
+	Prepared map[string]*Prepared
+
+	settings    map[string]string // endpoint settings in force, name to SQL value
+	pending     map[string]string // set in the running transaction
+	fingerprint string            // SET commands of settings, in name order
+}
+
+// Prepared is a statement that the caller prepared by name.
+type Prepared struct {
+	SQL           string
+	ParameterOIDs []uint32
+	Statement     statement.Statement
+}
+
+// New returns the state of a fresh session.
+func New() *State { return &State{Prepared: make(map[string]*Prepared)} }
+
+// Key identifies a prepared statement by its content.
+func (p *Prepared) Key() string {
+	var b strings.Builder
+	b.Grow(len(p.SQL) + 4*len(p.ParameterOIDs) + 1)
+	for _, oid := range p.ParameterOIDs {
+		b.Write([]byte{byte(oid >> 24), byte(oid >> 16), byte(oid >> 8), byte(oid)})
+	}
+	b.WriteByte(0)
+	b.WriteString(p.SQL)
+	return b.String()
+}
+
+// SetEndpoint remembers an endpoint setting that an endpoint has accepted. In a
+// transaction it counts only once the transaction has committed.
+func (s *State) SetEndpoint(name, value string, inTransaction bool) {
+	if inTransaction {
+		if s.pending == nil {
+			s.pending = make(map[string]string)
+		}
+		s.pending[name] = value
+		return
+	}
+	s.change(map[string]string{name: value})
+}
+
+// ResetEndpoint forgets one endpoint setting, or all when name is empty.
+func (s *State) ResetEndpoint(name string) {
+	if name == "" {
+		s.settings = nil
+	} else {
+		delete(s.settings, name)
+	}
+	s.change(nil)
+}
+
+// EndTransaction keeps or drops the settings of the transaction that has ended.
+func (s *State) EndTransaction(committed bool) {
+	if committed && len(s.pending) > 0 {
+		s.change(s.pending)
+	}
+	s.pending = nil
+}
+
+// DiscardAll resets everything but the floor.
+func (s *State) DiscardAll() {
+	s.Options = Options{}
+	s.Prepared = make(map[string]*Prepared)
+	s.settings, s.pending, s.fingerprint = nil, nil, ""
+}
+
+// EndpointSettings returns the settings as one string of SET commands, the same
+// for the same settings; empty when there are none.
+func (s *State) EndpointSettings() string { return s.fingerprint }
+
+func (s *State) change(add map[string]string) {
+	if s.settings == nil {
+		s.settings = make(map[string]string)
+	}
+	maps.Copy(s.settings, add)
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(s.settings)) {
+		b.WriteString("SET " + name + " TO " + s.settings[name] + ";")
+	}
+	s.fingerprint = b.String()
+}
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,113 @@
+package session
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func TestSettings(t *testing.T) {
+	cases := []struct{ name, value, want, fault string }{
+		{SettingFloor, "3/7", "3/7", ""},
+		{SettingFloor, "3", "", "hornbeamlock.floor"},
+		{SettingFloor, "x/7", "", "malformed term"},
+		{SettingMaxStaleness, "500", "500ms", ""},
+		{SettingMaxStaleness, "-1s", "", "hornbeamlock.max_staleness"},
+		{SettingTimeout, "2s", "2s", ""},
+		{SettingTimeout, "0", "", "hornbeamlock.timeout"},
+		{SettingIdempotent, "ON", "on", ""},
+		{SettingIdempotent, "maybe", "", "hornbeamlock.idempotent"},
+		{SettingTraceparent, "junk", "", "hornbeamlock.traceparent"},
+		{"hornbeamlock.unknown", "1", "", "no such setting"},
+	}
+	for _, c := range cases {
+		s := New()
+		err := s.Set(c.name, c.value, time.Now())
+		if c.fault != "" {
+			require.ErrorContains(t, err, c.fault, c.value)
+			continue
+		}
+		require.NoError(t, err)
+		got, err := s.Show(c.name)
+		require.NoError(t, err)
+		require.Equal(t, c.want, got)
+		require.NoError(t, s.Reset(c.name))
+	}
+}
+
+func TestEndpointSettingsFollowTransactions(t *testing.T) {
+	s := New()
+	s.SetEndpoint("work_mem", "'1MB'", false)
+	s.SetEndpoint("timezone", "'UTC'", true)
+	require.Equal(t, "SET work_mem TO '1MB';", s.EndpointSettings())
+	s.EndTransaction(false)
+	require.Equal(t, "SET work_mem TO '1MB';", s.EndpointSettings())
+	s.SetEndpoint("timezone", "'UTC'", true)
+	s.EndTransaction(true)
+	require.Equal(t, "SET timezone TO 'UTC';SET work_mem TO '1MB';", s.EndpointSettings())
+	s.ResetEndpoint("work_mem")
+	require.Equal(t, "SET timezone TO 'UTC';", s.EndpointSettings())
+	s.ResetEndpoint("")
+	require.Empty(t, s.EndpointSettings())
+}
+
+// TestFloorNeverFalls holds that no sequence of commits and reads lowers what the
+// session may read, and that the token covers each commit.
+func TestFloorNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var floor Floor
+		draw := func() position.Position {
+			return position.Position{Term: rapid.Uint64Range(1, 3).Draw(t, "term"), Offset: rapid.Uint64Range(0, 9).Draw(t, "offset")}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"commit": func(t *rapid.T) {
+				p := draw()
+				floor.Commit(p, time.Time{})
+				token, err := ParseToken(floor.Token())
+				require.NoError(t, err)
+				require.False(t, token.Less(p))
+			},
+			"see": func(t *rapid.T) {
+				before := floor
+				p, settled := draw(), rapid.Bool().Draw(t, "settled")
+				floor.See(p, settled, time.Time{})
+				require.Equal(t, before.Known, floor.Known)
+				require.False(t, floor.Lowest().Less(before.Lowest()))
+				require.Equal(t, before.Written, floor.Written)
+			},
+			"index": func(t *rapid.T) {
+				written := floor.Written
+				floor.Index(draw(), time.Time{})
+				require.False(t, floor.Lowest().Less(written))
+			},
+		})
+	})
+}
+
+func FuzzParseToken(f *testing.F) {
+	for _, seed := range []string{"1/2", "/", "1/", "-1/2", "18446744073709551616/0"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		p, err := ParseToken(text)
+		if err != nil {
+			require.ErrorContains(t, err, SettingFloor)
+			return
+		}
+		again, err := ParseToken(p.String())
+		require.NoError(t, err)
+		require.Equal(t, p, again)
+	})
+}
