--- /dev/null
+++ b/internal/endpoint/exchange.go
@@ -0,0 +1,119 @@
+package endpoint
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"golang.org/x/sys/unix"
+)
+
+// inlineWrite is the largest request that is written before its answers are
+// read. Larger ones are written beside the reading, so that neither side waits
+// for the other to read.
+const inlineWrite = 32 * 1024 // bytes
+
+// Send writes encoded messages that ask for the given number of ReadyForQuery
+// answers. Started is false when the connection was already gone, so that the
+// server has surely not seen the request.
+func (c *Conn) Send(encoded []byte, answers int) (started bool, err error) {
+	if c.broken != nil {
+		return false, trace.Wrap(c.broken)
+	}
+	if err := c.joinWriter(); err != nil {
+		return true, c.fail(err)
+	}
+	if c.pending == 0 && c.gone() {
+		return false, c.fail(trace.ConnectionProblem(nil, "the endpoint has closed the connection"))
+	}
+	c.pending += answers
+	c.unsynced = answers == 0
+	if len(encoded) > inlineWrite {
+		c.writing = make(chan error, 1)
+		go func(done chan<- error) {
+			_, err := c.net.Write(encoded)
+			done <- err
+		}(c.writing)
+		return true, nil
+	}
+	n, err := c.net.Write(encoded)
+	if err != nil {
+		return n > 0, c.fail(trace.ConvertSystemError(err))
+	}
+	return true, nil
+}
+
+// joinWriter waits for a write that goes on beside the reading.
+func (c *Conn) joinWriter() error {
+	if c.writing == nil {
+		return nil
+	}
+	err := <-c.writing
+	c.writing = nil
+	return err
+}
+
+// SetDeadline bounds reading and writing; the zero time removes the bound.
+func (c *Conn) SetDeadline(t time.Time) { _ = c.net.SetDeadline(t) }
+
+// Receive returns the next message, which is valid until the next call. The
+// group's parameters are kept and not returned. An error means that the
+// connection is closed.
+func (c *Conn) Receive() (pgproto3.BackendMessage, error) {
+	for {
+		message, err := c.wire.Receive()
+		if err != nil {
+			return nil, c.fail(err)
+		}
+		switch m := message.(type) {
+		case *pgproto3.ParameterStatus:
+			if c.noteParameter(m) {
+				continue
+			}
+		case *pgproto3.ReadyForQuery:
+			c.ready(m)
+		}
+		return message, nil
+	}
+}
+
+// ready notes the end of one answer.
+func (c *Conn) ready(m *pgproto3.ReadyForQuery) {
+	c.status = m.TxStatus
+	c.usedAt = time.Now()
+	if c.pending--; c.pending > 0 {
+		return
+	}
+	c.pending = 0
+	if err := c.joinWriter(); err != nil {
+		_ = c.fail(err)
+	}
+}
+
+// gone tells whether the server has closed an idle connection or sent something
+// unasked, such as the notice that it stops.
+func (c *Conn) gone() bool {
+	if c.wire.ReadBufferLen() > 0 {
+		return true
+	}
+	holder, ok := c.net.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := holder.SyscallConn()
+	return err != nil || readable(raw)
+}
+
+// readable peeks without waiting: data and end of file both count.
+func readable(raw syscall.RawConn) bool {
+	found := false
+	var buffer [1]byte
+	err := raw.Read(func(fd uintptr) bool {
+		n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		found = n > 0 || err == nil || !errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return found || err != nil
+}
--- /dev/null
+++ b/internal/pool/endpointpool.go
@@ -0,0 +1,204 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/endpoint"
+	"github.com/hornbeamlock/hornbeamlock/internal/fairqueue"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// endpointPool is the connections to one endpoint. Whoever holds a place of the
+// queue may have one connection open, so that places bound connections.
+type endpointPool struct {
+	pools    *Pools
+	id       string
+	queue    *fairqueue.Queue
+	inFlight atomic.Int64
+
+	mu   sync.Mutex
+	idle []*endpoint.Conn // guarded by mu; the last used is the last
+	open int              // guarded by mu; idle, leased and being opened
+	// opening is closed once the connection that is being opened ahead of need
+	// is there; nil when there is none. Guarded by mu.
+	opening chan struct{}
+	// doubtedAt is when a connection was found silent: those used last before
+	// are probed before use. Guarded by mu.
+	doubtedAt time.Time
+}
+
+func newEndpointPool(p *Pools, id string) *endpointPool {
+	pool := &endpointPool{pools: p, id: id}
+	pool.queue = fairqueue.New(fairqueue.Config{Capacity: pool.limit, Metrics: p.cfg.Metrics})
+	return pool
+}
+
+// limit is how many connections this instance may have to the endpoint.
+func (p *endpointPool) limit() int {
+	share, ok := p.pools.cfg.Board.Shares.Get(sharePrefix + p.id)
+	if !ok || share.Spender == nil {
+		return 1
+	}
+	return share.Spender.Units(p.pools.cfg.Now())
+}
+
+// errNoRoom means that the share has shrunk since a place was granted.
+var errNoRoom = errors.New("pool: no room for a connection")
+
+// acquire waits for a place in the queue and takes a connection.
+func (p *endpointPool) acquire(ctx context.Context, r Request) (*Lease, error) {
+	for {
+		release, err := p.queue.Acquire(ctx, fairqueue.Request{Organisation: r.Organisation, Weight: r.Weight, Bytes: r.Bytes})
+		if err != nil {
+			return nil, err
+		}
+		conn, err := p.take(ctx, r.Settings)
+		if err == nil {
+			return &Lease{Conn: conn, pool: p, release: release}, nil
+		}
+		release()
+		if !errors.Is(err, errNoRoom) {
+			return nil, err
+		}
+	}
+}
+
+// take returns a clean connection that answers, an idle one if there is any.
+func (p *endpointPool) take(ctx context.Context, settings string) (*endpoint.Conn, error) {
+	for {
+		conn, doubtful := p.popIdle(settings)
+		if conn == nil {
+			opening, err := p.reserve()
+			if opening == nil {
+				return p.connect(ctx, err)
+			}
+			select {
+			case <-opening:
+				continue
+			case <-ctx.Done():
+				return nil, verdict.New(verdict.NotRun, verdict.CodeTooManyConnections, "no connection in time")
+			}
+		}
+		if !doubtful {
+			return conn, nil
+		}
+		if err := conn.Probe(p.pools.cfg.ProbeTimeout); err == nil {
+			return conn, nil
+		}
+		p.pools.metrics.probesFailed.Add(1)
+		p.doubt()
+		p.forget(conn)
+	}
+}
+
+// reserve counts a connection as open before it is. With no room left it returns
+// what to wait for, or errNoRoom.
+func (p *endpointPool) reserve() (opening <-chan struct{}, err error) {
+	limit := p.limit()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open < limit {
+		p.open++
+		return nil, nil
+	}
+	if p.opening != nil {
+		return p.opening, nil
+	}
+	return nil, errNoRoom
+}
+
+// popIdle takes the connection used last, one with the same settings first, and
+// tells whether it has to be probed.
+func (p *endpointPool) popIdle(settings string) (conn *endpoint.Conn, doubtful bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil, false
+	}
+	at := len(p.idle) - 1
+	for i := at; i >= 0; i-- {
+		if p.idle[i].Settings() == settings {
+			at = i
+			break
+		}
+	}
+	conn = p.idle[at]
+	p.idle = append(p.idle[:at], p.idle[at+1:]...)
+	idleFor := p.pools.cfg.Now().Sub(conn.UsedAt())
+	return conn, idleFor > p.pools.cfg.ProbeAfter || conn.UsedAt().Before(p.doubtedAt)
+}
+
+// connect opens a connection that was reserved, unless reserving it failed.
+func (p *endpointPool) connect(ctx context.Context, reserveErr error) (*endpoint.Conn, error) {
+	if reserveErr != nil {
+		return nil, reserveErr
+	}
+	conn, err := p.dial(ctx)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	p.pools.metrics.opened.Add(1)
+	return conn, nil
+}
+
+func (p *endpointPool) dial(ctx context.Context) (*endpoint.Conn, error) {
+	cfg := &p.pools.cfg
+	view := cfg.Board.Configuration.Get()
+	entry, ok := view.Endpoints[p.id]
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow, "endpoint %s is not configured", p.id)
+	}
+	conn, err := endpoint.Connect(ctx, endpoint.Config{
+		Service: view.Services[entry.Service], Endpoint: entry.Endpoint, Board: cfg.Board, Log: cfg.Log,
+		Dial: cfg.Dial, ConnectTimeout: cfg.ConnectTimeout, CleanTimeout: cfg.CleanTimeout,
+	})
+	if err != nil && ctx.Err() == nil {
+		cfg.ReportFailure(p.id, err)
+	}
+	return conn, err
+}
+
+// put gives a clean connection back, or closes it when there are too many or the
+// endpoint takes no new work.
+func (p *endpointPool) put(conn *endpoint.Conn) {
+	keep := p.wanted()
+	limit := p.limit()
+	p.mu.Lock()
+	if keep && p.open <= limit {
+		p.idle = append(p.idle, conn)
+		p.mu.Unlock()
+		return
+	}
+	p.mu.Unlock()
+	p.forget(conn)
+}
+
+// forget closes a connection that was taken out of the pool.
+func (p *endpointPool) forget(conn *endpoint.Conn) {
+	conn.Close()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+	p.pools.metrics.closed.Add(1)
+}
+
+// doubt makes the connections that were last used until now be probed before use.
+func (p *endpointPool) doubt() {
+	now := p.pools.cfg.Now()
+	p.mu.Lock()
+	p.doubtedAt = now
+	p.mu.Unlock()
+}
+
+// wanted tells whether the endpoint still takes new work.
+func (p *endpointPool) wanted() bool {
+	entry, ok := p.pools.cfg.Board.Configuration.Get().Endpoints[p.id]
+	return ok && !entry.Endpoint.GetLeaving() && p.pools.ctx.Err() == nil
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,229 @@
+// Package pool keeps an instance's connections to the endpoints. It reads the
+// blackboard's Configuration and Shares and writes nothing there. Its invariants:
+// an endpoint never has more connections from this instance than its share was
+// when the last one was opened; a connection serves one lease at a time and is
+// clean when it begins; a leaving endpoint gets no lease.
+package pool
+
+import (
+	"context"
+	"hash/maphash"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/metrics"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+const shardCount = 16
+
+// sharePrefix begins the resource names of connection shares.
+const sharePrefix = "conn/"
+
+// Config describes the pools.
+type Config struct {
+	Board   *blackboard.Board
+	Log     *zap.Logger
+	Metrics *metrics.Set
+	// Dial opens the transport; default is TCP with keep-alive.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Demand tells the share controller about unmet demand; may be nil.
+	Demand func(resource string, amount float64)
+	// ReportFailure tells the group controller that a connection failed; may be nil.
+	ReportFailure func(endpointID string, err error)
+	// Now is the clock; default time.Now.
+	Now func() time.Time
+	// ConnectTimeout bounds the opening of a connection; default 2 s.
+	ConnectTimeout time.Duration
+	// ProbeAfter is the idle time after which a connection is probed before use;
+	// default 5 s.
+	ProbeAfter time.Duration
+	// ProbeTimeout bounds a probe; default 250 ms.
+	ProbeTimeout time.Duration
+	// IdleTimeout is the idle time after which a connection is closed; default 5 min.
+	IdleTimeout time.Duration
+	// CleanTimeout bounds the cleaning of a used connection; default 1 s.
+	CleanTimeout time.Duration
+	// Spare is how many idle connections are opened ahead of need while the
+	// share has room; default 0.
+	Spare int
+	// Sweep is how often idle connections are looked through; default 500 ms.
+	Sweep time.Duration
+}
+
+// CheckAndSetDefaults validates the configuration.
+func (c *Config) CheckAndSetDefaults() error {
+	if c.Board == nil {
+		return trace.BadParameter("pool: Board is required")
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	if c.Demand == nil {
+		c.Demand = func(string, float64) {}
+	}
+	if c.ReportFailure == nil {
+		c.ReportFailure = func(string, error) {}
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	setDefault(&c.ConnectTimeout, 2*time.Second)
+	setDefault(&c.ProbeAfter, 5*time.Second)
+	setDefault(&c.ProbeTimeout, 250*time.Millisecond)
+	setDefault(&c.IdleTimeout, 5*time.Minute)
+	setDefault(&c.CleanTimeout, time.Second)
+	setDefault(&c.Sweep, 500*time.Millisecond)
+	return nil
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+// Pools are the pools of all endpoints.
+type Pools struct {
+	cfg     Config
+	seed    maphash.Seed
+	shards  [shardCount]shard
+	metrics counters
+
+	tomb *tomb.Tomb
+	ctx  context.Context // ends with the tomb
+	mu   sync.Mutex
+	// running is true while the tomb takes background work. Guarded by mu.
+	running bool
+}
+
+type shard struct {
+	mu    sync.RWMutex
+	pools map[string]*endpointPool // guarded by mu
+}
+
+// New returns pools without connections. Leases may be acquired before Run.
+func New(cfg Config) (*Pools, error) {
+	if err := cfg.CheckAndSetDefaults(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p := &Pools{cfg: cfg, seed: maphash.MakeSeed()}
+	p.tomb, p.ctx = tomb.WithContext(context.Background())
+	p.metrics = newCounters(cfg.Metrics, p)
+	for i := range p.shards {
+		p.shards[i].pools = make(map[string]*endpointPool)
+	}
+	return p, nil
+}
+
+// Run looks after the connections until ctx ends, then closes them all.
+func (p *Pools) Run(ctx context.Context) error {
+	p.setRunning(true)
+	<-ctx.Done()
+	p.setRunning(false)
+	err := p.tomb.Wait()
+	p.closeAll()
+	return trace.Wrap(err)
+}
+
+// setRunning starts or ends the tomb. Its first goroutine lasts as long as it runs,
+// so that background work can always be added.
+func (p *Pools) setRunning(running bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running = running
+	if running {
+		p.tomb.Go(p.maintain)
+		return
+	}
+	p.tomb.Kill(nil)
+}
+
+// Request asks for a connection.
+type Request struct {
+	Endpoint     string
+	Organisation string
+	// Weight is the organisation's share of scarce capacity; 0 means 1.
+	Weight uint32
+	// Bytes is the memory that the request holds while it waits.
+	Bytes int
+	// Settings are the session's endpoint settings; a connection that has them
+	// already is taken first.
+	Settings string
+}
+
+// Acquire waits for the organisation's turn and returns a clean connection.
+// Every error is a NotRun verdict.
+func (p *Pools) Acquire(ctx context.Context, r Request) (*Lease, error) {
+	entry, ok := p.cfg.Board.Configuration.Get().Endpoints[r.Endpoint]
+	if !ok || entry.Endpoint.GetLeaving() {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow, "endpoint %s takes no new work", r.Endpoint)
+	}
+	pool := p.poolOf(r.Endpoint)
+	if int(pool.inFlight.Add(1)) > pool.limit() {
+		p.cfg.Demand(sharePrefix+r.Endpoint, 1)
+	}
+	lease, err := pool.acquire(ctx, r)
+	if err != nil {
+		pool.inFlight.Add(-1)
+		return nil, err
+	}
+	return lease, nil
+}
+
+// InFlight returns how many leases of the endpoint are held or waited for.
+func (p *Pools) InFlight(endpointID string) int {
+	s := p.shardOf(endpointID)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if pool, ok := s.pools[endpointID]; ok {
+		return int(pool.inFlight.Load())
+	}
+	return 0
+}
+
+func (p *Pools) shardOf(id string) *shard {
+	return &p.shards[maphash.String(p.seed, id)%shardCount]
+}
+
+// poolOf returns the endpoint's pool, made at the first request.
+func (p *Pools) poolOf(id string) *endpointPool {
+	s := p.shardOf(id)
+	s.mu.RLock()
+	pool, ok := s.pools[id]
+	s.mu.RUnlock()
+	if ok {
+		return pool
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if pool, ok := s.pools[id]; ok {
+		return pool
+	}
+	pool = newEndpointPool(p, id)
+	s.pools[id] = pool
+	return pool
+}
+
+// all returns the pools at one instant.
+func (p *Pools) all() []*endpointPool {
+	var list []*endpointPool
+	for i := range p.shards {
+		s := &p.shards[i]
+		s.mu.RLock()
+		for _, pool := range s.pools {
+			list = append(list, pool)
+		}
+		s.mu.RUnlock()
+	}
+	return list
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -6,6 +6,7 @@
 package session
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"strings"
@@ -29,6 +30,8 @@
 	SQL           string
 	ParameterOIDs []uint32
 	Statement     statement.Statement
+
+	key string
 }
 
 // New returns the state of a fresh session.
@@ -36,14 +39,16 @@
 
 // Key identifies a prepared statement by its content.
 func (p *Prepared) Key() string {
-	var b strings.Builder
-	b.Grow(len(p.SQL) + 4*len(p.ParameterOIDs) + 1)
+	if p.key != "" {
+		return p.key
+	}
+	key := make([]byte, 0, len(p.SQL)+4*len(p.ParameterOIDs)+1)
 	for _, oid := range p.ParameterOIDs {
-		b.Write([]byte{byte(oid >> 24), byte(oid >> 16), byte(oid >> 8), byte(oid)})
+		key = binary.BigEndian.AppendUint32(key, oid)
 	}
-	b.WriteByte(0)
-	b.WriteString(p.SQL)
-	return b.String()
+	key = append(key, 0)
+	p.key = string(append(key, p.SQL...))
+	return p.key
 }
 
 // SetEndpoint remembers an endpoint setting that an endpoint has accepted. In a
