--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -153,6 +153,9 @@
 	c.net.Close()
 }
 
+// Abort closes the connection and says why it can no longer be used.
+func (c *Conn) Abort(err error) { _ = c.fail(err) }
+
 // fail marks the connection as unusable and closes it.
 func (c *Conn) fail(err error) error {
 	if c.broken == nil {
--- a/internal/endpoint/exchange.go
+++ b/internal/endpoint/exchange.go
@@ -117,3 +117,14 @@
 	})
 	return found || err != nil
 }
+
+// Stream writes more of a request that was begun by Send, such as COPY data.
+func (c *Conn) Stream(encoded []byte) error {
+	if c.broken != nil {
+		return trace.Wrap(c.broken)
+	}
+	if _, err := c.net.Write(encoded); err != nil {
+		return c.fail(trace.ConvertSystemError(err))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/authenticate.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/fleetconfig"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// keyPrefix begins every key: hbl_<id>_<secret>.
+const keyPrefix = "hbl_"
+
+// identity is who a caller has proven to be.
+type identity struct {
+	// organisation is empty for a caller without a key.
+	organisation string
+	// keyID is the public part of the key, empty without one.
+	keyID   string
+	service string
+}
+
+// authenticate asks for the key and checks it. On a service that is open to all,
+// a user name that is no organisation needs no key.
+func (c *caller) authenticate(user, database string) (*identity, error) {
+	if database == "" {
+		database = user
+	}
+	view := c.server.cfg.Board.Configuration.Get()
+	service, serviceExists := view.Services[database]
+	_, isOrganisation := view.Organisations[user]
+	if serviceExists && service.GetOpenToAll() && !isOrganisation {
+		return &identity{service: database}, nil
+	}
+	key, err := c.askForKey()
+	if err != nil {
+		return nil, err
+	}
+	// The configuration may have changed while the caller was asked.
+	view = c.server.cfg.Board.Configuration.Get()
+	keyID, ok := checkKey(view, user, key)
+	if !ok {
+		c.server.metrics.loginsRefused.Add(1)
+		event.CallerRefused.Emit(c.server.cfg.Log, zap.String("key_id", keyID), zap.String("service", database))
+		return nil, verdict.New(verdict.NotRun, verdict.CodeInvalidPassword, "the key was not accepted for this organisation")
+	}
+	if _, ok := view.Services[database]; !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnknownDatabase, "there is no service %q", database)
+	}
+	return &identity{organisation: user, keyID: keyID, service: database}, nil
+}
+
+// askForKey asks for a cleartext password.
+func (c *caller) askForKey() (string, error) {
+	c.answers.add(&pgproto3.AuthenticationCleartextPassword{})
+	if err := c.answers.flush(); err != nil {
+		return "", errEnded
+	}
+	if err := c.wire.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
+		return "", errEnded
+	}
+	message, err := c.wire.Receive()
+	if err != nil {
+		return "", errEnded
+	}
+	password, ok := message.(*pgproto3.PasswordMessage)
+	if !ok {
+		return "", verdict.New(verdict.NotRun, verdict.CodeProtocolViolation, "a password message was expected")
+	}
+	return password.Password, nil
+}
+
+// checkKey compares the key with the stored digest. It takes the same steps for
+// an unknown key. The id is returned only if a key of that id exists, so that
+// what a caller sent by mistake is not logged.
+func checkKey(view *fleetconfig.View, user, key string) (id string, ok bool) {
+	rest, hasPrefix := strings.CutPrefix(key, keyPrefix)
+	id, _, hasSecret := strings.Cut(rest, "_")
+	stored, known := view.Keys[id]
+	digest := sha256.Sum256([]byte(key))
+	same := subtle.ConstantTimeCompare(digest[:], stored.GetSha256()) == 1
+	if !known {
+		return "", false
+	}
+	_, organisationExists := view.Organisations[user]
+	return id, same && hasPrefix && hasSecret && organisationExists && stored.GetOrganisation() == user
+}
--- /dev/null
+++ b/internal/gateway/batch.go
@@ -0,0 +1,394 @@
+package gateway
+
+import (
+	"context"
+	"encoding/binary"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/endpoint"
+	"github.com/hornbeamlock/hornbeamlock/internal/session"
+	"github.com/hornbeamlock/hornbeamlock/internal/statement"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// Types of extended messages.
+const (
+	messageParse    byte = 'P'
+	messageBind     byte = 'B'
+	messageDescribe byte = 'D'
+	messageExecute  byte = 'E'
+	messageClose    byte = 'C'
+
+	objectStatement byte = 'S'
+)
+
+// item is one extended message of a caller.
+type item struct {
+	kind byte
+	// object is 'S' or 'P' of Describe and Close.
+	object byte
+	// name is the caller's name of the statement; portal that of the portal.
+	name, portal string
+	prepared     *session.Prepared
+	// raw is the message as encoded; of a Bind, what follows the names.
+	raw []byte
+}
+
+// batch collects extended messages until Sync or Flush.
+type batch struct {
+	items []item
+	raw   []byte // bytes of all items, for bounding
+	// refused is the first reason not to run the batch.
+	refused *verdict.Error
+}
+
+func (b *batch) empty() bool { return len(b.items) == 0 && b.refused == nil }
+
+// collect adds an extended message, which is only valid until the next is read.
+func (c *caller) collect(message pgproto3.FrontendMessage) error {
+	if c.skipping {
+		return nil
+	}
+	b := &c.batch
+	if b.refused != nil {
+		return nil
+	}
+	start := len(b.raw)
+	encoded, err := message.(pgproto3.Message).Encode(b.raw)
+	if err != nil {
+		b.refused = verdict.New(verdict.NotRun, verdict.CodeProtocolViolation, "malformed message")
+		return nil
+	}
+	b.raw = encoded
+	if len(b.raw) > c.server.cfg.MaxRequestBytes {
+		b.refused = verdict.New(verdict.NotRun, codeLimitExceeded, "the batch is larger than %d bytes", c.server.cfg.MaxRequestBytes)
+		return nil
+	}
+	b.items = append(b.items, c.newItem(message, b.raw[start:len(b.raw):len(b.raw)]))
+	return nil
+}
+
+// newItem keeps what is needed of a message and resolves its statement.
+func (c *caller) newItem(message pgproto3.FrontendMessage, raw []byte) item {
+	switch m := message.(type) {
+	case *pgproto3.Parse:
+		return c.newParse(m)
+	case *pgproto3.Bind:
+		skip := 5 + len(m.DestinationPortal) + 1 + len(m.PreparedStatement) + 1
+		it := item{kind: messageBind, name: m.PreparedStatement, portal: m.DestinationPortal, raw: raw[skip:]}
+		it.prepared = c.resolve(it.name)
+		return it
+	case *pgproto3.Describe:
+		it := item{kind: messageDescribe, object: m.ObjectType, name: m.Name, raw: raw}
+		if m.ObjectType == objectStatement {
+			it.prepared = c.resolve(it.name)
+		}
+		return it
+	case *pgproto3.Execute:
+		return item{kind: messageExecute, portal: m.Portal, raw: raw}
+	case *pgproto3.Close:
+		return item{kind: messageClose, object: m.ObjectType, name: m.Name, raw: raw}
+	default:
+		return item{}
+	}
+}
+
+func (c *caller) newParse(m *pgproto3.Parse) item {
+	p := &session.Prepared{SQL: m.Query, ParameterOIDs: m.ParameterOIDs, Statement: statement.Classify(m.Query)}
+	if p.Statement.Class == statement.Refused {
+		c.batch.refused = refusedFeature(p.Statement.Name)
+	}
+	if m.Name != "" && c.find(m.Name) != nil {
+		c.batch.refused = verdict.New(verdict.NotRun, verdict.CodeDuplicatePreparedStmt, "prepared statement %q already exists", m.Name)
+	}
+	return item{kind: messageParse, name: m.Name, prepared: p}
+}
+
+// resolve finds a prepared statement, or has the batch refused.
+func (c *caller) resolve(name string) *session.Prepared {
+	p := c.find(name)
+	if p == nil && c.batch.refused == nil {
+		c.batch.refused = verdict.New(verdict.NotRun, verdict.CodeUndefinedPreparedStmt, "prepared statement %q does not exist", name)
+	}
+	return p
+}
+
+// find looks for a statement in the batch so far, then in the session.
+func (c *caller) find(name string) *session.Prepared {
+	for i := len(c.batch.items) - 1; i >= 0; i-- {
+		it := &c.batch.items[i]
+		if it.name != name {
+			continue
+		}
+		if it.kind == messageParse {
+			return it.prepared
+		}
+		if it.kind == messageClose && it.object == objectStatement {
+			return nil
+		}
+	}
+	return c.state.Prepared[name]
+}
+
+// runBatch runs what was collected, at Sync or Flush.
+func (c *caller) runBatch(ctx context.Context, synced bool) error {
+	b := c.batch
+	c.batch = batch{}
+	if c.skipping {
+		return c.endSkipping(ctx, synced)
+	}
+	if b.empty() && !synced {
+		return nil
+	}
+	rq := b.request(synced)
+	if b.refused != nil {
+		return c.reject(rq, b.refused)
+	}
+	if len(b.items) == 0 && c.lease == nil {
+		c.answers.begin()
+		c.ready()
+		return c.answers.flush()
+	}
+	if c.implicit() && rq.statement.Class == statement.Read {
+		// The Sync commits whatever came before the Flush.
+		rq.statement.Class = statement.Write
+	}
+	return c.handle(ctx, rq)
+}
+
+// endSkipping ends a batch that failed before its Sync. At the endpoint, the
+// messages so far still wait for theirs.
+func (c *caller) endSkipping(ctx context.Context, synced bool) error {
+	if !synced {
+		return nil
+	}
+	c.skipping = false
+	if c.lease != nil {
+		rq := (&batch{}).request(true)
+		rq.statement.Class = statement.Write
+		return c.handle(ctx, rq)
+	}
+	c.answers.begin()
+	c.ready()
+	return c.answers.flush()
+}
+
+// request classes the batch by the statements that it executes, or else by those
+// that it names.
+func (b *batch) request(synced bool) *request {
+	rq := &request{batch: b, synced: synced, statement: statement.Statement{Class: statement.Read}}
+	portals := make(map[string]*session.Prepared, 1)
+	first := true
+	for i := range b.items {
+		it := &b.items[i]
+		switch {
+		case it.kind == messageBind:
+			portals[it.portal] = it.prepared
+		case it.kind == messageExecute:
+			rq.addExecuted(portals[it.portal], first)
+			first = false
+		}
+	}
+	if first {
+		b.classByNames(rq)
+	}
+	rq.executes = !first
+	if !synced && rq.statement.Class == statement.Read {
+		// What follows the Flush in the same implicit transaction is unknown.
+		rq.statement.Class = statement.Write
+	}
+	return newRequest(rq)
+}
+
+// addExecuted takes one executed statement into the class of the whole.
+func (rq *request) addExecuted(p *session.Prepared, first bool) {
+	st := statement.Statement{Class: statement.Write, TaintsSession: true}
+	if p != nil {
+		st = p.Statement
+	}
+	if st.Class == statement.Read || st.Class == statement.Write {
+		rq.admitted++
+	}
+	rq.commits = rq.commits || st.Class == statement.Commit
+	if first {
+		rq.statement = st
+		return
+	}
+	whole := &rq.statement
+	switch {
+	case whole.Local() || st.Local():
+		*whole = statement.Statement{Class: statement.Refused, Name: "a statement for the proxy itself beside others in one batch"}
+	case whole.Class == statement.Refused:
+	case st.Class == statement.EndpointSet, st.Class == statement.EndpointReset,
+		whole.Class == statement.EndpointSet, whole.Class == statement.EndpointReset:
+		*whole = statement.Statement{Class: statement.Refused, Name: "SET beside other statements in one batch"}
+	case whole.Class == statement.Read && st.Class == statement.Read:
+	case whole.Class == statement.Begin && whole.ReadOnly:
+		whole.TaintsSession = whole.TaintsSession || st.TaintsSession
+	default:
+		whole.Class, whole.ReadOnly = statement.Write, false
+		whole.TaintsSession = whole.TaintsSession || st.TaintsSession
+	}
+}
+
+// classByNames classes a batch that only prepares and describes: it goes where
+// its statements will run.
+func (b *batch) classByNames(rq *request) {
+	for i := range b.items {
+		p := b.items[i].prepared
+		if p == nil {
+			continue
+		}
+		if p.Statement.Local() {
+			rq.statement = p.Statement
+			return
+		}
+		if p.Statement.Class != statement.Read && p.Statement.Class != statement.Empty {
+			rq.statement.Class = statement.Write
+		}
+	}
+}
+
+// step is one answer that a batch brings.
+type step struct {
+	// known is the type of an answer that the proxy gives itself, or 0.
+	known byte
+	// swallow drops the endpoint's answer, since the caller did not ask.
+	swallow bool
+	item    *item
+	// key and name are those of a statement that the endpoint prepares.
+	key, name string
+}
+
+// encoder builds a batch for one connection.
+type encoder struct {
+	encoded []byte
+	steps   []step
+	conn    *endpoint.Conn
+	unnamed string
+	names   map[string]string // prepared within this batch
+}
+
+// encode writes the batch for a connection, which may lack some statements and
+// have others already.
+func (b *batch) encode(encoded []byte, conn *endpoint.Conn, _ *session.State) ([]byte, []step) {
+	e := &encoder{encoded: encoded, conn: conn, unnamed: conn.Unnamed(), steps: make([]step, 0, len(b.items)+1)}
+	for _, name := range conn.EvictPrepared() {
+		e.send(&pgproto3.Close{ObjectType: objectStatement, Name: name}, step{swallow: true})
+	}
+	for i := range b.items {
+		e.item(&b.items[i])
+	}
+	return e.encoded, e.steps
+}
+
+func (e *encoder) send(message pgproto3.Message, s step) {
+	e.encoded, _ = message.Encode(e.encoded)
+	e.steps = append(e.steps, s)
+}
+
+func (e *encoder) item(it *item) {
+	switch {
+	case it.kind == messageParse:
+		if _, there := e.prepare(it, step{item: it}); there {
+			e.steps = append(e.steps, step{known: '1', item: it})
+		}
+	case it.kind == messageBind:
+		name, _ := e.prepare(it, step{swallow: true})
+		e.encoded = appendBind(e.encoded, it, name)
+		e.steps = append(e.steps, step{item: it})
+	case it.kind == messageDescribe && it.object == objectStatement:
+		name, _ := e.prepare(it, step{swallow: true})
+		e.send(&pgproto3.Describe{ObjectType: objectStatement, Name: name}, step{item: it})
+	case it.kind == messageClose && it.object == objectStatement:
+		e.steps = append(e.steps, step{known: '3', item: it})
+	default:
+		e.encoded = append(e.encoded, it.raw...)
+		e.steps = append(e.steps, step{item: it})
+	}
+}
+
+// prepare makes sure that the connection has the item's statement, by a Parse
+// whose answer is the step given, and returns its name there.
+func (e *encoder) prepare(it *item, s step) (name string, there bool) {
+	s.key = it.prepared.Key()
+	if it.name == "" {
+		if e.unnamed == s.key {
+			return "", true
+		}
+		e.unnamed = s.key
+	} else {
+		if name, there = e.lookUp(s.key); there {
+			return name, true
+		}
+		s.name = e.conn.NewPreparedName()
+		if e.names == nil {
+			e.names = make(map[string]string)
+		}
+		e.names[s.key] = s.name
+	}
+	e.send(&pgproto3.Parse{Name: s.name, Query: it.prepared.SQL, ParameterOIDs: it.prepared.ParameterOIDs}, s)
+	return s.name, false
+}
+
+func (e *encoder) lookUp(key string) (string, bool) {
+	if name, ok := e.names[key]; ok {
+		return name, true
+	}
+	return e.conn.PreparedName(key)
+}
+
+// appendBind writes a Bind with the endpoint's name of the statement.
+func appendBind(dst []byte, it *item, name string) []byte {
+	dst = append(dst, messageBind)
+	length := 4 + len(it.portal) + 1 + len(name) + 1 + len(it.raw)
+	dst = binary.BigEndian.AppendUint32(dst, uint32(length))
+	dst = append(append(dst, it.portal...), 0)
+	dst = append(append(dst, name...), 0)
+	return append(dst, it.raw...)
+}
+
+// answersStep matches an endpoint's message with the step that it answers, and
+// tells whether the caller must not see it.
+func (x *exchange) answersStep(message pgproto3.BackendMessage) (swallow bool) {
+	if x.at >= len(x.steps) {
+		return false
+	}
+	s := &x.steps[x.at]
+	switch message.(type) {
+	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete, *pgproto3.NoData,
+		*pgproto3.RowDescription, *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
+		x.complete(s)
+	}
+	return s.swallow
+}
+
+// answerKnownSteps gives the answers that need no endpoint.
+func (x *exchange) answerKnownSteps() {
+	for x.at < len(x.steps) && x.steps[x.at].known != 0 && !x.failed {
+		s := &x.steps[x.at]
+		x.c.answers.buffer = append(x.c.answers.buffer, s.known, 0, 0, 0, 4)
+		x.complete(s)
+	}
+}
+
+// complete notes what a finished step has changed.
+func (x *exchange) complete(s *step) {
+	x.at++
+	if s.key != "" {
+		x.conn.NotePrepared(s.key, s.name)
+	}
+	x.c.notePrepared(s.item)
+}
+
+// notePrepared changes the session's statements after a Parse or Close.
+func (c *caller) notePrepared(it *item) {
+	switch {
+	case it == nil:
+	case it.kind == messageParse:
+		c.state.Prepared[it.name] = it.prepared
+	case it.kind == messageClose && it.object == objectStatement:
+		delete(c.state.Prepared, it.name)
+	}
+}
--- /dev/null
+++ b/internal/gateway/caller.go
@@ -0,0 +1,244 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/endpoint"
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/pool"
+	"github.com/hornbeamlock/hornbeamlock/internal/session"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// codeIdleTransaction ends a caller that leaves its transaction open.
+const codeIdleTransaction = "25P03"
+
+// codeLimitExceeded refuses a request that is too large.
+const codeLimitExceeded = "54000"
+
+// caller is one connection from an application. Its goroutine owns all fields
+// but those that say otherwise.
+type caller struct {
+	server    *Server
+	id        uint32
+	secret    []byte
+	transport net.Conn // as accepted; others may set deadlines and close it
+	conn      net.Conn // transport, or TLS over it
+	encrypted bool
+	wire      *pgproto3.Backend
+	answers   answers
+	identity  atomic.Pointer[identity] // nil until logged in
+
+	state     *session.State
+	toldFloor string
+	batch     batch
+	// skipping drops extended messages until Sync, after an error.
+	skipping bool
+
+	// lease is the connection of the running transaction, or nil.
+	lease     *pool.Lease
+	atReplica bool
+	// failed is true when the proxy has ended the transaction and the caller has
+	// not yet done so.
+	failed bool
+
+	interrupted atomic.Bool
+	mu          sync.Mutex
+	running     *running // guarded by mu; the statement under way
+}
+
+func newCaller(s *Server, transport net.Conn) *caller {
+	c := &caller{server: s, transport: transport, state: session.New()}
+	c.setTransport(transport)
+	return c
+}
+
+func (c *caller) setTransport(conn net.Conn) {
+	c.conn = conn
+	c.wire = pgproto3.NewBackend(conn, conn)
+	c.wire.SetMaxBodyLen(c.server.cfg.MaxRequestBytes)
+	c.answers = answers{conn: conn, timeout: c.server.cfg.WriteTimeout, held: noHold}
+}
+
+// serve runs the whole session.
+func (c *caller) serve(ctx context.Context) {
+	if err := c.startup(); err != nil {
+		c.fatal(err)
+		return
+	}
+	for c.step(ctx) {
+	}
+}
+
+// step handles one message. It reports false at the end of the session.
+func (c *caller) step(ctx context.Context) bool {
+	c.arm()
+	if reason := c.endReason(); reason != nil {
+		c.tellEnd(reason)
+		return false
+	}
+	message, err := c.wire.Receive()
+	if err != nil {
+		return c.receiveFailed(err)
+	}
+	return c.dispatch(ctx, message) == nil
+}
+
+// arm sets the deadline for the next message. An interruption before it is found
+// by endReason, one after it ends the reading.
+func (c *caller) arm() {
+	switch {
+	case c.lease != nil:
+		_ = c.transport.SetReadDeadline(time.Now().Add(c.server.cfg.IdleTransactionTimeout))
+	case c.interrupted.Swap(false):
+		_ = c.transport.SetReadDeadline(time.Time{})
+	}
+}
+
+// interrupt makes the caller's goroutine look whether the session has to end.
+func (c *caller) interrupt() {
+	c.interrupted.Store(true)
+	_ = c.transport.SetReadDeadline(time.Unix(1, 0))
+}
+
+// endReason returns why the session must end here, or nil. Draining ends it only
+// outside a transaction.
+func (c *caller) endReason() *verdict.Error {
+	if reason := c.server.revoked(c.identity.Load()); reason != nil {
+		return reason
+	}
+	if c.server.isDraining() && c.lease == nil && !c.failed && c.batch.empty() && !c.skipping {
+		return verdict.New(verdict.NotRun, verdict.CodeAdminShutdown, "this instance is shutting down")
+	}
+	return nil
+}
+
+// receiveFailed judges a failed reading: an interruption or the end.
+func (c *caller) receiveFailed(err error) bool {
+	var tooLong *pgproto3.ExceededMaxBodyLenErr
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		if c.lease != nil && !c.interrupted.Load() {
+			c.fatal(verdict.New(verdict.NotRun, codeIdleTransaction, "the transaction was idle for too long and was rolled back"))
+			return false
+		}
+		c.interrupted.Store(true)
+		return true
+	case errors.As(err, &tooLong):
+		c.fatal(verdict.New(verdict.NotRun, codeLimitExceeded, "the message is larger than %d bytes", c.server.cfg.MaxRequestBytes))
+	}
+	return false
+}
+
+// dispatch handles a message. An error ends the session without a word.
+func (c *caller) dispatch(ctx context.Context, message pgproto3.FrontendMessage) error {
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		return c.handle(ctx, newQuery(m.String))
+	case *pgproto3.Sync:
+		return c.runBatch(ctx, true)
+	case *pgproto3.Flush:
+		return c.runBatch(ctx, false)
+	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close:
+		return c.collect(message)
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		// What is left of a COPY that failed.
+		return nil
+	case *pgproto3.Terminate:
+		return errEnded
+	default:
+		c.fatal(verdict.New(verdict.NotRun, verdict.CodeProtocolViolation, "unsupported message %T", message))
+		return errEnded
+	}
+}
+
+// status is the transaction state that the caller is told.
+func (c *caller) status() byte {
+	switch {
+	case c.failed:
+		return 'E'
+	case c.lease != nil:
+		return c.lease.Conn.Status()
+	default:
+		return 'I'
+	}
+}
+
+// ready ends an answer.
+func (c *caller) ready() { c.answers.add(&pgproto3.ReadyForQuery{TxStatus: c.status()}) }
+
+// tellEnd ends a session that was let in.
+func (c *caller) tellEnd(reason *verdict.Error) {
+	identity := c.identity.Load()
+	event.CallerEnded.Emit(c.server.cfg.Log, zap.String("key_id", identity.keyID),
+		zap.String("service", identity.service), zap.String("reason", reason.Message))
+	c.fatal(reason)
+}
+
+// fatal tells the caller why its connection ends.
+func (c *caller) fatal(err error) {
+	if errors.Is(err, errEnded) {
+		return
+	}
+	told := verdict.As(err, verdict.NotRun)
+	c.server.metrics.refused.Add(told.Verdict.String(), 1)
+	c.answers.add(errorResponse(told, severityFatal))
+	_ = c.answers.flush()
+}
+
+// refuseConnection turns a caller away before it has said who it is.
+func (c *caller) refuseConnection(reason *verdict.Error) {
+	defer c.transport.Close()
+	_ = c.transport.SetDeadline(time.Now().Add(c.server.cfg.StartupTimeout))
+	if _, err := c.startupMessage(); err == nil {
+		c.fatal(reason)
+	}
+}
+
+// close ends the connection and rolls back an open transaction.
+func (c *caller) close() {
+	c.releaseLease()
+	c.transport.Close()
+}
+
+// cut closes the connection at once, from another goroutine.
+func (c *caller) cut() {
+	c.transport.Close()
+	c.cancelStatement()
+}
+
+// releaseLease gives the connection of the transaction back.
+func (c *caller) releaseLease() {
+	if c.lease == nil {
+		return
+	}
+	c.detach()
+	c.lease.Release()
+	c.lease = nil
+}
+
+// failTransaction rolls the running transaction back; the caller has to end it.
+func (c *caller) failTransaction() {
+	if c.lease == nil {
+		return
+	}
+	implicit := c.implicit()
+	c.releaseLease()
+	c.state.EndTransaction(false)
+	c.failed = !implicit
+}
+
+// implicit tells whether the connection is held only because a batch has not
+// come to its Sync.
+func (c *caller) implicit() bool {
+	return c.lease != nil && c.lease.Conn.Status() == endpoint.StatusIdle
+}
--- /dev/null
+++ b/internal/gateway/copy.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// copyChunk is the size at which copied data is passed on.
+const copyChunk = 32 * 1024 // bytes
+
+// copyIn passes a caller's COPY data on until its end. The time for the statement
+// starts afresh with each piece.
+func (x *exchange) copyIn() error {
+	if err := x.c.answers.flush(); err != nil {
+		x.copyFail("the caller has gone")
+		return err
+	}
+	var pending []byte
+	for {
+		message, err := x.receiveCopy()
+		if err != nil {
+			x.copyFail("the caller has gone")
+			return err
+		}
+		done := false
+		switch m := message.(type) {
+		case *pgproto3.CopyData:
+			pending, _ = m.Encode(pending)
+		case *pgproto3.CopyDone, *pgproto3.CopyFail:
+			pending, _ = m.(pgproto3.Message).Encode(pending)
+			done = true
+		case *pgproto3.Flush, *pgproto3.Sync:
+			continue
+		default:
+			x.copyFail("unexpected message while copying in")
+			return errEnded
+		}
+		if done || len(pending) >= copyChunk {
+			if x.sendCopy(pending) != nil {
+				return nil
+			}
+			pending = pending[:0]
+		}
+		if done {
+			return x.syncAfterCopy()
+		}
+	}
+}
+
+// receiveCopy reads the caller's next message. Draining does not interrupt a
+// COPY; a withdrawn key does.
+func (x *exchange) receiveCopy() (pgproto3.FrontendMessage, error) {
+	for {
+		message, err := x.c.wire.Receive()
+		if err == nil {
+			return message, nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, errEnded
+		}
+		_ = x.c.transport.SetReadDeadline(time.Now().Add(x.c.server.cfg.IdleTransactionTimeout))
+		if reason := x.c.server.revoked(x.c.identity.Load()); reason != nil {
+			x.c.tellEnd(reason)
+			return nil, errEnded
+		}
+		if !x.c.interrupted.Swap(false) {
+			x.c.fatal(verdict.New(verdict.NotRun, codeIdleTransaction, "the COPY was idle for too long and was rolled back"))
+			return nil, errEnded
+		}
+	}
+}
+
+// sendCopy writes to the endpoint; an error shows up in the reading as well.
+func (x *exchange) sendCopy(encoded []byte) error {
+	x.conn.SetDeadline(time.Now().Add(x.c.server.cfg.StatementTimeout))
+	return x.conn.Stream(encoded)
+}
+
+func (x *exchange) copyFail(why string) {
+	encoded, _ := (&pgproto3.CopyFail{Message: why}).Encode(nil)
+	if x.rq.batch != nil {
+		encoded, _ = (&pgproto3.Sync{}).Encode(encoded)
+	}
+	_ = x.sendCopy(encoded)
+}
+
+// syncAfterCopy takes the Sync that callers of the extended protocol send after
+// the data: the endpoint ignores one that came before.
+func (x *exchange) syncAfterCopy() error {
+	if x.rq.batch == nil || !x.rq.synced {
+		return nil
+	}
+	for {
+		message, err := x.receiveCopy()
+		if err != nil {
+			return err
+		}
+		if _, ok := message.(*pgproto3.Sync); ok {
+			encoded, _ := (&pgproto3.Sync{}).Encode(nil)
+			_ = x.sendCopy(encoded)
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/place.go
@@ -0,0 +1,221 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/fleetconfig"
+	"github.com/hornbeamlock/hornbeamlock/internal/pool"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/routing"
+	"github.com/hornbeamlock/hornbeamlock/internal/statement"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// placement is a connection chosen for a request.
+type placement struct {
+	lease    *pool.Lease
+	endpoint string
+	replica  bool
+	// term is the term of the primary, 0 at a replica.
+	term uint64
+	// verify makes a replica tell its position, at least lowest, before the read.
+	verify bool
+	lowest position.Position
+}
+
+// place decides where a request runs and acquires a connection there. Errors are
+// NotRun verdicts.
+func (c *caller) place(ctx context.Context, rq *request) (placement, error) {
+	for ctx.Err() == nil {
+		decision := routing.Decide(c.routingInput(rq))
+		switch decision.Action {
+		case routing.UseReplica, routing.UsePrimary:
+			placed, err := c.acquire(ctx, rq, decision)
+			if err == nil || decision.Action == routing.UsePrimary && !isUnreachable(err) {
+				return placed, err
+			}
+			if decision.Action == routing.UsePrimary && !sleep(ctx, firstPause) {
+				return placement{}, err
+			}
+		case routing.NeedIndex:
+			if err := c.readIndex(ctx); err != nil {
+				return placement{}, err
+			}
+		case routing.WaitReplica:
+			rq.waited += decision.Wait
+			sleep(ctx, decision.Wait)
+		case routing.RefuseSuperseded:
+			return placement{}, c.superseded()
+		default:
+			if err := c.awaitPrimary(ctx, rq); err != nil {
+				return placement{}, err
+			}
+		}
+	}
+	return placement{}, c.interruption(ctx)
+}
+
+// isUnreachable tells an endpoint that cannot be reached from a refusal.
+func isUnreachable(err error) bool {
+	var known *verdict.Error
+	return errors.As(err, &known) &&
+		(known.Code == verdict.CodeConnectionFailure || known.Code == verdict.CodeCannotConnectNow || known.Code == verdict.CodeAdminShutdown)
+}
+
+// routingInput collects what a decision rests on.
+func (c *caller) routingInput(rq *request) routing.Input {
+	cfg := &c.server.cfg
+	identity := c.identity.Load()
+	view := cfg.Board.Configuration.Get()
+	group, _ := cfg.Board.Groups.Get(identity.service)
+	if group.Term <= rq.notTerm {
+		group.Primary = ""
+	}
+	in := routing.Input{
+		Read: rq.read(), Floor: c.state.Floor, Group: group,
+		Bounded: c.state.Options.Bounded, MaxStaleness: c.state.Options.MaxStaleness,
+		Arrived: rq.arrived, Now: time.Now(), FailureDomain: cfg.FailureDomain,
+		WaitBudget: cfg.ReplicaWait - rq.waited,
+	}
+	if rq.needsNoFloor() {
+		in.Floor.Known, in.Bounded = true, false
+	}
+	if in.Bounded {
+		in.Indexes = c.server.indexes.recent(identity.service)
+	}
+	in.Candidates = c.candidates(view, rq)
+	return in
+}
+
+func (c *caller) candidates(view *fleetconfig.View, rq *request) []routing.Candidate {
+	cfg := &c.server.cfg
+	endpoints := view.Services[c.identity.Load().service].GetEndpoints()
+	list := make([]routing.Candidate, 0, len(endpoints))
+	for _, e := range endpoints {
+		row, ok := cfg.Board.Endpoints.Get(e.GetId())
+		if !ok {
+			continue
+		}
+		list = append(list, routing.Candidate{
+			Endpoint: row, FailureDomain: e.GetFailureDomain(), Leaving: e.GetLeaving(),
+			InFlight: cfg.Pools.InFlight(e.GetId()), Failed: slices.Contains(rq.failed, e.GetId()),
+		})
+	}
+	return list
+}
+
+// acquire takes a connection to the first endpoint that has one. Replicas that
+// have none are not tried again for this request.
+func (c *caller) acquire(ctx context.Context, rq *request, decision routing.Decision) (placement, error) {
+	identity := c.identity.Load()
+	weight := c.server.cfg.Board.Configuration.Get().Organisations[identity.organisation].GetWeight()
+	ctx, span := c.startHop(ctx, "pool")
+	defer span.End()
+	var err error
+	for _, id := range decision.Endpoints {
+		var lease *pool.Lease
+		lease, err = c.server.cfg.Pools.Acquire(ctx, pool.Request{
+			Endpoint: id, Organisation: identity.organisation, Weight: weight,
+			Bytes: rq.size(), Settings: c.state.EndpointSettings(),
+		})
+		if err == nil {
+			return c.placed(lease, id, decision), nil
+		}
+		rq.failed = append(rq.failed, id)
+	}
+	return placement{}, err
+}
+
+func (c *caller) placed(lease *pool.Lease, id string, decision routing.Decision) placement {
+	p := placement{lease: lease, endpoint: id, lowest: decision.Lowest, verify: decision.Verify}
+	p.replica = decision.Action == routing.UseReplica
+	if !p.replica {
+		group, _ := c.server.cfg.Board.Groups.Get(c.identity.Load().service)
+		p.term = group.Term
+	}
+	return p
+}
+
+// size is the memory that a request holds while it waits.
+func (rq *request) size() int {
+	if rq.batch != nil {
+		return len(rq.batch.raw)
+	}
+	return len(rq.sql)
+}
+
+// readIndex asks the group for its current position, and sets the floor by it if
+// that was unknown or is lost.
+func (c *caller) readIndex(ctx context.Context) error {
+	service := c.identity.Load().service
+	ctx, span := c.startHop(ctx, "read index")
+	defer span.End()
+	for {
+		began := time.Now()
+		p, err := c.server.cfg.Groups.ReadIndex(ctx, service)
+		if err == nil {
+			c.server.indexes.add(service, routing.Index{Position: p, At: began})
+			group, _ := c.server.cfg.Board.Groups.Get(service)
+			if !c.state.Floor.Known || group.History.Superseded(c.state.Floor.Seen) {
+				c.state.Floor.Index(p, time.Now())
+			}
+			return nil
+		}
+		if ctx.Err() != nil || !sleep(ctx, maxPause/4) {
+			return c.interruption(ctx).WithCause(err)
+		}
+	}
+}
+
+// awaitPrimary waits, among a bounded number, for a primary that may take the
+// request.
+func (c *caller) awaitPrimary(ctx context.Context, rq *request) error {
+	s := c.server
+	if s.waiting.Add(1) > int64(s.cfg.MaxWaiting) {
+		s.waiting.Add(-1)
+		return verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow,
+			"too many statements wait for a primary").WithRetryAfter(time.Second)
+	}
+	defer s.waiting.Add(-1)
+	ctx, span := c.startHop(ctx, "await primary")
+	defer span.End()
+	if _, err := s.cfg.Groups.AwaitPrimary(ctx, c.identity.Load().service, rq.notTerm); err != nil {
+		if ctx.Err() != nil {
+			return c.interruption(ctx).WithCause(err)
+		}
+		return err
+	}
+	// The known primary may still be unfit, for example of a term below the
+	// floor's: look again after a while.
+	sleep(ctx, firstPause)
+	return nil
+}
+
+// superseded is the error for a session whose own writes or token lie in a
+// history that was replaced.
+func (c *caller) superseded() *verdict.Error {
+	service := c.identity.Load().service
+	c.server.metrics.superseded.Add(1)
+	event.FloorSuperseded.Emit(c.server.cfg.Log, zap.String("service", service),
+		zap.Stringer("floor", c.state.Floor.Written))
+	return verdict.New(verdict.NotRun, verdict.CodeObjectNotInState,
+		"the session's floor %s was superseded by a later term; RESET hornbeamlock.floor to go on without it", c.state.Floor.Written)
+}
+
+// countPlacement counts where a request ran.
+func (c *caller) countPlacement(rq *request, replica bool) {
+	switch {
+	case rq.statement.Class != statement.Read:
+		c.server.metrics.writes.Add(1)
+	case replica:
+		c.server.metrics.replicaReads.Add(1)
+	default:
+		c.server.metrics.primaryReads.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/gateway/startup.go
@@ -0,0 +1,211 @@
+package gateway
+
+import (
+	"crypto/tls"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/session"
+	"github.com/hornbeamlock/hornbeamlock/internal/statement"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// errEnded means that a connection ended without anything to tell the caller.
+var errEnded = errors.New("gateway: connection ended")
+
+// startup takes a caller from its first byte to the first ReadyForQuery.
+func (c *caller) startup() error {
+	_ = c.conn.SetDeadline(time.Now().Add(c.server.cfg.StartupTimeout))
+	message, err := c.startupMessage()
+	if err != nil {
+		return err
+	}
+	if c.server.isDraining() {
+		return verdict.New(verdict.NotRun, verdict.CodeAdminShutdown, "this instance takes no new callers")
+	}
+	if lapsed := c.server.lapsed(); lapsed != nil {
+		return lapsed
+	}
+	identity, err := c.authenticate(message.Parameters["user"], message.Parameters["database"])
+	if err != nil {
+		return err
+	}
+	if err := c.applyStartupParameters(message.Parameters); err != nil {
+		return err
+	}
+	c.identity.Store(identity)
+	c.greet()
+	_ = c.conn.SetDeadline(time.Time{})
+	return c.answers.flush()
+}
+
+// startupMessage answers requests for encryption and takes cancel requests.
+func (c *caller) startupMessage() (*pgproto3.StartupMessage, error) {
+	for {
+		message, err := c.wire.ReceiveStartupMessage()
+		if err != nil {
+			return nil, errEnded
+		}
+		switch m := message.(type) {
+		case *pgproto3.StartupMessage:
+			return m, nil
+		case *pgproto3.SSLRequest:
+			if err := c.encrypt(); err != nil {
+				return nil, errEnded
+			}
+		case *pgproto3.GSSEncRequest:
+			if _, err := c.conn.Write([]byte{'N'}); err != nil {
+				return nil, errEnded
+			}
+		case *pgproto3.CancelRequest:
+			c.server.cancel(m.ProcessID, m.SecretKey)
+			return nil, errEnded
+		default:
+			return nil, verdict.New(verdict.NotRun, verdict.CodeProtocolViolation, "unexpected startup message")
+		}
+	}
+}
+
+// encrypt answers an SSL request. Bytes that came before the handshake are
+// refused, since they would be taken for encrypted ones.
+func (c *caller) encrypt() error {
+	if c.server.cfg.TLS == nil || c.encrypted {
+		_, err := c.conn.Write([]byte{'N'})
+		return trace.Wrap(err)
+	}
+	if _, err := c.conn.Write([]byte{'S'}); err != nil {
+		return trace.Wrap(err)
+	}
+	secure := tls.Server(c.conn, c.server.cfg.TLS)
+	if err := secure.Handshake(); err != nil {
+		return trace.Wrap(err)
+	}
+	c.encrypted = true
+	c.setTransport(secure)
+	return nil
+}
+
+// applyStartupParameters takes over the settings of the startup message.
+func (c *caller) applyStartupParameters(parameters map[string]string) error {
+	for name, value := range parameters {
+		var err error
+		switch name = strings.ToLower(name); name {
+		case "user", "database", "application_name":
+		case "options":
+			err = c.applyOptions(value)
+		default:
+			err = c.applyStartupSetting(name, value)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// applyOptions reads "-c name=value" and "--name=value".
+func (c *caller) applyOptions(options string) error {
+	fields := splitOptions(options)
+	for i := 0; i < len(fields); i++ {
+		assignment, isLong := strings.CutPrefix(fields[i], "--")
+		if !isLong {
+			short, isShort := strings.CutPrefix(fields[i], "-c")
+			if !isShort {
+				return invalidParameter("options: %q is not supported", fields[i])
+			}
+			if assignment = short; short == "" && i+1 < len(fields) {
+				i++
+				assignment = fields[i]
+			}
+		}
+		name, value, ok := strings.Cut(assignment, "=")
+		if !ok {
+			return invalidParameter("options: %q lacks a value", assignment)
+		}
+		if err := c.applyStartupSetting(strings.ToLower(name), value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// splitOptions cuts at blanks; a backslash keeps the next character.
+func splitOptions(options string) []string {
+	var fields []string
+	var field strings.Builder
+	for i := 0; i < len(options); i++ {
+		switch {
+		case options[i] == '\\' && i+1 < len(options):
+			i++
+			field.WriteByte(options[i])
+		case options[i] == ' ':
+			if field.Len() > 0 {
+				fields = append(fields, field.String())
+			}
+			field.Reset()
+		default:
+			field.WriteByte(options[i])
+		}
+	}
+	if field.Len() > 0 {
+		fields = append(fields, field.String())
+	}
+	return fields
+}
+
+func (c *caller) applyStartupSetting(name, value string) error {
+	switch {
+	case strings.HasPrefix(name, statement.ProxyPrefix):
+		if err := c.state.Set(name, value, time.Now()); err != nil {
+			return invalidParameter("%s", trace.UserMessage(err))
+		}
+	case name == "client_encoding":
+		switch strings.ToLower(strings.ReplaceAll(value, "-", "")) {
+		case "utf8", "unicode", "'utf8'":
+		default:
+			return invalidParameter("client_encoding: only UTF8 is supported")
+		}
+	case statement.Replayable(name):
+		c.state.SetEndpoint(name, quoteLiteral(value), false)
+	case strings.HasPrefix(name, "_pq_."):
+		// Protocol extensions are optional; the server may leave them out.
+	default:
+		return verdict.New(verdict.NotRun, verdict.CodeFeatureNotSupported, "the startup parameter %s is not supported", name)
+	}
+	return nil
+}
+
+func invalidParameter(format string, args ...any) error {
+	return verdict.New(verdict.NotRun, verdict.CodeInvalidParameter, format, args...)
+}
+
+func quoteLiteral(value string) string { return "'" + strings.ReplaceAll(value, "'", "''") + "'" }
+
+// greet tells the caller that it is let in.
+func (c *caller) greet() {
+	c.answers.add(&pgproto3.AuthenticationOk{})
+	for _, p := range [...][2]string{
+		{"server_version", "17.0"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"}, {"IntervalStyle", "postgres"}, {"TimeZone", "UTC"},
+		{"integer_datetimes", "on"}, {"standard_conforming_strings", "on"},
+	} {
+		c.answers.add(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	c.tellFloor()
+	c.answers.add(&pgproto3.BackendKeyData{ProcessID: c.id, SecretKey: c.secret})
+	c.ready()
+}
+
+// tellFloor reports the floor if it has changed since it was last told.
+func (c *caller) tellFloor() {
+	token := c.state.Floor.Token()
+	if token == c.toldFloor {
+		return
+	}
+	c.toldFloor = token
+	c.answers.add(&pgproto3.ParameterStatus{Name: session.SettingFloor, Value: token})
+}
--- /dev/null
+++ b/internal/gateway/trace.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	oteltrace "go.opentelemetry.io/otel/trace"
+)
+
+// propagator reads W3C trace contexts.
+var propagator propagation.TraceContext
+
+// startSpan begins the span of a statement, below the caller's own if it gave a
+// trace context in a comment or as a setting. The statement's text and the key
+// are never recorded.
+func (c *caller) startSpan(ctx context.Context, rq *request) (context.Context, oteltrace.Span) {
+	parent := rq.statement.Traceparent
+	if parent == "" {
+		parent = c.state.Options.Traceparent
+	}
+	if parent != "" {
+		ctx = propagator.Extract(ctx, propagation.MapCarrier{"traceparent": parent})
+	}
+	ctx, span := c.server.cfg.Tracer.Start(ctx, "statement", oteltrace.WithSpanKind(oteltrace.SpanKindServer))
+	if span.IsRecording() {
+		identity := c.identity.Load()
+		span.SetAttributes(attribute.String("service", identity.service),
+			attribute.String("organisation", identity.organisation), attribute.String("key_id", identity.keyID),
+			attribute.String("session", c.state.Options.Session), attribute.Bool("read", rq.read()))
+	}
+	return ctx, span
+}
+
+// startHop begins the span of one hop of a statement.
+func (c *caller) startHop(ctx context.Context, name string) (context.Context, oteltrace.Span) {
+	return c.server.cfg.Tracer.Start(ctx, name)
+}
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// watchInterval is how often callers are looked through even without a change.
+const watchInterval = time.Second
+
+// watch interrupts the callers that have to go after a change of the
+// configuration or when the instance drains.
+func (s *Server) watch(ctx context.Context) error {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		configuration := s.cfg.Board.Configuration.Changed()
+		draining := s.cfg.Board.Draining.Changed()
+		s.callers.each(s.check)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-configuration:
+		case <-draining:
+		case <-ticker.C:
+		}
+	}
+}
+
+// check interrupts one caller if it has to go.
+func (s *Server) check(c *caller) {
+	if s.isDraining() {
+		c.interrupt()
+	}
+	identity := c.identity.Load()
+	if identity == nil {
+		return
+	}
+	if reason := s.revoked(identity); reason != nil {
+		c.interrupt()
+		time.AfterFunc(s.cfg.WithdrawGrace, c.cancelStatement)
+	}
+}
+
+// revoked returns why a caller that was let in may go on no longer, or nil.
+func (s *Server) revoked(i *identity) *verdict.Error {
+	view := s.cfg.Board.Configuration.Get()
+	service, ok := view.Services[i.service]
+	if !ok {
+		return verdict.New(verdict.NotRun, verdict.CodeAdminShutdown, "the service was removed")
+	}
+	if i.keyID == "" {
+		if service.GetOpenToAll() {
+			return nil
+		}
+		return verdict.New(verdict.NotRun, verdict.CodeAdminShutdown, "the service is no longer open to all")
+	}
+	key, ok := view.Keys[i.keyID]
+	if !ok || key.GetOrganisation() != i.organisation {
+		return verdict.New(verdict.NotRun, verdict.CodeAdminShutdown, "the key was withdrawn")
+	}
+	if _, ok := view.Organisations[i.organisation]; !ok {
+		return verdict.New(verdict.NotRun, verdict.CodeAdminShutdown, "the organisation was removed")
+	}
+	return nil
+}
+
+// lapsed returns an error while the instance holds no valid serving lease.
+func (s *Server) lapsed() *verdict.Error {
+	if s.cfg.Board.Lease.Get().Lease.Valid(s.cfg.Clock()) {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow,
+		"this instance may not serve at present").WithRetryAfter(time.Second)
+}
--- a/internal/pool/endpointpool.go
+++ b/internal/pool/endpointpool.go
@@ -7,7 +7,10 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/hornbeamlock/hornbeamlock/internal/endpoint"
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/fairqueue"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
@@ -159,10 +162,19 @@
 		Service: view.Services[entry.Service], Endpoint: entry.Endpoint, Board: cfg.Board, Log: cfg.Log,
 		Dial: cfg.Dial, ConnectTimeout: cfg.ConnectTimeout, CleanTimeout: cfg.CleanTimeout,
 	})
-	if err != nil && ctx.Err() == nil {
+	if err == nil {
+		return conn, nil
+	}
+	if ctx.Err() == nil {
+		event.ConnectionRefused.Emit(cfg.Log, zap.String("endpoint", p.id), zap.Error(err))
 		cfg.ReportFailure(p.id, err)
 	}
-	return conn, err
+	refusal := verdict.As(err, verdict.NotRun)
+	if refusal.Code == verdict.CodeTooManyConnections {
+		// The instances together are over the endpoint's limit for a moment.
+		return nil, verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow, "endpoint %s has no connection left", p.id).WithCause(err)
+	}
+	return nil, refusal
 }
 
 // put gives a clean connection back, or closes it when there are too many or the
--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -5,7 +5,10 @@
 	"os"
 	"sync/atomic"
 
+	"go.uber.org/zap"
+
 	"github.com/hornbeamlock/hornbeamlock/internal/endpoint"
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
 )
 
 // Lease is a connection held by one transaction.
@@ -36,6 +39,7 @@
 	l.pool.pools.background(func() {
 		err := l.Conn.Restore()
 		if err != nil {
+			event.ConnectionDirty.Emit(l.pool.pools.cfg.Log, zap.String("endpoint", l.pool.id), zap.Error(err))
 			l.failed()
 		}
 		l.finish(err == nil)
@@ -51,6 +55,7 @@
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		l.pool.pools.metrics.silent.Add(1)
+		event.ConnectionSilent.Emit(l.pool.pools.cfg.Log, zap.String("endpoint", l.pool.id), zap.Error(err))
 		l.pool.doubt()
 	}
 	l.pool.pools.cfg.ReportFailure(l.pool.id, err)
