--- /dev/null
+++ b/internal/grpcplatform/groups.go
@@ -0,0 +1,175 @@
+package grpcplatform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+
+	platformv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/platform/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+)
+
+// groupDialer keeps a connection for each agent, at most as many as configured;
+// the one unused for longest makes room.
+type groupDialer struct {
+	cfg *Config
+
+	mu     sync.Mutex
+	agents map[string]*agentConn // guarded by mu
+	clock  uint64                // guarded by mu; counts uses
+	closed bool                  // guarded by mu
+}
+
+type agentConn struct {
+	conn *grpc.ClientConn
+	// used is the dialer's clock at the last use; guarded by the dialer's mu.
+	used uint64
+	// calls is how many calls are in flight; guarded by the dialer's mu.
+	calls int
+}
+
+func newGroupDialer(cfg *Config) *groupDialer {
+	return &groupDialer{cfg: cfg, agents: make(map[string]*agentConn)}
+}
+
+// GroupServer implements platform.GroupDialer.
+func (d *groupDialer) GroupServer(controlAddress string) platform.GroupServer {
+	return &groupServer{dialer: d, address: controlAddress}
+}
+
+// acquire returns the connection to an agent; done must be called after the call.
+func (d *groupDialer) acquire(address string) (client platformv1.GroupServerServiceClient, done func(), err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil, nil, trace.ConnectionProblem(nil, "platform adapter is closed")
+	}
+	agent, ok := d.agents[address]
+	if !ok {
+		d.makeRoom()
+		conn, err := newConn(d.cfg, address)
+		if err != nil {
+			return nil, nil, trace.Wrap(err)
+		}
+		agent = &agentConn{conn: conn}
+		d.agents[address] = agent
+	}
+	d.clock++
+	agent.used = d.clock
+	agent.calls++
+	return platformv1.NewGroupServerServiceClient(agent.conn), func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		agent.calls--
+	}, nil
+}
+
+// makeRoom closes the idle connection unused for longest if the bound is
+// reached. Callers hold mu.
+func (d *groupDialer) makeRoom() {
+	if len(d.agents) < d.cfg.MaxGroupConnections {
+		return
+	}
+	var oldest string
+	for address, agent := range d.agents {
+		if agent.calls == 0 && (oldest == "" || agent.used < d.agents[oldest].used) {
+			oldest = address
+		}
+	}
+	if oldest != "" {
+		_ = d.agents[oldest].conn.Close()
+		delete(d.agents, oldest)
+	}
+}
+
+func (d *groupDialer) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	for _, agent := range d.agents {
+		_ = agent.conn.Close()
+	}
+	clear(d.agents)
+}
+
+// groupServer implements platform.GroupServer.
+type groupServer struct {
+	dialer  *groupDialer
+	address string
+}
+
+// call runs one call to the agent under the timeout.
+func call[T any](ctx context.Context, g *groupServer, timeout time.Duration, f func(context.Context, platformv1.GroupServerServiceClient) (T, error)) (T, error) {
+	var none T
+	client, done, err := g.dialer.acquire(g.address)
+	if err != nil {
+		return none, trace.Wrap(err)
+	}
+	defer done()
+	ctx, cancel := bounded(ctx, timeout)
+	defer cancel()
+	response, err := f(ctx, client)
+	return response, convert(err)
+}
+
+// Status implements platform.GroupServer.
+func (g *groupServer) Status(ctx context.Context) (platform.ServerStatus, error) {
+	response, err := call(ctx, g, g.dialer.cfg.CallTimeout, func(ctx context.Context, client platformv1.GroupServerServiceClient) (*platformv1.StatusResponse, error) {
+		return client.Status(ctx, &platformv1.StatusRequest{})
+	})
+	return decodeStatus(response), err
+}
+
+// Prepare implements platform.GroupServer.
+func (g *groupServer) Prepare(ctx context.Context, term uint64, proposer string) (bool, platform.ServerStatus, error) {
+	response, err := call(ctx, g, g.dialer.cfg.CallTimeout, func(ctx context.Context, client platformv1.GroupServerServiceClient) (*platformv1.PrepareResponse, error) {
+		return client.Prepare(ctx, &platformv1.PrepareRequest{Term: term, Proposer: proposer})
+	})
+	return response.GetGranted(), decodeStatus(response.GetStatus()), err
+}
+
+// Promote implements platform.GroupServer.
+func (g *groupServer) Promote(ctx context.Context, term uint64, proposer string, peers []string) (bool, platform.ServerStatus, error) {
+	response, err := call(ctx, g, g.dialer.cfg.CallTimeout, func(ctx context.Context, client platformv1.GroupServerServiceClient) (*platformv1.PromoteResponse, error) {
+		return client.Promote(ctx, &platformv1.PromoteRequest{Term: term, Proposer: proposer, Peers: peers})
+	})
+	return response.GetGranted(), decodeStatus(response.GetStatus()), err
+}
+
+// Follow implements platform.GroupServer.
+func (g *groupServer) Follow(ctx context.Context, term uint64, primaryControl string) (bool, platform.ServerStatus, error) {
+	response, err := call(ctx, g, g.dialer.cfg.CallTimeout, func(ctx context.Context, client platformv1.GroupServerServiceClient) (*platformv1.FollowResponse, error) {
+		return client.Follow(ctx, &platformv1.FollowRequest{Term: term, PrimaryControlAddress: primaryControl})
+	})
+	return response.GetGranted(), decodeStatus(response.GetStatus()), err
+}
+
+// Confirm implements platform.GroupServer.
+func (g *groupServer) Confirm(ctx context.Context, p position.Position, timeout time.Duration) (bool, uint64, error) {
+	response, err := call(ctx, g, timeout+g.dialer.cfg.CallTimeout, func(ctx context.Context, client platformv1.GroupServerServiceClient) (*platformv1.ConfirmResponse, error) {
+		return client.Confirm(ctx, &platformv1.ConfirmRequest{
+			Position:  &platformv1.Position{Term: p.Term, Offset: p.Offset},
+			TimeoutMs: timeout.Milliseconds(),
+		})
+	})
+	return response.GetConfirmed(), response.GetPromisedTerm(), err
+}
+
+func decodeStatus(s *platformv1.StatusResponse) platform.ServerStatus {
+	decoded := platform.ServerStatus{
+		Endpoint:     s.GetEndpoint(),
+		Primary:      s.GetRole() == platformv1.Role_ROLE_PRIMARY,
+		PromisedTerm: s.GetPromisedTerm(),
+		Durable:      position.Position{Term: s.GetDurable().GetTerm(), Offset: s.GetDurable().GetOffset()},
+		Replayed:     position.Position{Term: s.GetReplayed().GetTerm(), Offset: s.GetReplayed().GetOffset()},
+		Serving:      s.GetServing(),
+	}
+	for _, start := range s.GetTermStarts() {
+		decoded.History = append(decoded.History, position.TermStart{Term: start.GetTerm(), Offset: start.GetOffset()})
+	}
+	return decoded
+}
--- /dev/null
+++ b/internal/standin/database/database_test.go
@@ -0,0 +1,227 @@
+package database_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/standin/database"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const waitLimit = 20 * time.Second
+
+func startGroup(t *testing.T, cfg database.Config) *database.Group {
+	t.Helper()
+	if cfg.Schema == nil {
+		cfg.Schema = []string{"CREATE TABLE passes (id INTEGER PRIMARY KEY, holder TEXT NOT NULL, uses BIGINT NOT NULL DEFAULT 0)"}
+	}
+	group, err := database.StartGroup(cfg)
+	require.NoError(t, err)
+	t.Cleanup(group.Close)
+	return group
+}
+
+func connect(t *testing.T, group *database.Group, server *database.Server) *pgx.Conn {
+	t.Helper()
+	host, port, err := net.SplitHostPort(server.Address())
+	require.NoError(t, err)
+	conn, err := pgx.Connect(t.Context(), "host="+host+" port="+port+" user="+group.Username()+
+		" password="+group.Password()+" dbname=x sslmode=disable")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func exec(t *testing.T, conn *pgx.Conn, sql string, args ...any) {
+	t.Helper()
+	_, err := conn.Exec(t.Context(), sql, args...)
+	require.NoError(t, err)
+}
+
+func count(t *testing.T, conn *pgx.Conn) (n int64) {
+	t.Helper()
+	require.NoError(t, conn.QueryRow(t.Context(), "SELECT count(*) FROM passes").Scan(&n))
+	return n
+}
+
+func requireCode(t *testing.T, err error, code string) {
+	t.Helper()
+	var reported *pgconn.PgError
+	require.ErrorAs(t, err, &reported)
+	require.Equal(t, code, reported.Code, reported.Message)
+}
+
+func parameter(t *testing.T, conn *pgx.Conn, name string) string {
+	t.Helper()
+	return conn.PgConn().ParameterStatus(name)
+}
+
+func groupPosition(t *testing.T, conn *pgx.Conn) position.Position {
+	t.Helper()
+	p, err := position.Parse(parameter(t, conn, "group_position"))
+	require.NoError(t, err)
+	return p
+}
+
+func TestQueryModesAgree(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	conn := connect(t, group, group.Primary())
+	modes := []pgx.QueryExecMode{
+		pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec,
+		pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol,
+	}
+	for i, mode := range modes {
+		var id, uses int64
+		var holder string
+		err := conn.QueryRow(t.Context(),
+			"INSERT INTO passes (id, holder, uses) VALUES ($1, $2, $3) RETURNING id", mode, i, "Änne O'Hara", 3).Scan(&id)
+		require.NoError(t, err, mode)
+		require.EqualValues(t, i, id)
+		err = conn.QueryRow(t.Context(), "SELECT holder, uses FROM passes WHERE id = $1::int", mode, i).Scan(&holder, &uses)
+		require.NoError(t, err, mode)
+		require.Equal(t, "Änne O'Hara", holder)
+		require.EqualValues(t, 3, uses)
+		tag, err := conn.Exec(t.Context(), "UPDATE passes SET uses = uses + 1 WHERE id = $1", mode, i)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, tag.RowsAffected())
+		err = conn.QueryRow(t.Context(), "SELECT holder FROM passes WHERE id = $1", mode, -1).Scan(&holder)
+		require.ErrorIs(t, err, pgx.ErrNoRows)
+	}
+	require.EqualValues(t, len(modes), count(t, conn))
+}
+
+func TestTransactionsAreIsolated(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	writer, reader := connect(t, group, group.Primary()), connect(t, group, group.Primary())
+	before := groupPosition(t, reader)
+	exec(t, writer, "BEGIN")
+	exec(t, writer, "INSERT INTO passes (id, holder) VALUES (1, 'a')")
+	exec(t, writer, "SAVEPOINT s")
+	exec(t, writer, "INSERT INTO passes (id, holder) VALUES (2, 'b')")
+	require.EqualValues(t, 2, count(t, writer))
+	require.EqualValues(t, 0, count(t, reader))
+	exec(t, writer, "ROLLBACK TO SAVEPOINT s")
+	require.EqualValues(t, 1, count(t, writer))
+	exec(t, writer, "COMMIT")
+	require.Equal(t, before.Offset+1, groupPosition(t, writer).Offset)
+	require.EqualValues(t, 1, count(t, reader))
+	require.Equal(t, groupPosition(t, writer), groupPosition(t, reader))
+
+	exec(t, writer, "BEGIN")
+	_, err := writer.Exec(t.Context(), "INSERT INTO passes (id, holder) VALUES (1, 'again')")
+	requireCode(t, err, "23505")
+	_, err = writer.Exec(t.Context(), "SELECT 1")
+	requireCode(t, err, "25P02")
+	exec(t, writer, "ROLLBACK")
+	require.EqualValues(t, 1, count(t, writer))
+}
+
+func TestConcurrentUpdatesAreNotLost(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	first, second := connect(t, group, group.Primary()), connect(t, group, group.Primary())
+	exec(t, first, "INSERT INTO passes (id, holder) VALUES (1, 'a')")
+	for _, conn := range []*pgx.Conn{first, second} {
+		exec(t, conn, "BEGIN")
+		exec(t, conn, "UPDATE passes SET uses = uses + 1 WHERE id = 1 AND uses = 0")
+	}
+	exec(t, first, "COMMIT")
+	_, err := second.Exec(t.Context(), "COMMIT")
+	requireCode(t, err, "40001")
+}
+
+func TestReplicaLagsAndRefusesWrites(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	replica := group.Servers()[1]
+	primary, reader := connect(t, group, group.Primary()), connect(t, group, replica)
+	require.Equal(t, "on", parameter(t, reader, "in_hot_standby"))
+	require.Equal(t, "off", parameter(t, primary, "in_hot_standby"))
+	require.Equal(t, "1:0", parameter(t, reader, "group_history"))
+	_, err := reader.Exec(t.Context(), "INSERT INTO passes (id, holder) VALUES (1, 'a')")
+	requireCode(t, err, "25006")
+	_, err = reader.Exec(t.Context(), "SELECT * FROM passes FOR UPDATE")
+	requireCode(t, err, "25006")
+
+	replica.SetReplayLag(time.Hour, time.Hour)
+	exec(t, primary, "INSERT INTO passes (id, holder) VALUES (1, 'a')")
+	want := groupPosition(t, primary)
+	require.Eventually(t, func() bool { return replica.Status().Durable == want }, waitLimit, time.Millisecond)
+	require.EqualValues(t, 0, count(t, reader))
+	require.True(t, groupPosition(t, reader).Less(want))
+	replica.SetReplayLag(0, 0)
+	require.NoError(t, group.AwaitReplicated(waitLimit))
+	require.EqualValues(t, 1, count(t, reader))
+	require.Equal(t, want, groupPosition(t, reader))
+}
+
+func TestRefusedConnections(t *testing.T) {
+	group := startGroup(t, database.Config{MaxConnections: 1})
+	host, port, err := net.SplitHostPort(group.Primary().Address())
+	require.NoError(t, err)
+	dsn := "sslmode=disable host=" + host + " port=" + port + " user=" + group.Username()
+	_, err = pgconn.Connect(t.Context(), dsn+" password=wrong")
+	requireCode(t, err, "28P01")
+	connect(t, group, group.Primary())
+	_, err = pgconn.Connect(t.Context(), dsn+" password="+group.Password())
+	requireCode(t, err, "53300")
+}
+
+func TestCancelInterruptsSleep(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	conn := connect(t, group, group.Primary())
+	failed := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "SELECT pg_sleep(3600)")
+		failed <- err
+	}()
+	require.Eventually(t, func() bool {
+		_ = conn.PgConn().CancelRequest(t.Context())
+		select {
+		case err := <-failed:
+			requireCode(t, err, "57014")
+			return true
+		default:
+			return false
+		}
+	}, waitLimit, 10*time.Millisecond)
+	require.EqualValues(t, 0, count(t, conn))
+}
+
+func TestLargeResultIsStreamed(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	conn := connect(t, group, group.Primary())
+	writer := connect(t, group, group.Primary())
+	const rows = 200_000
+	result, err := conn.Query(t.Context(), "SELECT value, 'some text to fill the row' FROM generate_series(1, $1)", rows)
+	require.NoError(t, err)
+	require.True(t, result.Next())
+	exec(t, writer, "INSERT INTO passes (id, holder) VALUES (1, 'while the result is open')")
+	seen := 1
+	for result.Next() {
+		seen++
+	}
+	require.NoError(t, result.Err())
+	require.Equal(t, rows, seen)
+}
+
+func TestDemotedPrimaryEndsConnections(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	conn := connect(t, group, group.Primary())
+	group.Primary().Stop()
+	_, err := conn.Exec(t.Context(), "SELECT 1")
+	var reported *pgconn.PgError
+	if errors.As(err, &reported) {
+		require.Equal(t, "57P01", reported.Code)
+	}
+	require.Error(t, err)
+	require.True(t, conn.IsClosed())
+}
--- /dev/null
+++ b/internal/standin/database/extended.go
@@ -0,0 +1,191 @@
+package database
+
+import (
+	"context"
+	"regexp"
+	"slices"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	standinv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/standin/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// preparedStatement is what Parse made.
+type preparedStatement struct {
+	text statementText
+	// parameters are the type OIDs; 0 leaves the type open.
+	parameters []uint32
+	// described is nil until somebody asks.
+	described *description
+}
+
+// portal is what Bind made.
+type portal struct {
+	statement *preparedStatement
+	arguments []*standinv1.Value
+	formats   []int16
+	// outcome is set while the portal is being read.
+	outcome *outcome
+}
+
+var parameterPattern = regexp.MustCompile(`\$(\d+)`)
+
+// extended serves one message of the extended query protocol.
+func (s *session) extended(ctx context.Context, message pgproto3.FrontendMessage) error {
+	switch m := message.(type) {
+	case *pgproto3.Parse:
+		return s.parse(m)
+	case *pgproto3.Bind:
+		return s.bind(m)
+	case *pgproto3.Describe:
+		return s.describeMessage(m)
+	case *pgproto3.Execute:
+		return s.executePortal(ctx, m)
+	case *pgproto3.Close:
+		return s.closeMessage(m)
+	}
+	return errorf(verdict.CodeProtocolViolation, "unexpected message")
+}
+
+func (s *session) parse(m *pgproto3.Parse) error {
+	if _, exists := s.prepared[m.Name]; exists && m.Name != "" {
+		return errorf(verdict.CodeDuplicatePreparedStmt, "prepared statement "+strconv.Quote(m.Name)+" already exists")
+	}
+	if len(splitStatements(m.Query)) > 1 {
+		return errorf(codeSyntaxError, "cannot insert multiple commands into a prepared statement")
+	}
+	statement := &preparedStatement{text: rewrite(m.Query), parameters: slices.Clone(m.ParameterOIDs)}
+	for _, match := range parameterPattern.FindAllStringSubmatch(statement.text.sql, -1) {
+		number, _ := strconv.Atoi(match[1])
+		for len(statement.parameters) < number {
+			statement.parameters = append(statement.parameters, 0)
+		}
+	}
+	if statement.text.isData() && s.txn.status != statusFailed {
+		described, err := s.server.store.describe(s.txn.writes, statement.text.sql)
+		if err != nil {
+			return err
+		}
+		statement.described = described
+	}
+	s.prepared[m.Name] = statement
+	s.backend.Send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+// isData tells whether the store runs the statement.
+func (t statementText) isData() bool {
+	switch t.keyword {
+	case "", "BEGIN", "START", "COMMIT", "END", "ROLLBACK", "ABORT", "SAVEPOINT", "RELEASE",
+		"SET", "SHOW", "RESET", "DISCARD", "DEALLOCATE", "COPY", "PREPARE", "EXECUTE", "DECLARE",
+		"FETCH", "LISTEN", "NOTIFY", "LOCK", "PRAGMA", "ATTACH", "DETACH", "VACUUM":
+		return false
+	}
+	return true
+}
+
+func (s *session) bind(m *pgproto3.Bind) error {
+	statement, ok := s.prepared[m.PreparedStatement]
+	if !ok {
+		return errorf(verdict.CodeUndefinedPreparedStmt, "prepared statement "+strconv.Quote(m.PreparedStatement)+" does not exist")
+	}
+	if len(m.Parameters) != len(statement.parameters) {
+		return errorf(verdict.CodeProtocolViolation, "bind message supplies another number of parameters than the statement has")
+	}
+	p := &portal{statement: statement, formats: slices.Clone(m.ResultFormatCodes)}
+	for i, data := range m.Parameters {
+		value, err := decodeArgument(data, statement.parameters[i], formatAt(m.ParameterFormatCodes, i))
+		if err != nil {
+			return err
+		}
+		p.arguments = append(p.arguments, value)
+	}
+	s.closePortal(m.DestinationPortal)
+	s.portals[m.DestinationPortal] = p
+	s.backend.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func (s *session) describeMessage(m *pgproto3.Describe) error {
+	if m.ObjectType == 'P' {
+		p, ok := s.portals[m.Name]
+		if !ok {
+			return errorf(codeUndefinedPortal, "portal does not exist")
+		}
+		s.sendDescription(p.statement, p.formats)
+		return nil
+	}
+	statement, ok := s.prepared[m.Name]
+	if !ok {
+		return errorf(verdict.CodeUndefinedPreparedStmt, "prepared statement does not exist")
+	}
+	s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: statement.parameters})
+	s.sendDescription(statement, nil)
+	return nil
+}
+
+func (s *session) sendDescription(statement *preparedStatement, formats []int16) {
+	d := statement.described
+	if statement.text.keyword == "SHOW" {
+		d = &description{columns: []string{"setting"}, types: []uint32{oidText}}
+	}
+	if d == nil || len(d.columns) == 0 {
+		s.backend.Send(&pgproto3.NoData{})
+		return
+	}
+	s.backend.Send(rowDescription(d.columns, d.types, formats))
+}
+
+func (s *session) executePortal(ctx context.Context, m *pgproto3.Execute) error {
+	p, ok := s.portals[m.Portal]
+	if !ok {
+		return errorf(codeUndefinedPortal, "portal does not exist")
+	}
+	if p.statement.text.sql == "" {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	ctx, done := s.interruptible(ctx)
+	defer done()
+	if p.outcome == nil {
+		o, err := s.execute(ctx, p.statement.text, p.arguments)
+		if err != nil {
+			return err
+		}
+		p.outcome = o
+	}
+	types := p.outcome.types()
+	if p.statement.described != nil {
+		types = p.statement.described.types
+	}
+	suspended, err := s.sendRows(ctx, p.outcome, types, p.formats, int(m.MaxRows))
+	if !suspended {
+		p.outcome.close()
+	}
+	return err
+}
+
+func (s *session) closeMessage(m *pgproto3.Close) error {
+	if m.ObjectType == 'P' {
+		s.closePortal(m.Name)
+	} else {
+		delete(s.prepared, m.Name)
+	}
+	s.backend.Send(&pgproto3.CloseComplete{})
+	return nil
+}
+
+func (s *session) closePortal(name string) {
+	if p, ok := s.portals[name]; ok && p.outcome != nil {
+		p.outcome.close()
+	}
+	delete(s.portals, name)
+}
+
+func (s *session) closePortals() {
+	for name := range s.portals {
+		s.closePortal(name)
+	}
+}
--- /dev/null
+++ b/internal/standin/database/network.go
@@ -0,0 +1,164 @@
+package database
+
+import (
+	"net"
+	"sync"
+)
+
+// gate lets callers through while it is open.
+type gate struct {
+	mu     sync.Mutex
+	opened chan struct{} // guarded by mu; closed while the gate is open
+	shut   bool          // guarded by mu
+}
+
+func newGate() *gate {
+	g := &gate{opened: make(chan struct{})}
+	close(g.opened)
+	return g
+}
+
+// wait blocks while the gate is shut, or until done is closed.
+func (g *gate) wait(done <-chan struct{}) {
+	g.mu.Lock()
+	opened := g.opened
+	g.mu.Unlock()
+	select {
+	case <-opened:
+	case <-done:
+	}
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.shut {
+		g.shut, g.opened = true, make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut {
+		g.shut = false
+		close(g.opened)
+	}
+}
+
+// network is all connections of one server's run, for faults: a pause stops
+// bytes both ways, silence swallows those of the connections of that moment.
+type network struct {
+	gate *gate
+
+	mu    sync.Mutex
+	conns map[*faultConn]struct{} // guarded by mu
+}
+
+func newNetwork(g *gate) *network {
+	return &network{gate: g, conns: make(map[*faultConn]struct{})}
+}
+
+func (n *network) wrap(conn net.Conn) *faultConn {
+	c := &faultConn{Conn: conn, network: n, closed: make(chan struct{}), silenced: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[c] = struct{}{}
+	return c
+}
+
+func (n *network) all() []*faultConn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	conns := make([]*faultConn, 0, len(n.conns))
+	for c := range n.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+func (n *network) silence() {
+	for _, c := range n.all() {
+		c.silence()
+	}
+}
+
+func (n *network) closeAll() {
+	for _, c := range n.all() {
+		_ = c.Close()
+	}
+}
+
+// faultConn is a connection that obeys its network's faults.
+type faultConn struct {
+	net.Conn
+	network     *network
+	closeOnce   sync.Once
+	closed      chan struct{}
+	silenceOnce sync.Once
+	silenced    chan struct{} // closed once the connection is silent
+}
+
+func (c *faultConn) silence() { c.silenceOnce.Do(func() { close(c.silenced) }) }
+
+func (c *faultConn) isSilent() bool {
+	select {
+	case <-c.silenced:
+		return true
+	default:
+		return false
+	}
+}
+
+// Read implements net.Conn. On a silent connection it waits for the close.
+func (c *faultConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		c.network.gate.wait(c.closed)
+		if !c.isSilent() {
+			return n, err
+		}
+		if err != nil {
+			<-c.closed
+			return 0, net.ErrClosed
+		}
+	}
+}
+
+// Write implements net.Conn. A silent connection swallows the bytes.
+func (c *faultConn) Write(b []byte) (int, error) {
+	c.network.gate.wait(c.closed)
+	if c.isSilent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *faultConn) Close() error {
+	err := net.ErrClosed
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		err = c.Conn.Close()
+		c.network.mu.Lock()
+		delete(c.network.conns, c)
+		c.network.mu.Unlock()
+	})
+	return err
+}
+
+// faultListener wraps what it accepts.
+type faultListener struct {
+	net.Listener
+	network *network
+}
+
+// Accept implements net.Listener.
+func (l *faultListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.network.gate.wait(nil)
+	return l.network.wrap(conn), nil
+}
--- /dev/null
+++ b/internal/standin/database/query.go
@@ -0,0 +1,196 @@
+package database
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	standinv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/standin/v1"
+)
+
+// flushRows is after how many rows a result is sent on.
+const flushRows = 256
+
+// outcome is what a statement gave the session: a result, or only a tag.
+type outcome struct {
+	result *result
+	tag    string
+	// release frees the slot; it is called once the result has been read.
+	release func()
+}
+
+// close gives up what is left of the result.
+func (o *outcome) close() {
+	if o.result != nil && o.result.more != nil {
+		o.result.more.close()
+		o.result.more = nil
+	}
+	if o.release != nil {
+		o.release()
+		o.release = nil
+	}
+}
+
+// simpleQuery runs the statements of one Query message; several form one
+// transaction unless they say otherwise.
+func (s *session) simpleQuery(ctx context.Context, text string) {
+	ctx, done := s.interruptible(ctx)
+	defer done()
+	statements := splitStatements(text)
+	if len(statements) == 0 {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return
+	}
+	if len(statements) > 1 && s.txn.status == statusIdle {
+		s.txn = transaction{status: statusInBlock, implicit: true}
+	}
+	for _, statement := range statements {
+		if err := s.simpleStatement(ctx, rewrite(statement)); err != nil {
+			s.fail(err)
+			s.endUnlessBlock()
+			return
+		}
+	}
+	if s.txn.implicit {
+		if _, err := s.commit(ctx); err != nil {
+			s.fail(err)
+		}
+	}
+}
+
+func (s *session) simpleStatement(ctx context.Context, st statementText) error {
+	if st.keyword == "COPY" {
+		return s.copy(ctx, st)
+	}
+	o, err := s.execute(ctx, st, nil)
+	if err != nil {
+		return err
+	}
+	defer o.close()
+	if o.result != nil && len(o.result.columns) > 0 {
+		s.backend.Send(rowDescription(o.result.columns, o.result.types, nil))
+	}
+	_, err = s.sendRows(ctx, o, o.types(), nil, 0)
+	return err
+}
+
+func (o *outcome) types() []uint32 {
+	if o.result == nil {
+		return nil
+	}
+	return o.result.types
+}
+
+// execute runs one statement of any kind except COPY.
+func (s *session) execute(ctx context.Context, st statementText, arguments []*standinv1.Value) (*outcome, error) {
+	switch st.keyword {
+	case "BEGIN", "START", "COMMIT", "END", "ROLLBACK", "ABORT", "SAVEPOINT", "RELEASE":
+		if s.txn.status == statusFailed && (st.keyword == "SAVEPOINT" || st.keyword == "RELEASE") {
+			return nil, errAborted
+		}
+		tag, err := s.transactionCommand(ctx, st)
+		return &outcome{tag: tag}, err
+	}
+	if s.txn.status == statusFailed {
+		return nil, errAborted
+	}
+	switch st.keyword {
+	case "SET", "SHOW", "RESET", "DISCARD", "DEALLOCATE":
+		return s.settingCommand(st)
+	case "COPY", "PREPARE", "EXECUTE", "DECLARE", "FETCH", "LISTEN", "NOTIFY", "LOCK", "PRAGMA", "ATTACH", "DETACH", "VACUUM":
+		return nil, errUnsupported
+	}
+	return s.executeData(ctx, st, arguments)
+}
+
+func (s *session) executeData(ctx context.Context, st statementText, arguments []*standinv1.Value) (*outcome, error) {
+	release, err := s.server.takeSlot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := sleepCalled(ctx, st.sql, arguments); err != nil {
+		release()
+		return nil, err
+	}
+	res, err := s.dataStatement(ctx, st, arguments)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	return &outcome{result: res, tag: tagOf(st, res), release: release}, nil
+}
+
+// tagOf is the command tag; that of a read lacks the number of rows.
+func tagOf(st statementText, res *result) string {
+	if !res.write {
+		return "SELECT "
+	}
+	changed := strconv.FormatInt(res.changed, 10)
+	switch st.keyword {
+	case "INSERT", "REPLACE":
+		return "INSERT 0 " + changed
+	case "UPDATE", "DELETE":
+		return st.keyword + " " + changed
+	case "WITH":
+		return "UPDATE " + changed
+	case "CREATE", "DROP", "ALTER":
+		return st.keyword + " TABLE"
+	}
+	return st.keyword
+}
+
+// sendRows sends at most limit rows of a result, 0 meaning all, and the command
+// tag at its end. It tells whether rows may be left.
+func (s *session) sendRows(ctx context.Context, o *outcome, types []uint32, formats []int16, limit int) (suspended bool, err error) {
+	sent := 0
+	for o.result != nil && len(o.result.columns) > 0 {
+		row, err := o.result.nextRow(ctx)
+		if err != nil {
+			return false, err
+		}
+		if row == nil {
+			break
+		}
+		data, err := encodeRow(row, types, formats)
+		if err != nil {
+			return false, err
+		}
+		s.backend.Send(data)
+		sent++
+		if sent%flushRows == 0 {
+			if err := s.backend.Flush(); err != nil {
+				return false, err
+			}
+		}
+		if sent == limit {
+			s.backend.Send(&pgproto3.PortalSuspended{})
+			return true, nil
+		}
+	}
+	tag := o.tag
+	if o.result != nil && !o.result.write {
+		tag += strconv.Itoa(sent)
+	}
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	return false, nil
+}
+
+// nextRow returns the next row, or nil at the end.
+func (r *result) nextRow(ctx context.Context) ([]any, error) {
+	if len(r.rows) == 0 && r.more != nil {
+		rows, err := r.more.next(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if r.rows = rows; len(rows) == 0 {
+			r.more = nil
+		}
+	}
+	if len(r.rows) == 0 {
+		return nil, nil
+	}
+	row := r.rows[0]
+	r.rows = r.rows[1:]
+	return row, nil
+}
--- /dev/null
+++ b/internal/standin/database/replica.go
@@ -0,0 +1,274 @@
+package database
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	standinv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/standin/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+)
+
+const (
+	// heartbeatInterval is how often an idle primary tells replicas that it lives.
+	heartbeatInterval = 500 * time.Millisecond
+	// streamSilence is after what time without a message a replica dials anew.
+	streamSilence = 3 * time.Second
+	// reconnectDelay is the pause before a replica dials again.
+	reconnectDelay = 50 * time.Millisecond
+	// maxShippedRecords is how many records travel in one message.
+	maxShippedRecords = 256
+)
+
+// replay runs arrived records when their lag is over, until ctx ends.
+func (s *Server) replay(ctx context.Context) error {
+	for {
+		s.gate.wait(ctx.Done())
+		wait, changed, err := s.replayDue(time.Now())
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-changed:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		}
+		timer.Stop()
+	}
+}
+
+const idleReplayWait = time.Hour
+
+// replayDue runs the records that are due and returns how long to wait for the next.
+func (s *Server) replayDue(now time.Time) (time.Duration, <-chan struct{}, error) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	for {
+		record, wait, changed := s.nextDue(now)
+		if record == nil {
+			return wait, changed, nil
+		}
+		if err := s.store.apply(record); err != nil {
+			return 0, nil, trace.Wrap(err)
+		}
+	}
+}
+
+// nextDue takes the first arrived record if it is due. Callers hold store.mu.
+func (s *Server) nextDue(now time.Time) (*standinv1.Record, time.Duration, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.arrivals) == 0 {
+		return nil, idleReplayWait, s.changed
+	}
+	first := s.arrivals[0]
+	if wait := s.lag.due(first).Sub(now); wait > 0 {
+		return nil, wait, s.changed
+	}
+	s.arrivals = s.arrivals[1:]
+	return s.log.records[first.offset-1], 0, s.changed
+}
+
+// pull keeps a replica's log up to that of the primary it follows, until ctx ends.
+func (s *Server) pull(ctx context.Context) error {
+	for ctx.Err() == nil {
+		term, control, changed := s.target()
+		if control == "" {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if err := s.pullFrom(ctx, term, control); err != nil {
+			sleep(ctx, reconnectDelay)
+		}
+	}
+	return nil
+}
+
+// target is whom the server follows; the address is empty at a primary.
+func (s *Server) target() (term uint64, control string, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.primary {
+		return s.promised, "", s.changed
+	}
+	return s.promised, s.primaryControl, s.changed
+}
+
+func (s *Server) pullFrom(ctx context.Context, term uint64, control string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := s.dial(control)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer conn.Close() //nolint:errcheck // the connection is given up
+	silence := time.AfterFunc(streamSilence, cancel)
+	defer silence.Stop()
+	go s.cancelOnNewTarget(ctx, cancel, term, control)
+
+	stream, err := standinv1.NewReplicationServiceClient(conn).Replicate(ctx, s.replicateRequest(term))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for {
+		chunk, err := stream.Recv()
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		silence.Reset(streamSilence)
+		if err := s.adopt(term, chunk); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+}
+
+// cancelOnNewTarget ends a stream when the server follows another, or none. It
+// returns when ctx ends.
+func (s *Server) cancelOnNewTarget(ctx context.Context, cancel func(), term uint64, control string) {
+	defer cancel()
+	for {
+		nowTerm, nowControl, changed := s.target()
+		if nowTerm != term || nowControl != control {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) replicateRequest(term uint64) *standinv1.ReplicateRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &standinv1.ReplicateRequest{
+		Term: term, EndOffset: s.log.end(), TermStarts: encodeHistory(s.log.history),
+	}
+}
+
+// adopt takes a chunk of the primary's log; what diverges from it is cut off,
+// and the data is rebuilt when it had been run already.
+func (s *Server) adopt(term uint64, chunk *standinv1.ReplicateResponse) error {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	start := chunk.GetStartOffset()
+	kept, err := s.adoptLog(term, chunk)
+	if err != nil || start >= s.store.applied {
+		return trace.Wrap(err)
+	}
+	s.runner.endSessions(errShutdown)
+	return trace.Wrap(s.store.rebuild(kept))
+}
+
+// adoptLog changes the log only, and returns the records that stayed. Callers
+// hold store.mu.
+func (s *Server) adoptLog(term uint64, chunk *standinv1.ReplicateResponse) ([]*standinv1.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	start := chunk.GetStartOffset()
+	if s.primary || s.promised != term || chunk.GetTerm() != term {
+		return nil, trace.CompareFailed("term %d is no longer followed", term)
+	}
+	if start > s.log.end() {
+		return nil, trace.BadParameter("log ends at %d, before %d", s.log.end(), start)
+	}
+	for i, a := range s.arrivals {
+		if a.offset > start {
+			s.arrivals = s.arrivals[:i:i]
+			break
+		}
+	}
+	s.log.adopt(start, chunk.GetRecords(), decodeHistory(chunk.GetTermStarts()))
+	now := time.Now()
+	for offset := start + 1; offset <= s.log.end(); offset++ {
+		s.arrivals = append(s.arrivals, s.lag.arrive(offset, now))
+	}
+	s.signal()
+	return s.log.records[:start:start], nil
+}
+
+// replication serves the log to replicas.
+type replication struct {
+	standinv1.UnimplementedReplicationServiceServer
+	server *Server
+}
+
+// Replicate implements ReplicationService.
+func (r *replication) Replicate(req *standinv1.ReplicateRequest, stream grpc.ServerStreamingServer[standinv1.ReplicateResponse]) error {
+	s := r.server
+	s.mu.Lock()
+	from := sharedOffset(s.log.history, s.log.end(), decodeHistory(req.GetTermStarts()), req.GetEndOffset())
+	s.mu.Unlock()
+	for {
+		chunk, changed := s.chunk(req.GetTerm(), from)
+		if chunk == nil {
+			return status.Error(codes.FailedPrecondition, "not the primary of that term")
+		}
+		if err := stream.Send(chunk); err != nil {
+			return err
+		}
+		from += uint64(len(chunk.GetRecords()))
+		if len(chunk.GetRecords()) == maxShippedRecords {
+			continue
+		}
+		timer := time.NewTimer(heartbeatInterval)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-stream.Context().Done():
+			timer.Stop()
+			return stream.Context().Err()
+		}
+		timer.Stop()
+	}
+}
+
+// chunk returns the next records, or nil when the server is not the primary of term.
+func (s *Server) chunk(term, from uint64) (*standinv1.ReplicateResponse, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.primary || s.promised != term {
+		return nil, nil
+	}
+	to := min(from+maxShippedRecords, s.log.end())
+	return &standinv1.ReplicateResponse{
+		Term: term, StartOffset: from, Records: s.log.records[from:to:to],
+		TermStarts: encodeHistory(s.log.history),
+	}, s.changed
+}
+
+func encodeHistory(history position.History) []*standinv1.TermStart {
+	starts := make([]*standinv1.TermStart, 0, len(history))
+	for _, start := range history {
+		starts = append(starts, &standinv1.TermStart{Term: start.Term, Offset: start.Offset})
+	}
+	return starts
+}
+
+func decodeHistory(starts []*standinv1.TermStart) position.History {
+	history := make(position.History, 0, len(starts))
+	for _, start := range starts {
+		history = append(history, position.TermStart{Term: start.GetTerm(), Offset: start.GetOffset()})
+	}
+	return history
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/database/rewrite.go
@@ -0,0 +1,147 @@
+package database
+
+import (
+	"regexp"
+	"strings"
+)
+
+var (
+	castPattern   = regexp.MustCompile(`(?i)::\s*(int[248]?|integer|bigint|smallint|text|varchar|bytea|float8|double precision|numeric|bool|boolean|jsonb?|timestamptz?)\b`)
+	lockPattern   = regexp.MustCompile(`(?i)\s+for\s+(update|share|no\s+key\s+update|key\s+share)(\s+(nowait|skip\s+locked))?\s*$`)
+	serialPattern = regexp.MustCompile(`(?i)\b(big)?serial\s+primary\s+key\b`)
+	sleepPattern  = regexp.MustCompile(`(?i)\bpg_sleep\s*\(\s*(\$?[0-9.]+)`)
+)
+
+// splitStatements cuts a query text at the semicolons outside quotes and comments.
+func splitStatements(text string) []string {
+	var statements []string
+	var current strings.Builder
+	for _, part := range segments(text) {
+		if part.quoted {
+			current.WriteString(part.text)
+			continue
+		}
+		pieces := strings.Split(part.text, ";")
+		for _, piece := range pieces[:len(pieces)-1] {
+			current.WriteString(piece)
+			statements = appendNonEmpty(statements, current.String())
+			current.Reset()
+		}
+		current.WriteString(pieces[len(pieces)-1])
+	}
+	return appendNonEmpty(statements, current.String())
+}
+
+func appendNonEmpty(statements []string, text string) []string {
+	if text = strings.TrimSpace(text); text != "" {
+		return append(statements, text)
+	}
+	return statements
+}
+
+// segment is a part of a query text: either quoted, or bare of quotes.
+type segment struct {
+	text   string
+	quoted bool
+}
+
+// segments drops comments and tells quoted parts from bare ones.
+func segments(text string) []segment {
+	var parts []segment
+	for text != "" {
+		start := strings.IndexAny(text, "'\"-/")
+		if start < 0 {
+			return append(parts, segment{text: text})
+		}
+		if start > 0 {
+			parts = append(parts, segment{text: text[:start]})
+		}
+		var length int
+		text = text[start:]
+		parts, length = appendQuoted(parts, text)
+		text = text[length:]
+	}
+	return parts
+}
+
+// appendQuoted reads the quote, comment or plain sign that text begins with.
+func appendQuoted(parts []segment, text string) ([]segment, int) {
+	switch {
+	case strings.HasPrefix(text, "--"):
+		return append(parts, segment{text: " "}), lengthThrough(text, "\n", 2)
+	case strings.HasPrefix(text, "/*"):
+		return append(parts, segment{text: " "}), lengthThrough(text, "*/", 2)
+	case text[0] == '\'' || text[0] == '"':
+		length := lengthThrough(text, text[:1], 1)
+		return append(parts, segment{text: text[:length], quoted: true}), length
+	default:
+		return append(parts, segment{text: text[:1]}), 1
+	}
+}
+
+// lengthThrough is the length of text up to and with the end sign after skip bytes.
+func lengthThrough(text, end string, skip int) int {
+	if at := strings.Index(text[skip:], end); at >= 0 {
+		return skip + at + len(end)
+	}
+	return len(text)
+}
+
+// statementText is a statement in the dialect of the store.
+type statementText struct {
+	sql string
+	// locks is true for SELECT ... FOR UPDATE and its kin.
+	locks bool
+	// keyword is the first word, upper case.
+	keyword string
+}
+
+// rewrite turns the dialect of PostgreSQL into that of the store.
+func rewrite(text string) statementText {
+	var sql strings.Builder
+	parts := segments(strings.TrimSuffix(strings.TrimSpace(text), ";"))
+	for _, part := range mergeBare(parts) {
+		if !part.quoted {
+			part.text = castPattern.ReplaceAllString(part.text, "")
+			part.text = serialPattern.ReplaceAllString(part.text, "INTEGER PRIMARY KEY")
+		}
+		sql.WriteString(part.text)
+	}
+	st := statementText{sql: strings.TrimSpace(sql.String())}
+	if at := lockPattern.FindStringIndex(st.sql); at != nil {
+		st.sql, st.locks = st.sql[:at[0]], true
+	}
+	st.keyword = firstWord(st.sql)
+	return st
+}
+
+// mergeBare joins neighbouring bare segments, so that patterns see them whole.
+func mergeBare(parts []segment) []segment {
+	var merged []segment
+	for _, part := range parts {
+		last := len(merged) - 1
+		if last >= 0 && !part.quoted && !merged[last].quoted {
+			merged[last].text += part.text
+			continue
+		}
+		merged = append(merged, part)
+	}
+	return merged
+}
+
+func firstWord(sql string) string {
+	word := strings.TrimLeft(sql, " \t\r\n(")
+	if end := strings.IndexAny(word, " \t\r\n(;"); end >= 0 {
+		word = word[:end]
+	}
+	return strings.ToUpper(word)
+}
+
+// isDataChange tells by its first word whether a statement that writes changes rows.
+func isDataChange(sql string) bool {
+	switch firstWord(sql) {
+	case "INSERT", "UPDATE", "DELETE", "REPLACE", "WITH":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/database/server.go
@@ -0,0 +1,260 @@
+package database
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	standinv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/standin/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+)
+
+// Server is one database server with its agent. Its log, data and promised term
+// outlast Kill and Restart.
+type Server struct {
+	cfg    ServerConfig
+	group  *Config
+	store  *store
+	gate   *gate
+	slots  chan struct{}
+	lag    lagSource
+	runner runner
+
+	// mu guards the fields below. It may be taken while store.mu is held, never
+	// the other way round.
+	mu sync.Mutex
+	// changed is closed and replaced whenever one of the fields changes.
+	changed        chan struct{}
+	log            commitLog
+	arrivals       []arrival // records that the replica has not run yet
+	promised       uint64
+	proposer       string
+	primary        bool
+	peers          []string
+	primaryControl string
+	address        string
+	controlAddress string
+}
+
+func newServer(cfg ServerConfig, group *Config, seed uint64) (*Server, error) {
+	s := &Server{
+		cfg:            cfg,
+		group:          group,
+		gate:           newGate(),
+		slots:          make(chan struct{}, group.Slots),
+		lag:            newLagSource(seed, group.ReplayLagMin, group.ReplayLagMax),
+		changed:        make(chan struct{}),
+		address:        cfg.ListenAddress,
+		controlAddress: cfg.ControlListenAddress,
+	}
+	store, err := newStore(s.locate, func() bool { return !s.IsPrimary() })
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s.store = store
+	return s, nil
+}
+
+// Endpoint returns the server's id.
+func (s *Server) Endpoint() string { return s.cfg.Endpoint }
+
+// FailureDomain returns where the server runs.
+func (s *Server) FailureDomain() string { return s.cfg.FailureDomain }
+
+// Address returns where the server speaks the PostgreSQL protocol.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// ControlAddress returns where the server's agent listens for gRPC.
+func (s *Server) ControlAddress() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.controlAddress
+}
+
+// IsPrimary tells whether the server takes writes.
+func (s *Server) IsPrimary() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.primary
+}
+
+// Status returns what the agent would tell.
+func (s *Server) Status() platform.ServerStatus {
+	s.store.mu.Lock()
+	applied := s.store.applied
+	s.store.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return platform.ServerStatus{
+		Endpoint:     s.cfg.Endpoint,
+		Primary:      s.primary,
+		PromisedTerm: s.promised,
+		Durable:      s.log.position(),
+		Replayed:     s.log.positionAt(min(applied, s.log.end())),
+		History:      slices.Clone(s.log.history),
+		Serving:      true,
+	}
+}
+
+// SetReplayLag changes the range of the replica's replay lag, also for records
+// that wait already.
+func (s *Server) SetReplayLag(minimum, maximum time.Duration) {
+	s.lag.set(minimum, maximum)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.signal()
+}
+
+// locate implements store.locate.
+func (s *Server) locate(offset uint64) position.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.log.positionAt(offset)
+}
+
+// signal wakes all who wait for a change. Callers hold mu.
+func (s *Server) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// view is what a session tells its client of the server.
+type view struct {
+	primary bool
+	history position.History
+}
+
+func (s *Server) view() view {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return view{primary: s.primary, history: s.log.history}
+}
+
+// appendRecord adds a transaction to the primary's log. It returns errShutdown
+// when the server has been demoted.
+func (s *Server) appendRecord(writes []*standinv1.Statement) (position.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.primary {
+		return position.Position{}, errShutdown
+	}
+	p := s.log.append(&standinv1.Record{Statements: writes})
+	s.signal()
+	return p, nil
+}
+
+// promise raises the promised term for a proposer; it is false when the server
+// has promised that term, or a higher one, to another.
+func (s *Server) promise(term uint64, proposer string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if term < s.promised || (term == s.promised && proposer != s.proposer) {
+		return false
+	}
+	if term > s.promised {
+		s.raise(term, proposer)
+	}
+	return true
+}
+
+// raise sets the promised term and ends the server's time as primary. Callers
+// hold mu.
+func (s *Server) raise(term uint64, proposer string) {
+	s.promised, s.proposer = term, proposer
+	if s.primary {
+		s.primary = false
+		s.runner.endSessions(errShutdown)
+	}
+	s.signal()
+}
+
+// promote makes the server the primary of the term that it has promised to the
+// proposer, after it has run all of its log.
+func (s *Server) promote(term uint64, proposer string, peers []string) (bool, error) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	pending, granted := s.beforePromotion(term, proposer)
+	if !granted {
+		return false, nil
+	}
+	for _, record := range pending {
+		if err := s.store.apply(record); err != nil {
+			return false, trace.Wrap(err)
+		}
+	}
+	return s.beginTerm(term, proposer, peers), nil
+}
+
+// beforePromotion returns the records that are still to be run. Callers hold
+// store.mu.
+func (s *Server) beforePromotion(term uint64, proposer string) ([]*standinv1.Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.promised != term || s.proposer != proposer {
+		return nil, false
+	}
+	return s.log.records[s.store.applied:], true
+}
+
+// beginTerm opens the term in the log, unless a higher one was promised or the
+// term has begun already. Callers hold store.mu.
+func (s *Server) beginTerm(term uint64, proposer string, peers []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.promised != term || s.proposer != proposer {
+		return false
+	}
+	if s.primary {
+		return true
+	}
+	s.primary, s.arrivals, s.primaryControl = true, nil, ""
+	s.peers = slices.Clone(peers)
+	s.log.beginTerm(term)
+	s.signal()
+	return true
+}
+
+// follow makes the server a replica of the primary of term.
+func (s *Server) follow(term uint64, primaryControl string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if term < s.promised || (s.primary && term == s.promised) {
+		return false
+	}
+	if term > s.promised {
+		s.raise(term, "")
+	}
+	if s.primaryControl != primaryControl {
+		s.primaryControl = primaryControl
+		s.signal()
+	}
+	return true
+}
+
+// confirm waits until the log holds p while p's term is the promised one.
+func (s *Server) confirm(ctx context.Context, p position.Position) (bool, uint64) {
+	for {
+		s.mu.Lock()
+		promised, holds, changed := s.promised, s.log.holds(p), s.changed
+		s.mu.Unlock()
+		if promised > p.Term {
+			return false, promised
+		}
+		if promised == p.Term && holds {
+			return true, promised
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false, promised
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/database/session.go
@@ -0,0 +1,314 @@
+package database
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/subtle"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+const (
+	maxMessageBytes    = 64 << 20
+	secretBytes        = 4
+	startupTimeout     = 10 * time.Second
+	terminationTimeout = time.Second
+)
+
+// session is one connection of a client.
+type session struct {
+	server  *Server
+	run     *run
+	conn    net.Conn
+	backend *pgproto3.Backend
+	id      uint32
+	secret  []byte
+
+	txn      transaction
+	settings map[string]string
+	prepared map[string]*preparedStatement
+	portals  map[string]*portal
+	// skipping is true after an error until the client's next Sync.
+	skipping bool
+	// seen is the position that the last statement saw or made.
+	seen position.Position
+	told map[string]string
+
+	mu     sync.Mutex
+	cancel context.CancelFunc // guarded by mu; interrupts the running statement
+	ended  *sqlError          // guarded by mu; set once the server ends the session
+}
+
+// accept serves clients until the listener is closed.
+func (s *Server) accept(ctx context.Context, r *run, listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return nil //nolint:nilerr // the listener was closed
+		}
+		r.tomb.Go(func() error {
+			defer conn.Close()
+			s.serve(ctx, r, conn)
+			return nil
+		})
+	}
+}
+
+func (s *Server) serve(ctx context.Context, r *run, conn net.Conn) {
+	session := &session{
+		server: s, run: r, conn: conn,
+		backend:  pgproto3.NewBackend(conn, conn),
+		secret:   make([]byte, secretBytes),
+		txn:      transaction{status: statusIdle},
+		settings: make(map[string]string),
+		prepared: make(map[string]*preparedStatement),
+		portals:  make(map[string]*portal),
+		told:     make(map[string]string),
+	}
+	session.backend.SetMaxBodyLen(maxMessageBytes)
+	_, _ = rand.Read(session.secret)
+	if !session.startup(ctx) {
+		return
+	}
+	defer r.remove(session)
+	defer session.closePortals()
+	session.loop(ctx)
+}
+
+// startup does the handshake and registers the session. It is false when the
+// connection is over.
+func (s *session) startup(ctx context.Context) bool {
+	_ = s.conn.SetReadDeadline(time.Now().Add(startupTimeout))
+	message := s.receiveStartup()
+	if message == nil {
+		return false
+	}
+	sleep(ctx, s.server.group.ConnectTime)
+	if err := s.authenticate(message); err != nil {
+		s.sendFatal(err)
+		return false
+	}
+	if !s.run.add(s, s.server.group.MaxConnections) {
+		s.sendFatal(errorf(verdict.CodeTooManyConnections, "sorry, too many clients already"))
+		return false
+	}
+	_ = s.conn.SetReadDeadline(time.Time{})
+	for name, value := range message.Parameters {
+		s.settings[strings.ToLower(name)] = value
+	}
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+	s.tell("server_version", "17.0")
+	s.tell("server_encoding", "UTF8")
+	s.tell("client_encoding", "UTF8")
+	s.tell("standard_conforming_strings", "on")
+	s.tell("DateStyle", "ISO, MDY")
+	s.tell("integer_datetimes", "on")
+	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: s.id, SecretKey: s.secret})
+	s.seen = s.server.Status().Replayed
+	return s.ready() == nil
+}
+
+// receiveStartup answers requests for encryption, obeys a cancel request, and
+// returns the startup message, or nil when there is none.
+func (s *session) receiveStartup() *pgproto3.StartupMessage {
+	for {
+		message, err := s.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil
+		}
+		switch m := message.(type) {
+		case *pgproto3.StartupMessage:
+			return m
+		case *pgproto3.CancelRequest:
+			s.run.cancel(m.ProcessID, m.SecretKey)
+			return nil
+		default:
+			if _, err := s.conn.Write([]byte{'N'}); err != nil {
+				return nil
+			}
+		}
+	}
+}
+
+func (s *session) authenticate(startup *pgproto3.StartupMessage) *sqlError {
+	user := startup.Parameters["user"]
+	s.backend.Send(&pgproto3.AuthenticationCleartextPassword{})
+	if err := s.backend.Flush(); err != nil {
+		return errorf(verdict.CodeConnectionFailure, err.Error())
+	}
+	_ = s.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword)
+	message, err := s.backend.Receive()
+	if err != nil {
+		return errorf(verdict.CodeConnectionFailure, err.Error())
+	}
+	password, ok := message.(*pgproto3.PasswordMessage)
+	group := s.server.group
+	if !ok || user != group.Username || subtle.ConstantTimeCompare([]byte(password.Password), []byte(group.Password)) != 1 {
+		return errorf(verdict.CodeInvalidPassword, "password authentication failed for user "+strconv.Quote(user))
+	}
+	return nil
+}
+
+// loop serves messages until the connection ends.
+func (s *session) loop(ctx context.Context) {
+	for {
+		message, err := s.backend.Receive()
+		if ended := s.endedBy(); ended != nil {
+			s.sendFatal(ended)
+			return
+		}
+		if err != nil {
+			return
+		}
+		if _, ok := message.(*pgproto3.Terminate); ok {
+			return
+		}
+		if err := s.handle(ctx, message); err != nil {
+			return
+		}
+	}
+}
+
+// handle serves one message; an error means that the connection is broken.
+func (s *session) handle(ctx context.Context, message pgproto3.FrontendMessage) error {
+	switch m := message.(type) {
+	case *pgproto3.Query:
+		s.simpleQuery(ctx, m.String)
+		return s.ready()
+	case *pgproto3.Sync:
+		s.skipping = false
+		s.endUnlessBlock()
+		return s.ready()
+	case *pgproto3.Flush:
+		return s.backend.Flush()
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		return nil // the rest of a copy that has failed
+	default:
+		if s.skipping {
+			return nil
+		}
+		if err := s.extended(ctx, m); err != nil {
+			s.fail(err)
+			s.skipping = true
+		}
+		return nil
+	}
+}
+
+// ready announces what has changed, then that the session awaits a query.
+func (s *session) ready() error {
+	if s.txn.status == statusIdle {
+		s.closePortals()
+	}
+	v := s.server.view()
+	s.tell("in_hot_standby", onOff(!v.primary))
+	s.tell("group_history", formatHistory(v.history))
+	s.tell("group_position", s.seen.String())
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.txn.status})
+	return s.backend.Flush()
+}
+
+func onOff(b bool) string {
+	if b {
+		return "on"
+	}
+	return "off"
+}
+
+func formatHistory(history position.History) string {
+	starts := make([]string, 0, len(history))
+	for _, start := range history {
+		starts = append(starts, strconv.FormatUint(start.Term, 10)+":"+strconv.FormatUint(start.Offset, 10))
+	}
+	return strings.Join(starts, ",")
+}
+
+// tell sends a parameter unless the client knows its value.
+func (s *session) tell(name, value string) {
+	if known, ok := s.told[name]; ok && known == value {
+		return
+	}
+	s.told[name] = value
+	s.backend.Send(&pgproto3.ParameterStatus{Name: name, Value: value})
+}
+
+// fail reports an error and fails the open transaction.
+func (s *session) fail(err error) {
+	reported := asSQLError(err)
+	if ended := s.endedBy(); ended != nil {
+		reported = ended
+	}
+	if s.txn.status == statusInBlock {
+		s.txn.status = statusFailed
+	}
+	s.sendError(reported, "ERROR")
+}
+
+func (s *session) sendError(err *sqlError, severity string) {
+	if err.fatal {
+		severity = "FATAL"
+	}
+	s.backend.Send(&pgproto3.ErrorResponse{
+		Severity: severity, SeverityUnlocalized: severity, Code: err.code, Message: err.message,
+	})
+	if err.fatal {
+		_ = s.backend.Flush()
+		_ = s.conn.Close()
+	}
+}
+
+func (s *session) sendFatal(err *sqlError) {
+	_ = s.conn.SetWriteDeadline(time.Now().Add(terminationTimeout))
+	s.sendError(&sqlError{code: err.code, message: err.message, fatal: true}, "FATAL")
+}
+
+// terminate ends the session from another goroutine.
+func (s *session) terminate(err *sqlError) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = err
+	if s.cancel != nil {
+		s.cancel()
+	}
+	_ = s.conn.SetReadDeadline(time.Now())
+}
+
+func (s *session) endedBy() *sqlError {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
+// cancelStatement interrupts the running statement, if there is one.
+func (s *session) cancelStatement() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
+// interruptible returns a context that terminate and cancelStatement cancel.
+func (s *session) interruptible(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	s.cancel = cancel
+	if s.ended != nil {
+		cancel()
+	}
+	s.mu.Unlock()
+	return ctx, func() {
+		s.mu.Lock()
+		s.cancel = nil
+		s.mu.Unlock()
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/standin/database/settings.go
@@ -0,0 +1,87 @@
+package database
+
+import (
+	"regexp"
+	"strings"
+)
+
+var (
+	setPattern  = regexp.MustCompile(`(?is)^set\s+(?:session\s+|local\s+)?([\w.]+)\s*(?:=|\s+to\s+|\s)\s*(.+)$`)
+	namePattern = regexp.MustCompile(`(?is)^\w+\s+([\w.]+)\s*$`)
+)
+
+// settingCommand runs SET, SHOW, RESET, DISCARD and DEALLOCATE.
+func (s *session) settingCommand(st statementText) (*outcome, error) {
+	name := ""
+	if match := namePattern.FindStringSubmatch(st.sql); match != nil {
+		name = strings.ToLower(match[1])
+	}
+	switch st.keyword {
+	case "SET":
+		return s.set(st.sql)
+	case "SHOW":
+		return s.show(name)
+	case "RESET":
+		s.reset(name)
+		return &outcome{tag: "RESET"}, nil
+	case "DEALLOCATE":
+		s.deallocate(name)
+		return &outcome{tag: "DEALLOCATE"}, nil
+	default:
+		if s.txn.status != statusIdle {
+			return nil, errorf("25001", "DISCARD ALL cannot run inside a transaction block")
+		}
+		s.reset("all")
+		s.deallocate("all")
+		return &outcome{tag: "DISCARD ALL"}, nil
+	}
+}
+
+func (s *session) set(sql string) (*outcome, error) {
+	match := setPattern.FindStringSubmatch(sql)
+	if match == nil {
+		return nil, errorf(codeSyntaxError, "malformed SET")
+	}
+	name := strings.ToLower(match[1])
+	switch name {
+	case "transaction", "characteristics":
+		if strings.Contains(strings.ToUpper(match[2]), "READ ONLY") {
+			s.txn.readOnly = true
+		}
+	default:
+		s.settings[name] = strings.Trim(strings.TrimSpace(match[2]), "'")
+	}
+	return &outcome{tag: "SET"}, nil
+}
+
+func (s *session) show(name string) (*outcome, error) {
+	value, ok := s.settings[name]
+	if !ok {
+		value, ok = s.told[name]
+	}
+	if !ok && name == "transaction_read_only" {
+		value, ok = onOff(s.txn.readOnly || !s.server.IsPrimary()), true
+	}
+	if !ok {
+		return nil, errorf("42704", "no such configuration parameter")
+	}
+	return &outcome{tag: "SHOW", result: &result{
+		columns: []string{name}, types: []uint32{oidText}, rows: [][]any{{value}}, write: true,
+	}}, nil
+}
+
+func (s *session) reset(name string) {
+	if name == "all" {
+		clear(s.settings)
+		return
+	}
+	delete(s.settings, name)
+}
+
+func (s *session) deallocate(name string) {
+	if name == "all" || name == "" {
+		clear(s.prepared)
+		return
+	}
+	delete(s.prepared, name)
+}
--- /dev/null
+++ b/internal/standin/database/transaction.go
@@ -0,0 +1,180 @@
+package database
+
+import (
+	"context"
+	"regexp"
+	"strings"
+
+	standinv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/standin/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// Transaction states as ReadyForQuery tells them.
+const (
+	statusIdle    byte = 'I'
+	statusInBlock byte = 'T'
+	statusFailed  byte = 'E'
+)
+
+// transaction is a session's open transaction, if its status is not idle.
+type transaction struct {
+	status byte
+	// implicit is true for the transaction around several statements that came
+	// without BEGIN; it ends with their message.
+	implicit   bool
+	readOnly   bool
+	writes     []*standinv1.Statement
+	savepoints []savepoint
+}
+
+type savepoint struct {
+	name   string
+	writes int
+}
+
+var savepointPattern = regexp.MustCompile(`(?i)^(?:savepoint|release(?:\s+savepoint)?|rollback(?:\s+(?:work|transaction))?\s+to(?:\s+savepoint)?)\s+(\w+)$`)
+
+// transactionCommand runs a statement that begins, ends or marks a transaction.
+// It returns the command tag.
+func (s *session) transactionCommand(ctx context.Context, st statementText) (string, error) {
+	switch st.keyword {
+	case "BEGIN", "START":
+		return s.begin(st), nil
+	case "COMMIT", "END":
+		return s.commit(ctx)
+	case "SAVEPOINT":
+		return "SAVEPOINT", s.setSavepoint(st.sql)
+	case "RELEASE":
+		return "RELEASE", s.releaseSavepoint(st.sql)
+	}
+	if savepointPattern.MatchString(st.sql) {
+		return "ROLLBACK", s.rollbackTo(st.sql)
+	}
+	s.txn = transaction{status: statusIdle}
+	return "ROLLBACK", nil
+}
+
+func (s *session) begin(st statementText) string {
+	if s.txn.status == statusIdle || s.txn.implicit {
+		s.txn.status, s.txn.implicit = statusInBlock, false
+		s.txn.readOnly = strings.Contains(strings.ToUpper(st.sql), "READ ONLY")
+	}
+	return "BEGIN"
+}
+
+func (s *session) commit(ctx context.Context) (string, error) {
+	txn := s.txn
+	s.txn = transaction{status: statusIdle}
+	if txn.status == statusFailed {
+		return "ROLLBACK", nil
+	}
+	if len(txn.writes) == 0 {
+		return "COMMIT", nil
+	}
+	release, err := s.server.takeSlot(ctx)
+	if err != nil {
+		return "", err
+	}
+	defer release()
+	p, err := s.server.commit(txn.writes)
+	if err != nil {
+		return "", err
+	}
+	s.seen = p
+	return "COMMIT", nil
+}
+
+// endUnlessBlock ends the implicit transaction of an extended query sequence.
+func (s *session) endUnlessBlock() {
+	if s.txn.implicit {
+		s.txn = transaction{status: statusIdle}
+	}
+}
+
+func (s *session) setSavepoint(sql string) error {
+	if s.txn.status == statusIdle {
+		return errorf("25P01", "SAVEPOINT can only be used in transaction blocks")
+	}
+	name := savepointName(sql)
+	s.txn.savepoints = append(s.txn.savepoints, savepoint{name: name, writes: len(s.txn.writes)})
+	return nil
+}
+
+func (s *session) releaseSavepoint(sql string) error {
+	at, err := s.findSavepoint(sql)
+	if err != nil {
+		return err
+	}
+	s.txn.savepoints = s.txn.savepoints[:at]
+	return nil
+}
+
+func (s *session) rollbackTo(sql string) error {
+	at, err := s.findSavepoint(sql)
+	if err != nil {
+		return err
+	}
+	s.txn.writes = s.txn.writes[:s.txn.savepoints[at].writes]
+	s.txn.savepoints = s.txn.savepoints[:at+1]
+	s.txn.status = statusInBlock
+	return nil
+}
+
+func (s *session) findSavepoint(sql string) (int, error) {
+	name := savepointName(sql)
+	for i := len(s.txn.savepoints) - 1; i >= 0; i-- {
+		if s.txn.savepoints[i].name == name {
+			return i, nil
+		}
+	}
+	return 0, errorf(codeInvalidSavepoint, "savepoint does not exist")
+}
+
+func savepointName(sql string) string {
+	match := savepointPattern.FindStringSubmatch(sql)
+	if match == nil {
+		return ""
+	}
+	return strings.ToLower(match[1])
+}
+
+// dataStatement runs a statement on the data.
+func (s *session) dataStatement(ctx context.Context, text statementText, arguments []*standinv1.Value) (*result, error) {
+	st := &standinv1.Statement{Sql: text.sql, Arguments: arguments}
+	readOnly := s.txn.readOnly || !s.server.IsPrimary()
+	if text.locks && readOnly {
+		return nil, errReadOnly
+	}
+	if len(s.txn.writes) == 0 {
+		res, err := s.server.store.read(ctx, st, readOnly)
+		if err == nil {
+			s.seen = res.seen
+		}
+		if err != errIsWrite { //nolint:errorlint // a sentinel that is never wrapped
+			return res, err
+		}
+		if s.txn.status == statusIdle {
+			return s.autocommit(ctx, st)
+		}
+	}
+	res, err := s.server.store.trial(ctx, s.txn.writes, st, readOnly)
+	if err != nil {
+		return nil, err
+	}
+	if res.write {
+		st.Rows = res.changed
+		s.txn.writes = append(s.txn.writes, st)
+	}
+	return res, nil
+}
+
+func (s *session) autocommit(ctx context.Context, st *standinv1.Statement) (*result, error) {
+	res, err := s.server.autocommit(ctx, st)
+	if err == nil {
+		s.seen = res.seen
+	}
+	return res, err
+}
+
+// errAborted answers statements in a failed transaction.
+var errAborted = errorf(verdict.CodeInFailedTransaction, "current transaction is aborted, commands ignored until end of transaction block")
--- /dev/null
+++ b/internal/standin/database/write.go
@@ -0,0 +1,78 @@
+package database
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	standinv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/standin/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+)
+
+// commit makes a transaction's writes lasting and returns their position.
+func (s *Server) commit(writes []*standinv1.Statement) (position.Position, error) {
+	var p position.Position
+	err := s.store.commit(writes, func() error {
+		var err error
+		p, err = s.appendRecord(writes)
+		return err
+	})
+	return p, err
+}
+
+// autocommit runs one write as a transaction; the result's seen is its position.
+func (s *Server) autocommit(ctx context.Context, st *standinv1.Statement) (*result, error) {
+	var p position.Position
+	res, err := s.store.autocommit(ctx, st, func() error {
+		var err error
+		p, err = s.appendRecord([]*standinv1.Statement{st})
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	res.seen = p
+	return res, nil
+}
+
+// takeSlot waits for one of the server's slots and holds it for the service time.
+func (s *Server) takeSlot(ctx context.Context) (release func(), err error) {
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, errCancelled
+	}
+	sleep(ctx, s.group.ServiceTime)
+	s.gate.wait(ctx.Done())
+	return func() { <-s.slots }, nil
+}
+
+// sleepCalled waits as the statement's call of pg_sleep asks.
+func sleepCalled(ctx context.Context, sql string, arguments []*standinv1.Value) error {
+	match := sleepPattern.FindStringSubmatch(sql)
+	if match == nil {
+		return nil
+	}
+	seconds, err := strconv.ParseFloat(match[1], 64)
+	if number := parameterNumber(match[1]); err != nil && number >= 1 && number <= len(arguments) {
+		seconds = secondsOf(arguments[number-1])
+	}
+	sleep(ctx, time.Duration(seconds*float64(time.Second)))
+	if ctx.Err() != nil {
+		return errCancelled
+	}
+	return nil
+}
+
+func secondsOf(v *standinv1.Value) float64 {
+	switch kind := v.GetKind().(type) {
+	case *standinv1.Value_Integer:
+		return float64(kind.Integer)
+	case *standinv1.Value_Real:
+		return kind.Real
+	case *standinv1.Value_Text:
+		seconds, _ := strconv.ParseFloat(kind.Text, 64)
+		return seconds
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/standin/platform/faults.go
@@ -0,0 +1,125 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// Fault is what a method suffers. Faults last until they are set anew.
+type Fault struct {
+	// Unavailable refuses calls before they take effect.
+	Unavailable bool
+	// Silent leaves calls without answer and without effect until they give up.
+	Silent bool
+	// Latency is added before the call takes effect.
+	Latency time.Duration
+	// LostAnswers is how many calls take effect and then fail; negative means all.
+	LostAnswers int
+}
+
+// Method names a call of the platform for faults and counters.
+type Method string
+
+// The methods of the platform.
+const (
+	TableGet      Method = "/hornbeamlock.platform.v1.TableService/Get"
+	TableList     Method = "/hornbeamlock.platform.v1.TableService/List"
+	TableCommit   Method = "/hornbeamlock.platform.v1.TableService/Commit"
+	ObjectPut     Method = "/hornbeamlock.platform.v1.ObjectService/PutObject"
+	ObjectGet     Method = "/hornbeamlock.platform.v1.ObjectService/GetObject"
+	ListInstances Method = "/hornbeamlock.platform.v1.InstanceListService/ListInstances"
+)
+
+// Methods returns all methods.
+func Methods() []Method {
+	return []Method{TableGet, TableList, TableCommit, ObjectPut, ObjectGet, ListInstances}
+}
+
+// Counters are the calls of one method.
+type Counters struct {
+	// Calls counts every call that arrived, also those that a fault refused.
+	Calls uint64
+	// Effective counts the calls that took effect.
+	Effective uint64
+}
+
+// script holds the faults and counters of all methods.
+type script struct {
+	mu       sync.Mutex
+	faults   map[Method]Fault    // guarded by mu
+	counters map[Method]Counters // guarded by mu
+}
+
+func newScript() *script {
+	return &script{faults: make(map[Method]Fault), counters: make(map[Method]Counters)}
+}
+
+func (s *script) set(fault Fault, methods []Method) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, method := range methods {
+		s.faults[method] = fault
+	}
+}
+
+// arrive counts a call and returns its fault.
+func (s *script) arrive(method Method) Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counters := s.counters[method]
+	counters.Calls++
+	s.counters[method] = counters
+	return s.faults[method]
+}
+
+// finish counts the call's effect and tells whether its answer is lost.
+func (s *script) finish(method Method) (lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counters := s.counters[method]
+	counters.Effective++
+	s.counters[method] = counters
+	fault := s.faults[method]
+	if fault.LostAnswers > 0 {
+		fault.LostAnswers--
+		s.faults[method] = fault
+		return true
+	}
+	return fault.LostAnswers < 0
+}
+
+func (s *script) counts(method Method) Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters[method]
+}
+
+// intercept puts the faults around a call.
+func (s *script) intercept(ctx context.Context, req any, info *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	method := Method(info.FullMethod)
+	fault := s.arrive(method)
+	if fault.Silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	timer := time.NewTimer(fault.Latency)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if fault.Unavailable {
+		return nil, status.Error(codes.Unavailable, "scripted outage")
+	}
+	response, err := handler(ctx, req)
+	if s.finish(method) {
+		return nil, status.Error(codes.Unavailable, "scripted loss of the answer")
+	}
+	return response, err
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,136 @@
+// Package platform is a stand-in for the platform's transactional table, object
+// store and instance list: one gRPC server that keeps everything in memory, with
+// scripted faults and counters per method.
+//
+// Invariant: a commit of the table applies all of its writes or none, and every
+// applied commit has a higher revision than all before it.
+package platform
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	platformv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/platform/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+)
+
+const (
+	maxMessageBytes      = 64 << 20
+	minKeepaliveInterval = time.Second
+)
+
+// Config describes the stand-in. The zero value serves an empty platform.
+type Config struct {
+	// ListenAddress is a TCP address; the default is a free port of 127.0.0.1.
+	ListenAddress string
+	// InstanceListLag is how late changes of the instance list are seen.
+	InstanceListLag time.Duration
+	// Now is the table's clock; the default is time.Now.
+	Now func() time.Time
+}
+
+// CheckAndSetDefaults fills in defaults and refuses what cannot work.
+func (c *Config) CheckAndSetDefaults() error {
+	if c.ListenAddress == "" {
+		c.ListenAddress = "127.0.0.1:0"
+	}
+	if c.InstanceListLag < 0 {
+		return trace.BadParameter("instance list lag %v is negative", c.InstanceListLag)
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return nil
+}
+
+// Server is the running stand-in.
+type Server struct {
+	listener  net.Listener
+	grpc      *grpc.Server
+	done      chan struct{}
+	script    *script
+	instances *instanceList
+}
+
+// Start listens and serves until Close.
+func Start(cfg Config) (*Server, error) {
+	if err := cfg.CheckAndSetDefaults(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	listener, err := net.Listen("tcp", cfg.ListenAddress)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	s := &Server{
+		listener:  listener,
+		done:      make(chan struct{}),
+		script:    newScript(),
+		instances: &instanceList{now: cfg.Now, lag: cfg.InstanceListLag},
+	}
+	s.grpc = grpc.NewServer(
+		grpc.UnaryInterceptor(s.script.intercept),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minKeepaliveInterval, PermitWithoutStream: true}),
+	)
+	platformv1.RegisterTableServiceServer(s.grpc, newTable(cfg.Now))
+	platformv1.RegisterObjectServiceServer(s.grpc, &objects{byName: make(map[string][]byte)})
+	platformv1.RegisterInstanceListServiceServer(s.grpc, s.instances)
+	go func() {
+		defer close(s.done)
+		_ = s.grpc.Serve(listener)
+	}()
+	return s, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// SetFault makes the methods suffer fault; no methods means all.
+func (s *Server) SetFault(fault Fault, methods ...Method) {
+	if len(methods) == 0 {
+		methods = Methods()
+	}
+	s.script.set(fault, methods)
+}
+
+// Counters returns the calls of a method so far.
+func (s *Server) Counters(method Method) Counters { return s.script.counts(method) }
+
+// SetInstances changes the instance list; callers see it after the list's lag.
+func (s *Server) SetInstances(instances []platform.Instance) { s.instances.set(instances) }
+
+// Close cuts all connections and ends the server.
+func (s *Server) Close() {
+	s.grpc.Stop()
+	<-s.done
+}
+
+// objects is the object store.
+type objects struct {
+	platformv1.UnimplementedObjectServiceServer
+
+	mu     sync.Mutex
+	byName map[string][]byte // guarded by mu
+}
+
+// PutObject implements ObjectService.
+func (o *objects) PutObject(_ context.Context, req *platformv1.PutObjectRequest) (*platformv1.PutObjectResponse, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.byName[req.GetName()] = req.GetData()
+	return &platformv1.PutObjectResponse{}, nil
+}
+
+// GetObject implements ObjectService.
+func (o *objects) GetObject(_ context.Context, req *platformv1.GetObjectRequest) (*platformv1.GetObjectResponse, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	data, found := o.byName[req.GetName()]
+	return &platformv1.GetObjectResponse{Found: found, Data: data}, nil
+}
