--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -76,11 +76,6 @@
 	if started, err := x.conn.Send(encoded, answers); err != nil {
 		return x.lost(err, started)
 	}
-	if x.placed.verify {
-		if there, err := x.verified(); err != nil || !there {
-			return outcome{err: errBehind, verdict: verdict.NotRun, started: true, elsewhere: err == nil}
-		}
-	}
 	return x.relay()
 }
 
@@ -119,13 +114,8 @@
 	return outcome{err: final, verdict: verdict.NotRun}
 }
 
-// encode builds the messages for this connection. An expected replica is first
-// asked for its position, by a Sync of its own.
+// encode builds the messages for this connection.
 func (x *exchange) encode() (encoded []byte, answers int) {
-	if x.placed.verify {
-		encoded, _ = (&pgproto3.Sync{}).Encode(encoded)
-		answers++
-	}
 	if x.rq.batch == nil {
 		encoded, _ = (&pgproto3.Query{String: x.rq.sql}).Encode(encoded)
 		return encoded, answers + 1
@@ -138,25 +128,6 @@
 	return encoded, answers
 }
 
-// verified reads the replica's position, which it tells before the read's answer.
-func (x *exchange) verified() (there bool, err error) {
-	x.c.server.metrics.readsVerified.Add(1)
-	for {
-		message, err := x.conn.Receive()
-		if err != nil {
-			return false, err
-		}
-		if _, ok := message.(*pgproto3.ReadyForQuery); ok {
-			break
-		}
-	}
-	if x.conn.Position().Less(x.placed.lowest) {
-		x.c.server.metrics.readsBehind.Add(1)
-		return false, nil
-	}
-	return true, nil
-}
-
 // lost is the outcome of a failed connection.
 func (x *exchange) lost(err error, started bool) outcome {
 	result := outcome{err: err, started: started, verdict: verdict.MayHaveRun}
@@ -187,6 +158,9 @@
 			x.conn.Abort(errEndpointEnded)
 			return x.cut(errEndpointEnded)
 		}
+		if x.placed.verify && len(x.c.answers.buffer) > maxVerified {
+			return x.behindOutcome()
+		}
 	}
 }
 
@@ -230,7 +204,7 @@
 // spill sends what has gathered. Once the caller has taken a piece, the time for
 // the rest starts afresh.
 func (x *exchange) spill() error {
-	if len(x.c.answers.buffer) < spillBytes {
+	if len(x.c.answers.buffer) < spillBytes || x.placed.verify {
 		return nil
 	}
 	err := x.c.answers.spill()
@@ -274,6 +248,9 @@
 	if x.declined != nil {
 		return x.declinedOutcome()
 	}
+	if x.isBehind() {
+		return x.behindOutcome()
+	}
 	inTransaction := x.c.lease != nil
 	x.note(inTransaction, status)
 	x.keepOrRelease(status)
@@ -291,6 +268,29 @@
 	return outcome{callerGone: err, started: true}
 }
 
+// maxVerified is the largest answer that is kept back until the replica has told
+// its position; a larger one is asked for elsewhere.
+const maxVerified = 256 * 1024 // bytes
+
+// isBehind tells whether a replica has answered from before the floor. The
+// position that a server tells is one that the statement has seen. An answer that
+// has partly left came from a replica that was known to be there.
+func (x *exchange) isBehind() bool {
+	if !x.placed.replica || x.c.lease != nil || x.c.answers.sent || !x.rq.synced {
+		return false
+	}
+	if x.placed.verify {
+		x.c.server.metrics.readsVerified.Add(1)
+	}
+	return x.conn.Position().Less(x.placed.lowest)
+}
+
+// behindOutcome is the outcome of a read at a replica that is not there yet.
+func (x *exchange) behindOutcome() outcome {
+	x.c.server.metrics.readsBehind.Add(1)
+	return outcome{err: errBehind, verdict: verdict.NotRun, started: true, elsewhere: true}
+}
+
 // declinedOutcome has the request repeated at the primary, or at the next one.
 func (x *exchange) declinedOutcome() outcome {
 	if x.placed.replica {
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,57 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+func TestAutocommitReadAndWrite(t *testing.T) {
+	r := newRig(t, options{})
+	conn := r.connect("")
+	exec(t, conn, "INSERT INTO passes (id, holder) VALUES ($1, $2)", 1, "Anna")
+	r.sample()
+	require.Equal(t, 1, count(t, conn))
+	require.NotEmpty(t, conn.PgConn().ParameterStatus("hornbeamlock.floor"))
+	require.Positive(t, r.counter("gateway_replica_reads_total"))
+}
+
+func TestTransaction(t *testing.T) {
+	r := newRig(t, options{})
+	conn := r.connect("")
+	ctx := context.Background()
+	tx, err := conn.Begin(ctx)
+	require.NoError(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO passes (id, holder) VALUES ($1, $2)", 1, "Anna")
+	require.NoError(t, err)
+	require.NoError(t, tx.Commit(ctx))
+	tx, err = conn.Begin(ctx)
+	require.NoError(t, err)
+	_, err = tx.Exec(ctx, "INSERT INTO passes (id, holder) VALUES (2, 'Bert')")
+	require.NoError(t, err)
+	require.NoError(t, tx.Rollback(ctx))
+	require.Equal(t, 1, count(t, conn))
+}
+
+func TestLogin(t *testing.T) {
+	r := newRig(t, options{})
+	cases := []struct{ name, change, code string }{
+		{"wrong secret", "password=hbl_k1_wrong", verdict.CodeInvalidPassword},
+		{"unknown key", "password=hbl_k9_wrong", verdict.CodeInvalidPassword},
+		{"no key at all", "password=x", verdict.CodeInvalidPassword},
+		{"another organisation's key", "user=beta", verdict.CodeInvalidPassword},
+		{"no such service", "dbname=other", verdict.CodeUnknownDatabase},
+		{"malformed floor", "hornbeamlock.floor=1", verdict.CodeInvalidParameter},
+		{"unknown parameter", "role=admin", verdict.CodeFeatureNotSupported},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := pgx.Connect(context.Background(), r.dsn(c.change))
+			refused(t, err, c.code, verdict.NotRun)
+		})
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -24,7 +24,7 @@
 	replica  bool
 	// term is the term of the primary, 0 at a replica.
 	term uint64
-	// verify makes a replica tell its position, at least lowest, before the read.
+	// verify is true at a replica that is only expected to be at lowest.
 	verify bool
 	lowest position.Position
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -81,7 +81,7 @@
 	// Lowest is the position that the answer must reflect.
 	Lowest position.Position
 	// Verify is true when the replicas are expected but not known to be there: the
-	// gateway has each tell its position before the read counts.
+	// answer counts only if the replica then tells a position at Lowest or later.
 	Verify bool
 }
 
