--- a/internal/gateway/batch.go
+++ b/internal/gateway/batch.go
@@ -46,27 +46,23 @@
 func (b *batch) empty() bool { return len(b.items) == 0 && b.refused == nil }
 
 // collect adds an extended message, which is only valid until the next is read.
-func (c *caller) collect(message pgproto3.FrontendMessage) error {
-	if c.skipping {
-		return nil
-	}
+func (c *caller) collect(message pgproto3.FrontendMessage) {
 	b := &c.batch
-	if b.refused != nil {
-		return nil
+	if c.skipping || b.refused != nil {
+		return
 	}
 	start := len(b.raw)
 	encoded, err := message.(pgproto3.Message).Encode(b.raw)
 	if err != nil {
 		b.refused = verdict.New(verdict.NotRun, verdict.CodeProtocolViolation, "malformed message")
-		return nil
+		return
 	}
 	b.raw = encoded
 	if len(b.raw) > c.server.cfg.MaxRequestBytes {
 		b.refused = verdict.New(verdict.NotRun, codeLimitExceeded, "the batch is larger than %d bytes", c.server.cfg.MaxRequestBytes)
-		return nil
+		return
 	}
 	b.items = append(b.items, c.newItem(message, b.raw[start:len(b.raw):len(b.raw)]))
-	return nil
 }
 
 // newItem keeps what is needed of a message and resolves its statement.
@@ -182,10 +178,10 @@
 	first := true
 	for i := range b.items {
 		it := &b.items[i]
-		switch {
-		case it.kind == messageBind:
+		switch it.kind {
+		case messageBind:
 			portals[it.portal] = it.prepared
-		case it.kind == messageExecute:
+		case messageExecute:
 			rq.addExecuted(portals[it.portal], first)
 			first = false
 		}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -149,7 +149,8 @@
 	case *pgproto3.Flush:
 		return c.runBatch(ctx, false)
 	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close:
-		return c.collect(message)
+		c.collect(message)
+		return nil
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		// What is left of a COPY that failed.
 		return nil
--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -42,7 +42,7 @@
 		}
 		if done || len(pending) >= copyChunk {
 			if x.sendCopy(pending) != nil {
-				return nil
+				return nil //nolint:nilerr // the reading of the answer reports it
 			}
 			pending = pending[:0]
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -123,9 +123,10 @@
 	encoded, x.steps = x.rq.batch.encode(encoded, x.conn, x.c.state)
 	if x.rq.synced {
 		encoded, _ = (&pgproto3.Sync{}).Encode(encoded)
-		answers++
+		return encoded, 1
 	}
-	return encoded, answers
+	encoded, _ = (&pgproto3.Flush{}).Encode(encoded)
+	return encoded, 0
 }
 
 // lost is the outcome of a failed connection.
@@ -167,11 +168,11 @@
 // cut is the outcome of an answer that broke off. One whose error response has
 // come is settled, unless it is the connection's own end.
 func (x *exchange) cut(err error) outcome {
-	if x.failed && x.declined == nil && x.c.lease == nil {
-		x.c.ready()
-		return outcome{callerGone: x.c.answers.flush(), started: true}
+	if settled := x.failed && x.declined == nil && x.c.lease == nil; !settled {
+		return x.lost(err, true)
 	}
-	return x.lost(err, true)
+	x.c.ready()
+	return outcome{callerGone: x.c.answers.flush(), started: true}
 }
 
 // message relays one message other than ReadyForQuery.
@@ -239,8 +240,10 @@
 // mayDecline tells whether a refusal by a server that takes no writes can be
 // mended by another server.
 func (x *exchange) mayDecline() bool {
-	return x.c.lease == nil && !x.c.answers.sent && x.rq.synced && !x.rq.commits &&
-		!(x.rq.statement.Class == statement.Begin && x.rq.statement.ReadOnly)
+	if x.rq.statement.Class == statement.Begin && x.rq.statement.ReadOnly {
+		return false
+	}
+	return x.c.lease == nil && !x.c.answers.sent && x.rq.synced && !x.rq.commits
 }
 
 // end finishes an answer at its ReadyForQuery.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -37,6 +37,9 @@
 		switch decision.Action {
 		case routing.UseReplica, routing.UsePrimary:
 			placed, err := c.acquire(ctx, rq, decision)
+			if err != nil && ctx.Err() != nil {
+				return placement{}, c.interruption(ctx).WithCause(err)
+			}
 			if err == nil || decision.Action == routing.UsePrimary && !isUnreachable(err) {
 				return placed, err
 			}
--- a/internal/statement/classify.go
+++ b/internal/statement/classify.go
@@ -78,7 +78,7 @@
 
 func classifyExplain(tokens []token) Statement {
 	for _, t := range tokens {
-		if t.is("analyze") || t.is("analyse") {
+		if t.is("analyze") || t.is("analyse") { //nolint:misspell // a keyword of SQL
 			return Statement{Class: Write, TaintsSession: true}
 		}
 	}
--- a/internal/statement/function.go
+++ b/internal/statement/function.go
@@ -41,6 +41,8 @@
 
 // beforeParenthesis are keywords and types that an opening parenthesis follows
 // without being a call.
+//
+//nolint:misspell // keywords of SQL
 var beforeParenthesis = setOf(strings.Fields(`
 all and any array as between bit by case char character cast check copy cube cross decimal
 default delete distinct else end except exists explain filter float from full group
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -41,7 +41,7 @@
 		{"show server_version", Read},
 		{"show hornbeamlock.floor", ProxyShow},
 		{"explain select charge_card(1)", Read},
-		{"explain (analyze) select 1", Write},
+		{"explain (analyze) select 1", Write}, //nolint:misspell // a keyword of SQL
 		{"insert into t (a) values (1)", Write},
 		{"create table t (a int)", Write},
 		{"begin", Begin},
