Hold what callers are told under connection faults and unconfirmed commits

Cause: several writes in one query string had their first command tag told before the confirmation. Change: everything from the first command tag of a write on is held back until the commit is confirmed, in bounded memory; a table of faults (closed, silent, lost and halved answers) by kind of statement.

--- a/internal/gateway/answers.go
+++ b/internal/gateway/answers.go
@@ -27,6 +27,8 @@
 	// sent is true once bytes have left since begin.
 	sent bool
 	held int // offset in buffer, or noHold
+	// last is the offset of the latest mark.
+	last int
 	err  error
 }
 
@@ -46,8 +48,13 @@
 	a.buffer = encoded
 }
 
-// hold keeps back everything from here on; an earlier mark is lifted.
-func (a *answers) hold() { a.held = len(a.buffer) }
+// hold keeps back everything from here on, or from an earlier mark.
+func (a *answers) hold() {
+	a.last = len(a.buffer)
+	if a.held == noHold {
+		a.held = a.last
+	}
+}
 
 // lift ends the holding back.
 func (a *answers) lift() { a.held = noHold }
@@ -66,16 +73,17 @@
 	a.held = noHold
 }
 
-// spill sends the buffer once it is large, but for what is held back. A held
-// part that itself grows large is released, since more answers follow it.
+// spill sends the buffer once it is large, but for what is held back. When the
+// held part itself grows large, only what follows the latest mark is held on.
 func (a *answers) spill() error {
 	if len(a.buffer) < spillBytes {
 		return a.err
 	}
 	if a.held != noHold && len(a.buffer)-a.held > spillBytes {
-		a.held = noHold
+		a.held = a.last
 	}
-	if a.held == noHold {
+	if a.held == noHold || len(a.buffer)-a.held > spillBytes {
+		a.held = noHold
 		return a.flush()
 	}
 	if a.held == 0 {
@@ -83,6 +91,7 @@
 	}
 	err := a.write(a.buffer[:a.held])
 	a.buffer = append(a.buffer[:0], a.buffer[a.held:]...)
+	a.last -= a.held
 	a.held = 0
 	return err
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -45,7 +45,7 @@
 	// failed is true once the endpoint has reported an error.
 	failed bool
 	// declined is the error of an endpoint that did not run the request.
-	declined error
+	declined *verdict.Error
 	// ended is true once the endpoint has announced the connection's end.
 	ended bool
 	// tag is the last command tag.
--- /dev/null
+++ b/internal/gateway/faults_test.go
@@ -0,0 +1,271 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// fault is what happens to the connections that are open when it begins.
+type fault int32
+
+const (
+	_ fault = iota
+	// closed connections fail at the first use.
+	closed
+	// silent connections take requests, but no answer ever comes.
+	silent
+	// lost answers: the request runs, then the connection ends.
+	lost
+	// halved answers: the connection ends within the answer.
+	halved
+)
+
+type faultConn struct {
+	*net.TCPConn
+	fault atomic.Int32
+}
+
+// Read applies the fault to what the server sends.
+func (c *faultConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(p)
+		if err != nil {
+			return n, err
+		}
+		switch fault(c.fault.Load()) {
+		case silent:
+			continue
+		case lost:
+			c.Close()
+			return 0, io.EOF
+		case halved:
+			c.Close()
+			return min(n, 10), nil
+		}
+		return n, nil
+	}
+}
+
+// strike begins a fault on all open connections.
+func (r *rig) strike(f fault) {
+	r.dials.mu.Lock()
+	defer r.dials.mu.Unlock()
+	for _, conn := range r.dials.conns {
+		c := conn.(*faultConn)
+		c.fault.Store(int32(f))
+		if f == closed {
+			c.Close()
+		}
+	}
+}
+
+func newFaultRig(t *testing.T) *rig {
+	r := newRig(t, options{})
+	r.dials.mu.Lock()
+	defer r.dials.mu.Unlock()
+	r.dials.wrap = func(conn net.Conn) net.Conn { return &faultConn{TCPConn: conn.(*net.TCPConn)} }
+	return r
+}
+
+// TestConnectionFaults holds for each fault and each kind of statement what the
+// caller is told, that it is true, and that the session goes on.
+func TestConnectionFaults(t *testing.T) {
+	insert := "INSERT INTO passes (id, holder) VALUES (7, 'Anna') ON CONFLICT DO NOTHING"
+	read := "SELECT count(*) FROM passes"
+	statements := []struct {
+		name string
+		// prepare runs before the fault, sql under it.
+		prepare []string
+		sql     string
+	}{
+		{"read", []string{read}, read},
+		{"write", []string{"DELETE FROM passes"}, insert},
+		{"idempotent write", []string{"DELETE FROM passes", "SET hornbeamlock.idempotent = on"}, insert},
+		{"statement in a transaction", []string{"BEGIN", insert}, "UPDATE passes SET holder = 'Bert'"},
+		{"commit", []string{"BEGIN", insert}, "COMMIT"},
+	}
+	notRun, mayHaveRun := verdict.NotRun, verdict.MayHaveRun
+	type expectation struct {
+		code    string // empty for success
+		verdict verdict.Verdict
+	}
+	ok := expectation{}
+	expectations := map[fault][]expectation{
+		closed: {ok, ok, ok, {verdict.CodeSerializationFailure, notRun}, {verdict.CodeSerializationFailure, notRun}},
+		silent: {
+			ok,
+			{verdict.CodeCompletionUnknown, mayHaveRun},
+			{verdict.CodeQueryCanceled, mayHaveRun},
+			{verdict.CodeQueryCanceled, notRun},
+			{verdict.CodeCompletionUnknown, mayHaveRun},
+		},
+		lost: {
+			ok,
+			{verdict.CodeCompletionUnknown, mayHaveRun},
+			ok,
+			{verdict.CodeSerializationFailure, notRun},
+			{verdict.CodeCompletionUnknown, mayHaveRun},
+		},
+		halved: {
+			ok,
+			{verdict.CodeCompletionUnknown, mayHaveRun},
+			ok,
+			{verdict.CodeSerializationFailure, notRun},
+			{verdict.CodeCompletionUnknown, mayHaveRun},
+		},
+	}
+	for f, expected := range expectations {
+		for i, s := range statements {
+			t.Run(s.name, func(t *testing.T) {
+				t.Parallel()
+				r := newFaultRig(t)
+				// The statement is the first on its connection after the fault: logins
+				// of the proxy at the endpoints come before.
+				conn := r.connect("hornbeamlock.timeout=2500ms default_query_exec_mode=simple_protocol")
+				for _, sql := range s.prepare {
+					exec(t, conn, sql)
+				}
+				r.sample()
+				r.strike(f)
+				_, err := conn.Exec(context.Background(), s.sql)
+				if want := expected[i]; want.code == "" {
+					require.NoError(t, err)
+				} else {
+					refused(t, err, want.code, want.verdict)
+				}
+				if s.prepare[0] == "BEGIN" {
+					exec(t, conn, "ROLLBACK")
+				}
+				requireTruth(t, r, s.name, err)
+				exec(t, conn, "INSERT INTO passes (id, holder) VALUES (8, 'Cleo')")
+			})
+		}
+	}
+}
+
+// requireTruth compares what the caller was told with what is stored.
+func requireTruth(t *testing.T, r *rig, name string, err error) {
+	t.Helper()
+	other := r.connect("default_query_exec_mode=simple_protocol")
+	n := count(t, other)
+	switch {
+	case name == "read":
+		require.Zero(t, n)
+	case name == "statement in a transaction":
+		require.Zero(t, n, "a rolled back transaction has left something behind")
+	case err == nil:
+		require.Equal(t, 1, n, "an acknowledged write is lost")
+	case toldNotRun(err):
+		require.Zero(t, n, "a statement told as not run has run")
+	}
+}
+
+func toldNotRun(err error) bool {
+	var reported *pgconn.PgError
+	return errors.As(err, &reported) && reported.Detail == "verdict: not run"
+}
+
+func TestServerRestartsBetweenStatements(t *testing.T) {
+	r := newRig(t, options{})
+	conn := r.connect("")
+	exec(t, conn, "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
+	r.group.Primary().Stop()
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (2, 'Bert')")
+		done <- err
+	}()
+	require.Eventually(t, func() bool { _, told := r.groups.failures.Load(r.primary()); return told }, patience, time.Millisecond)
+	require.NoError(t, r.group.Server(r.primary()).Restart())
+	require.NoError(t, <-done)
+	require.Equal(t, 2, count(t, conn))
+}
+
+// TestUnconfirmedCommit holds that no commit is acknowledged that the group does
+// not confirm, whatever way it came.
+func TestUnconfirmedCommit(t *testing.T) {
+	r := newRig(t, options{})
+	r.groups.confirm = func(ctx context.Context, _ position.Position) error { return context.DeadlineExceeded }
+	for name, sql := range map[string][]string{
+		"autocommit":     {"INSERT INTO passes (id, holder) VALUES (1, 'Anna')"},
+		"transaction":    {"BEGIN", "INSERT INTO passes (id, holder) VALUES (2, 'Bert')", "COMMIT"},
+		"several in one": {"INSERT INTO passes (id, holder) VALUES (3, 'C'); INSERT INTO passes (id, holder) VALUES (4, 'D')"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := r.connect("default_query_exec_mode=simple_protocol")
+			for _, before := range sql[:len(sql)-1] {
+				exec(t, conn, before)
+			}
+			tag, err := conn.Exec(context.Background(), sql[len(sql)-1])
+			refused(t, err, verdict.CodeCompletionUnknown, verdict.MayHaveRun)
+			require.Empty(t, tag.String())
+			require.EqualValues(t, 'I', conn.PgConn().TxStatus())
+			require.Empty(t, conn.PgConn().ParameterStatus("hornbeamlock.floor"))
+		})
+	}
+	t.Run("extended", func(t *testing.T) {
+		conn := r.connect("")
+		_, err := conn.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES ($1, 'E')", 5)
+		refused(t, err, verdict.CodeCompletionUnknown, verdict.MayHaveRun)
+	})
+	t.Run("copy", func(t *testing.T) {
+		conn := r.connect("")
+		_, err := conn.PgConn().CopyFrom(context.Background(), strings.NewReader("6\tF\n"), "COPY passes FROM STDIN")
+		refused(t, err, verdict.CodeCompletionUnknown, verdict.MayHaveRun)
+	})
+}
+
+// TestRolledBackLeavesNothing holds that what a session leaves open or set does
+// not reach the next one on the same connection.
+func TestRolledBackLeavesNothing(t *testing.T) {
+	cases := map[string]func(conn *pgx.Conn){
+		"open transaction": func(conn *pgx.Conn) { conn.PgConn().Conn().Close() },
+		"failed transaction": func(conn *pgx.Conn) {
+			_, err := conn.Exec(context.Background(), "SELECT no_such_column FROM passes")
+			require.Error(t, err)
+			conn.PgConn().Conn().Close()
+		},
+		"setting in a transaction": func(conn *pgx.Conn) {
+			exec(t, conn, "SET work_mem = '9MB'")
+			conn.PgConn().Conn().Close()
+		},
+		"answer under way": func(conn *pgx.Conn) {
+			conn.PgConn().Frontend().SendQuery(&pgproto3.Query{String: "SELECT pg_sleep(0.05)"})
+			require.NoError(t, conn.PgConn().Frontend().Flush())
+			conn.PgConn().Conn().Close()
+		},
+	}
+	for name, leave := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, options{units: 1})
+			conn := r.connect("")
+			exec(t, conn, "BEGIN")
+			exec(t, conn, "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
+			leave(conn)
+			next := r.connect("default_query_exec_mode=simple_protocol")
+			exec(t, next, "INSERT INTO passes (id, holder) VALUES (1, 'Bert')")
+			_, err := next.Exec(context.Background(), "BEGIN; SHOW work_mem")
+			require.Error(t, err)
+			exec(t, next, "BEGIN")
+			_, err = next.Exec(context.Background(), "SHOW work_mem")
+			require.ErrorContains(t, err, "no such configuration parameter")
+			exec(t, next, "ROLLBACK")
+			require.Equal(t, 1, count(t, next))
+			require.EqualValues(t, 1, r.pools.OpenConnections()[r.primary()])
+		})
+	}
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -151,10 +151,10 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.conns = append(d.conns, conn)
 	if d.wrap != nil {
 		conn = d.wrap(conn)
 	}
+	d.conns = append(d.conns, conn)
 	return conn, nil
 }
 
@@ -301,3 +301,9 @@
 }
 
 func (r *rig) counter(name string) int64 { return r.metrics.Counter(name).Value() }
+
+// primary is the id of the primary that the blackboard knows.
+func (r *rig) primary() string {
+	row, _ := r.board.Groups.Get(service)
+	return row.Primary
+}
