Check locked reads and returned rows at COMMIT in the stand-in database

Cause: a transaction's statements run before its commit, so what they returned could differ from what the commit did.

Change: each write and each locked read keeps a digest of its rows, and COMMIT fails with 40001 when running it again gives others.

Conclusion: transactions on the stand-in see what they commit.

--- a/internal/standin/database/database_test.go
+++ b/internal/standin/database/database_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -175,16 +178,34 @@
 	requireCode(t, err, "53300")
 }
 
+// canceller returns a function that asks to cancel conn's statement; it may be
+// called while conn is in use.
+func canceller(t *testing.T, server *database.Server, conn *pgx.Conn) func() {
+	t.Helper()
+	request := pgproto3.CancelRequest{ProcessID: conn.PgConn().PID(), SecretKey: conn.PgConn().SecretKey()}
+	message, err := request.Encode(nil)
+	require.NoError(t, err)
+	return func() {
+		raw, err := net.Dial("tcp", server.Address())
+		require.NoError(t, err)
+		defer raw.Close()
+		_, err = raw.Write(message)
+		require.NoError(t, err)
+		_, _ = io.ReadAll(raw)
+	}
+}
+
 func TestCancelInterruptsSleep(t *testing.T) {
 	group := startGroup(t, database.Config{})
 	conn := connect(t, group, group.Primary())
+	cancel := canceller(t, group.Primary(), conn)
 	failed := make(chan error, 1)
 	go func() {
 		_, err := conn.Exec(context.Background(), "SELECT pg_sleep(3600)")
 		failed <- err
 	}()
 	require.Eventually(t, func() bool {
-		_ = conn.PgConn().CancelRequest(t.Context())
+		cancel()
 		select {
 		case err := <-failed:
 			requireCode(t, err, "57014")
@@ -225,3 +246,115 @@
 	require.Error(t, err)
 	require.True(t, conn.IsClosed())
 }
+
+func TestLockedReadIsCheckedAtCommit(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	first, second := connect(t, group, group.Primary()), connect(t, group, group.Primary())
+	exec(t, first, "INSERT INTO passes (id, holder) VALUES (1, 'a')")
+	exec(t, second, "BEGIN")
+	exec(t, second, "SELECT uses FROM passes WHERE id = 1 FOR UPDATE")
+	exec(t, first, "UPDATE passes SET uses = 5 WHERE id = 1")
+	exec(t, second, "INSERT INTO passes (id, holder) VALUES (2, 'b')")
+	_, err := second.Exec(t.Context(), "COMMIT")
+	requireCode(t, err, "40001")
+	require.EqualValues(t, 1, count(t, second))
+}
+
+func TestCopyBothWays(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	conn := connect(t, group, group.Primary())
+	text := "1\ttab\\tand\\\\slash\t0\n2\tline\\nbreak\t7\n"
+	tag, err := conn.PgConn().CopyFrom(t.Context(), strings.NewReader(text), "COPY passes (id, holder, uses) FROM STDIN")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, tag.RowsAffected())
+	var out strings.Builder
+	_, err = conn.PgConn().CopyTo(t.Context(), &out, "COPY (SELECT * FROM passes ORDER BY id) TO STDOUT")
+	require.NoError(t, err)
+	require.Equal(t, text, out.String())
+
+	_, err = conn.PgConn().CopyFrom(t.Context(), strings.NewReader("3\tc\t0\n1\tagain\t0\n"), "COPY passes FROM STDIN")
+	requireCode(t, err, "23505")
+	require.EqualValues(t, 2, count(t, conn))
+	_, err = connect(t, group, group.Servers()[1]).PgConn().CopyFrom(t.Context(), strings.NewReader(text), "COPY passes FROM STDIN")
+	requireCode(t, err, "25006")
+}
+
+func TestSeveralStatementsAreOneTransaction(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	conn := connect(t, group, group.Primary())
+	_, err := conn.PgConn().Exec(t.Context(), "INSERT INTO passes (id, holder) VALUES (1, 'a;b'); INSERT INTO none VALUES (1)").ReadAll()
+	requireCode(t, err, "42P01")
+	require.EqualValues(t, 0, count(t, conn))
+	_, err = conn.PgConn().Exec(t.Context(), "INSERT INTO passes (id, holder) VALUES (1, 'a;b'); -- done;\n SELECT 1").ReadAll()
+	require.NoError(t, err)
+	require.EqualValues(t, 1, count(t, conn))
+}
+
+func TestSlotsBoundConcurrentStatements(t *testing.T) {
+	group := startGroup(t, database.Config{Slots: 1})
+	sleeper, waiter := connect(t, group, group.Primary()), connect(t, group, group.Primary())
+	cancel := canceller(t, group.Primary(), sleeper)
+	slept := make(chan error, 1)
+	go func() {
+		_, err := sleeper.Exec(context.Background(), "SELECT pg_sleep(3600)")
+		slept <- err
+	}()
+	require.Eventually(t, func() bool { return group.Primary().BusySlots() == 1 }, waitLimit, time.Millisecond)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := waiter.Exec(context.Background(), "SELECT 1")
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		t.Fatalf("answered without a slot: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	cancel()
+	require.Error(t, <-slept)
+	require.NoError(t, <-answered)
+}
+
+func TestPauseAndSilence(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	primary := group.Primary()
+	conn := connect(t, group, primary)
+	primary.Pause()
+	answered := make(chan error, 1)
+	go func() { answered <- conn.Ping(t.Context()) }()
+	select {
+	case err := <-answered:
+		t.Fatalf("a paused server answered: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	primary.Resume()
+	require.NoError(t, <-answered)
+
+	primary.Silence()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, conn.Ping(ctx), context.DeadlineExceeded)
+	require.NoError(t, connect(t, group, primary).Ping(t.Context()))
+}
+
+func BenchmarkServer(b *testing.B) {
+	group, err := database.StartGroup(database.Config{Schema: []string{"CREATE TABLE passes (id INTEGER PRIMARY KEY, holder TEXT, uses INT)"}})
+	require.NoError(b, err)
+	defer group.Close()
+	host, port, _ := net.SplitHostPort(group.Primary().Address())
+	conn, err := pgx.Connect(b.Context(), "host="+host+" port="+port+" user="+group.Username()+" password="+group.Password()+" sslmode=disable")
+	require.NoError(b, err)
+	defer conn.Close(b.Context())
+	b.Run("insert", func(b *testing.B) {
+		for b.Loop() {
+			_, err := conn.Exec(b.Context(), "INSERT INTO passes (holder, uses) VALUES ($1, 0)", "holder")
+			require.NoError(b, err)
+		}
+	})
+	b.Run("select", func(b *testing.B) {
+		for b.Loop() {
+			_, err := conn.Exec(b.Context(), "SELECT holder, uses FROM passes WHERE id = $1", 1)
+			require.NoError(b, err)
+		}
+	})
+}
--- a/internal/standin/database/store.go
+++ b/internal/standin/database/store.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"zombiezen.com/go/sqlite"
 	"zombiezen.com/go/sqlite/ext/generateseries"
@@ -49,6 +50,23 @@
 	seen    position.Position
 }
 
+// noteIn keeps what the statement did, to be compared when it is run again.
+func (r *result) noteIn(st *standinv1.Statement) {
+	st.Rows, st.Digest = r.changed, digestOf(r.rows)
+}
+
+// digestOf hashes rows; it is 0 for none.
+func digestOf(rows [][]any) uint64 {
+	if len(rows) == 0 {
+		return 0
+	}
+	hash := xxhash.New()
+	for _, row := range rows {
+		_, _ = hash.Write(copyLine(row))
+	}
+	return hash.Sum64()
+}
+
 func newStore(locate func(uint64) position.Position, inRecovery func() bool) (*store, error) {
 	s := &store{locate: locate, inRecovery: inRecovery, cursors: make(map[*cursor]struct{})}
 	return s, trace.Wrap(s.reopen())
@@ -202,7 +220,7 @@
 		var err error
 		res, err = s.execute(ctx, st, options{})
 		if err == nil {
-			st.Rows = res.changed
+			res.noteIn(st)
 		}
 		return err
 	}, admit)
@@ -228,15 +246,15 @@
 	return nil
 }
 
-// replay runs writes again. With check, a write that changes another number of
-// rows than at first is a conflict (40001). Callers hold mu.
+// replay runs writes again. With check, a statement that changes another number
+// of rows than at first, or returns others, is a conflict (40001). Callers hold mu.
 func (s *store) replay(writes []*standinv1.Statement, check bool) error {
 	for _, st := range writes {
 		res, err := s.execute(context.Background(), st, options{})
 		if err != nil {
 			return err
 		}
-		if check && res.changed != st.GetRows() {
+		if check && (res.changed != st.GetRows() || digestOf(res.rows) != st.GetDigest()) {
 			return errConcurrent
 		}
 	}
--- a/internal/standin/database/transaction.go
+++ b/internal/standin/database/transaction.go
@@ -21,8 +21,10 @@
 	status byte
 	// implicit is true for the transaction around several statements that came
 	// without BEGIN; it ends with their message.
-	implicit   bool
-	readOnly   bool
+	implicit bool
+	readOnly bool
+	// writes are the statements to run again at COMMIT; SELECT ... FOR UPDATE is
+	// among them, so that a change of what it returned is found.
 	writes     []*standinv1.Statement
 	savepoints []savepoint
 }
@@ -145,7 +147,8 @@
 	if text.locks && readOnly {
 		return nil, errReadOnly
 	}
-	if len(s.txn.writes) == 0 {
+	locks := text.locks && s.txn.status != statusIdle
+	if len(s.txn.writes) == 0 && !locks {
 		res, err := s.server.store.read(ctx, st, readOnly)
 		if err == nil {
 			s.seen = res.seen
@@ -161,8 +164,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if res.write {
-		st.Rows = res.changed
+	if res.write || locks {
+		res.noteIn(st)
 		s.txn.writes = append(s.txn.writes, st)
 	}
 	return res, nil
--- a/internal/standin/database/write.go
+++ b/internal/standin/database/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,9 +13,12 @@
 // commit makes a transaction's writes lasting and returns their position.
 func (s *Server) commit(writes []*standinv1.Statement) (position.Position, error) {
 	var p position.Position
+	logged := slices.DeleteFunc(slices.Clone(writes), func(st *standinv1.Statement) bool {
+		return firstWord(st.GetSql()) == "SELECT"
+	})
 	err := s.store.commit(writes, func() error {
 		var err error
-		p, err = s.appendRecord(writes)
+		p, err = s.appendRecord(logged)
 		return err
 	})
 	return p, err
@@ -76,3 +80,6 @@
 	}
 	return 0
 }
+
+// BusySlots returns how many statements hold a slot.
+func (s *Server) BusySlots() int { return len(s.slots) }
