Generate open-loop load and keep the callers' score

Change: internal/load drives sessions that write rising numbers and read them back, roam with their floor, and score by entitlement and deadline.

--- /dev/null
+++ b/internal/load/plan.go
@@ -0,0 +1,54 @@
+package load
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Plan says what load to make.
+type Plan struct {
+	Organisations []Organisation
+	// Services are the database names; sessions are dealt out over them in turn.
+	Services []string
+	// Instances are the callers' addresses of the entry instances.
+	Instances []string
+	// Sessions is the number of connected sessions of each organisation.
+	Sessions int
+	// ReadShare is the part of the requests that are reads, 0 to 1.
+	ReadShare float64
+	// RoamShare is the chance that a session moves to another instance before a
+	// request, 0 to 1.
+	RoamShare float64
+	// Deadline is how long after it was due a request must be answered.
+	Deadline time.Duration
+	// RoundTrip is added to every request, for the network that loopback lacks.
+	RoundTrip time.Duration
+	// Seed fixes arrivals and choices.
+	Seed uint64
+}
+
+// Organisation is one tenant's part of the load.
+type Organisation struct {
+	Name string
+	Key  string
+	// Offered is the mean of the arrivals, in requests per second.
+	Offered float64
+	// Rate and Burst are what the organisation is entitled to.
+	Rate  float64
+	Burst float64
+}
+
+// CheckAndSetDefaults checks the plan and fills in what was left out.
+func (p *Plan) CheckAndSetDefaults() error {
+	if len(p.Organisations) == 0 || len(p.Services) == 0 || len(p.Instances) == 0 {
+		return trace.BadParameter("a plan needs organisations, services and instances")
+	}
+	if p.Sessions <= 0 {
+		p.Sessions = 12
+	}
+	if p.Deadline <= 0 {
+		p.Deadline = time.Second
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/score.go
@@ -0,0 +1,181 @@
+package load
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+const (
+	minLatencyMicros = 1
+	maxLatencyMicros = 120_000_000
+	significantDigit = 3
+)
+
+// Score is what callers saw. Its methods may be called from any goroutine.
+type Score struct {
+	deadline      time.Duration
+	mu            sync.Mutex
+	organisations map[string]*tally          // guarded by mu
+	latency       *hdrhistogram.Histogram    // guarded by mu; microseconds
+	writes        map[string]verdict.Verdict // guarded by mu; by entry id
+	services      map[string]string          // guarded by mu; service by entry id
+	codes         map[string]int             // guarded by mu; failures by SQLSTATE
+	acknowledged  map[string][]time.Time     // guarded by mu; by service
+	reads, stale  int                        // guarded by mu
+	connectFails  int                        // guarded by mu
+}
+
+// tally counts one organisation's requests.
+type tally struct {
+	entitled, inTime, wrongful, total int
+}
+
+// NewScore returns an empty score. An entitled request counts as answered in time
+// when its answer came within the deadline after it was due.
+func NewScore(deadline time.Duration) *Score {
+	return &Score{
+		deadline:      deadline,
+		organisations: make(map[string]*tally),
+		latency:       hdrhistogram.New(minLatencyMicros, maxLatencyMicros, significantDigit),
+		writes:        make(map[string]verdict.Verdict),
+		services:      make(map[string]string),
+		codes:         make(map[string]int),
+		acknowledged:  make(map[string][]time.Time),
+	}
+}
+
+func (s *Score) write(organisation, service, id string, j job, outcome Outcome) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes[id] = outcome.Verdict
+	s.services[id] = service
+	if outcome.Verdict == verdict.Ran {
+		s.acknowledged[service] = append(s.acknowledged[service], now)
+	}
+	s.countLocked(organisation, j, outcome, now)
+}
+
+func (s *Score) read(organisation string, j job, outcome Outcome, stale bool) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if outcome.Verdict == verdict.Ran {
+		s.reads++
+	}
+	if stale {
+		s.stale++
+	}
+	s.countLocked(organisation, j, outcome, now)
+}
+
+func (s *Score) unanswered(organisation string, j job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.countLocked(organisation, j, Outcome{Code: "backlog"}, time.Now())
+}
+
+func (s *Score) connectFailed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connectFails++
+}
+
+func (s *Score) countLocked(organisation string, j job, outcome Outcome, now time.Time) {
+	t := s.organisations[organisation]
+	if t == nil {
+		t = &tally{}
+		s.organisations[organisation] = t
+	}
+	t.total++
+	if outcome.Verdict != verdict.Ran {
+		s.codes[outcome.Code]++
+	}
+	latency := now.Sub(j.due)
+	if outcome.Verdict == verdict.Ran {
+		_ = s.latency.RecordValue(min(max(latency.Microseconds(), minLatencyMicros), maxLatencyMicros))
+	}
+	if !j.entitled {
+		return
+	}
+	t.entitled++
+	switch {
+	case outcome.Verdict == verdict.Ran && latency <= s.deadline:
+		t.inTime++
+	case outcome.Code == verdict.CodeConfigurationLimit:
+		t.wrongful++
+	}
+}
+
+// Writes returns the last known verdict of every write by entry id, and the
+// service that it went to.
+func (s *Score) Writes() (verdicts map[string]verdict.Verdict, services map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.writes), maps.Clone(s.services)
+}
+
+// FirstAcknowledgedAfter returns how long after the instant the first write of
+// the service was acknowledged, and whether one was.
+func (s *Score) FirstAcknowledgedAfter(service string, instant time.Time) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.acknowledged[service] {
+		if at.After(instant) {
+			return at.Sub(instant), true
+		}
+	}
+	return 0, false
+}
+
+// Summary condenses the score.
+type Summary struct {
+	Requests        int            `json:"requests"`
+	Reads           int            `json:"reads"`
+	StaleReads      int            `json:"stale_reads"`
+	Entitled        int            `json:"entitled"`
+	Wrongful        int            `json:"wrongful"`
+	WorstShare      float64        `json:"worst_organisation_share"`
+	Worst           string         `json:"worst_organisation"`
+	Failures        map[string]int `json:"failures_by_code"`
+	ConnectFailures int            `json:"connect_failures"`
+	P50, P99, P999  time.Duration  `json:"-"`
+}
+
+// Summary returns the score so far.
+func (s *Score) Summary() Summary {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := Summary{
+		Reads:           s.reads,
+		StaleReads:      s.stale,
+		WorstShare:      1,
+		Failures:        maps.Clone(s.codes),
+		ConnectFailures: s.connectFails,
+		P50:             s.quantileLocked(50),
+		P99:             s.quantileLocked(99),
+		P999:            s.quantileLocked(99.9),
+	}
+	for name, t := range s.organisations {
+		sum.Requests += t.total
+		sum.Entitled += t.entitled
+		sum.Wrongful += t.wrongful
+		if t.entitled == 0 {
+			continue
+		}
+		if share := float64(t.inTime) / float64(t.entitled); share < sum.WorstShare {
+			sum.WorstShare = share
+			sum.Worst = name
+		}
+	}
+	return sum
+}
+
+func (s *Score) quantileLocked(q float64) time.Duration {
+	return time.Duration(s.latency.ValueAtQuantile(q)) * time.Microsecond
+}
--- /dev/null
+++ b/internal/load/session.go
@@ -0,0 +1,188 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+const (
+	// Schema makes the table that sessions write to. It has no unique index, so
+	// that a write applied twice can be seen.
+	Schema = `CREATE TABLE IF NOT EXISTS entry (id TEXT, session TEXT, value INTEGER)`
+	// SchemaIndex makes reads by session cheap.
+	SchemaIndex = `CREATE INDEX IF NOT EXISTS entry_by_session ON entry (session, value)`
+
+	insertEntry = `INSERT INTO entry (id, session, value) VALUES ($1, $2, $3)`
+	selectLast  = `SELECT max(value) FROM entry WHERE session = $1`
+
+	floorParameter   = "hornbeamlock.floor"
+	connectTimeout   = 3 * time.Second
+	reconnectPause   = 50 * time.Millisecond
+	abandonedAnswers = 30 * time.Second
+)
+
+// session is one caller's session: it writes rising numbers under its own name
+// and reads them back.
+type session struct {
+	plan         *Plan
+	organisation Organisation
+	name         string
+	service      string
+	score        *Score
+	source       *rand.Rand
+
+	connection *pgx.Conn
+	instance   int
+	floor      string
+	written    int64 // last number that a write was tried with
+	confirmed  int64 // last number that was acknowledged
+}
+
+func newSession(plan *Plan, o Organisation, organisation, n int, score *Score) *session {
+	return &session{
+		plan:         plan,
+		organisation: o,
+		name:         fmt.Sprintf("%s-%d-%x", o.Name, n, plan.Seed),
+		service:      plan.Services[n%len(plan.Services)],
+		score:        score,
+		source:       rand.New(rand.NewPCG(plan.Seed, uint64(organisation)<<32|uint64(n)+1)),
+		instance:     n + organisation,
+	}
+}
+
+func (s *session) work(ctx context.Context, jobs <-chan job) {
+	defer s.disconnect()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case j := <-jobs:
+			s.serve(ctx, j)
+		}
+	}
+}
+
+func (s *session) serve(ctx context.Context, j job) {
+	if s.source.Float64() < s.plan.RoamShare {
+		s.disconnect()
+	}
+	if !s.connect(ctx) {
+		return
+	}
+	if !sleepUntil(ctx, time.Now().Add(s.plan.RoundTrip)) {
+		return
+	}
+	// The request outlives ctx, so that the end of the run leaves no write with
+	// an unknown outcome.
+	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abandonedAnswers)
+	defer cancel()
+	if j.read {
+		s.read(callCtx, j)
+	} else {
+		s.write(callCtx, j)
+	}
+	if s.connection.IsClosed() {
+		s.connection = nil
+	}
+}
+
+func (s *session) write(ctx context.Context, j job) {
+	s.written++
+	id := fmt.Sprintf("%s/%d", s.name, s.written)
+	_, err := s.connection.Exec(ctx, insertEntry, id, s.name, s.written)
+	outcome := outcomeOf(err)
+	if outcome.Verdict == verdict.Ran {
+		s.confirmed = s.written
+	}
+	s.noteFloor()
+	s.score.write(s.organisation.Name, s.service, id, j, outcome)
+}
+
+func (s *session) read(ctx context.Context, j job) {
+	var last *int64
+	err := s.connection.QueryRow(ctx, selectLast, s.name).Scan(&last)
+	outcome := outcomeOf(err)
+	stale := err == nil && (last == nil && s.confirmed > 0 || last != nil && *last < s.confirmed)
+	s.noteFloor()
+	s.score.read(s.organisation.Name, j, outcome, stale)
+}
+
+func (s *session) noteFloor() {
+	if floor := s.connection.PgConn().ParameterStatus(floorParameter); floor != "" {
+		s.floor = floor
+	}
+}
+
+// connect makes sure that there is a connection, on the next instance in turn.
+func (s *session) connect(ctx context.Context) bool {
+	for s.connection == nil {
+		s.instance++
+		connection, err := s.dial(ctx)
+		if err == nil {
+			s.connection = connection
+			return true
+		}
+		s.score.connectFailed()
+		if !sleepUntil(ctx, time.Now().Add(reconnectPause)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *session) dial(ctx context.Context) (*pgx.Conn, error) {
+	address := s.plan.Instances[s.instance%len(s.plan.Instances)]
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable",
+		s.organisation.Name, s.organisation.Key, address, s.service))
+	if err != nil {
+		return nil, err
+	}
+	if s.floor != "" {
+		config.RuntimeParams[floorParameter] = s.floor
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	return pgx.ConnectConfig(ctx, config)
+}
+
+func (s *session) disconnect() {
+	if s.connection == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	_ = s.connection.Close(ctx)
+	s.connection = nil
+}
+
+// Outcome is how a request ended.
+type Outcome struct {
+	Verdict verdict.Verdict
+	// Code is the SQLSTATE of a refusal or failure; empty when answered.
+	Code string
+}
+
+// outcomeOf reads the verdict that the proxy puts into the DETAIL field. An
+// error without one leaves open whether the request ran.
+func outcomeOf(err error) Outcome {
+	if err == nil {
+		return Outcome{Verdict: verdict.Ran}
+	}
+	var refusal *pgconn.PgError
+	if !errors.As(err, &refusal) {
+		return Outcome{Verdict: verdict.MayHaveRun, Code: verdict.CodeConnectionFailure}
+	}
+	if strings.Contains(refusal.Detail, "verdict: "+verdict.NotRun.String()) {
+		return Outcome{Verdict: verdict.NotRun, Code: refusal.Code}
+	}
+	return Outcome{Verdict: verdict.MayHaveRun, Code: refusal.Code}
+}
