--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -137,6 +137,13 @@
 	Units(now time.Time) int
 }
 
+// UseReporter is implemented by Spenders of whole things. Whoever uses units,
+// such as a pool of connections, tells how many it has in use after each change;
+// units are handed back to other instances only once they are out of use.
+type UseReporter interface {
+	SetUsed(units int)
+}
+
 // Share is the instance's part of one divided limit.
 type Share struct {
 	Resource string
--- /dev/null
+++ b/internal/escrow/bucket.go
@@ -0,0 +1,75 @@
+package escrow
+
+import (
+	"math"
+	"time"
+)
+
+// Bucket is a token bucket whose units, and so whose rate and capacity, change.
+// Times are readings of one clock that never goes back. The zero value holds
+// nothing. A Bucket is not safe for concurrent use.
+type Bucket struct {
+	limit  Limit
+	amount Amount
+	at     time.Duration
+}
+
+// SetLimit changes the limit that the units are part of. Tokens beyond the new
+// capacity are lost.
+func (b *Bucket) SetLimit(now time.Duration, l Limit) {
+	b.accrue(now)
+	b.limit = l
+	b.trim()
+}
+
+// Amount returns what the bucket holds at now.
+func (b *Bucket) Amount(now time.Duration) Amount {
+	b.accrue(now)
+	return b.amount
+}
+
+// Rate returns how many tokens a second come in.
+func (b *Bucket) Rate() float64 { return b.limit.RateOf(b.amount.Units) }
+
+// Take spends n tokens at now, or none when there are fewer. Then wait is the
+// time until there will be n, or Never.
+func (b *Bucket) Take(now time.Duration, n float64) (wait time.Duration, ok bool) {
+	b.accrue(now)
+	if b.amount.Tokens >= n {
+		b.amount.Tokens -= n
+		return 0, true
+	}
+	rate := b.Rate()
+	if rate <= 0 || n > b.limit.CapacityOf(b.amount.Units) {
+		return Never, false
+	}
+	seconds := (n - b.amount.Tokens) / rate
+	return time.Duration(math.Ceil(seconds*float64(time.Second))) + 1, false
+}
+
+// Split takes units out, with their part of the tokens. What it returns may be
+// given to another holder; the bucket no longer has it.
+func (b *Bucket) Split(now time.Duration, units int64) Amount {
+	b.accrue(now)
+	return b.amount.split(units)
+}
+
+// Absorb adds what another holder has given up before.
+func (b *Bucket) Absorb(now time.Duration, a Amount) {
+	b.accrue(now)
+	b.amount = b.amount.Plus(a)
+	b.trim()
+}
+
+func (b *Bucket) accrue(now time.Duration) {
+	if now <= b.at {
+		return
+	}
+	b.amount.Tokens += b.Rate() * (now - b.at).Seconds()
+	b.at = now
+	b.trim()
+}
+
+func (b *Bucket) trim() {
+	b.amount.Tokens = min(b.amount.Tokens, b.limit.CapacityOf(b.amount.Units))
+}
