share, admission: divide rates and connections over the fleet on two levels

Cause: an organisation's rate and an endpoint's connections count over all instances, and no instance is set aside to count them.

Change: a limit is cut into units. One instance of each failure domain, by rendezvous hashing, leases units from the limit's row in the platform's table and divides them among the instances of the domain by messages; the giver takes units out of use before the receiver gets them.

--- /dev/null
+++ b/internal/admission/controller.go
@@ -0,0 +1,163 @@
+package admission
+
+import (
+	"context"
+	"expvar"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+const (
+	ratePrefix = "rate/"
+	// leastRetryAfter is the shortest time that a refused caller is told to wait.
+	leastRetryAfter = 10 * time.Millisecond
+	// unknownRetryAfter is what it is told when nothing better is known.
+	unknownRetryAfter = time.Second
+	// never is the wait for tokens that will not come by themselves.
+	never = time.Duration(math.MaxInt64)
+)
+
+// grower is a Spender whose part may grow on demand.
+type grower interface {
+	// Changed returns a channel that is closed when the part may have grown.
+	Changed() <-chan struct{}
+	// More tells whether the part may still grow on demand, and if not, after
+	// what time that is tried again.
+	More() (after time.Duration, more bool)
+	// TakeTold is Take for demand that was told before as unmet.
+	TakeTold(n float64) (wait time.Duration, ok bool)
+	// Wait returns how long until the part will have n tokens.
+	Wait(n float64) time.Duration
+	// Rate returns the rate of the part in tokens per second.
+	Rate() float64
+}
+
+// Controller admits statements. Its methods may be called from any goroutine.
+type Controller struct {
+	cfg  Config
+	open *rate.Limiter
+
+	mu            sync.RWMutex
+	organisations map[string]*organisation // guarded by mu
+
+	admitted, waited, refused, refusedShort *expvar.Map
+}
+
+// organisation is what admission keeps for one organisation.
+type organisation struct {
+	// arrived and finished count the statements that had to wait.
+	arrived, finished atomic.Int64
+	// turn is held by the waiting statement that may take tokens.
+	turn    chan struct{}
+	retries *retryBudget
+}
+
+// New returns a controller.
+func New(cfg Config) (*Controller, error) {
+	if err := cfg.CheckAndSetDefaults(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Controller{
+		cfg: cfg, open: newOpenLimiter(cfg), organisations: make(map[string]*organisation),
+		admitted:     cfg.Metrics.Labelled("admission_admitted_total"),
+		waited:       cfg.Metrics.Labelled("admission_waited_total"),
+		refused:      cfg.Metrics.Labelled("admission_refused_total"),
+		refusedShort: cfg.Metrics.Labelled("admission_refused_short_part_total"),
+	}, nil
+}
+
+// Admit spends one token of the organisation's rate; the empty organisation is
+// that of routes open to all. It may wait up to MaxWait. A refusal is a
+// *verdict.Error with NotRun: 53400 with RetryAfter, 57014 when ctx ended.
+func (c *Controller) Admit(ctx context.Context, name string) error {
+	if name == "" {
+		return c.admitOpen()
+	}
+	resource := ratePrefix + name
+	share, ok := c.cfg.Board.Shares.Get(resource)
+	if !ok || share.Spender == nil {
+		c.refused.Add(name, 1)
+		return refusal(unknownRetryAfter)
+	}
+	org := c.organisation(name)
+	if org.arrived.Load() == org.finished.Load() {
+		if _, ok := share.Spender.Take(time.Now(), 1); ok {
+			c.granted(name, org)
+			return nil
+		}
+	}
+	if err := c.wait(ctx, org, share); err != nil {
+		c.refused.Add(name, 1)
+		c.noteShortPart(name, share.Spender)
+		return err
+	}
+	c.waited.Add(name, 1)
+	c.granted(name, org)
+	return nil
+}
+
+// AllowRetry tells whether the organisation's budget allows one more retry, and
+// takes it off.
+func (c *Controller) AllowRetry(name string) bool { return c.organisation(name).retries.spend() }
+
+func (c *Controller) granted(name string, org *organisation) {
+	c.admitted.Add(name, 1)
+	org.retries.earn()
+}
+
+// admitOpen admits on a route open to all, by the instance's own limit.
+func (c *Controller) admitOpen() error {
+	if c.open.Allow() {
+		c.granted("", c.organisation(""))
+		return nil
+	}
+	c.refused.Add("", 1)
+	return refusal(time.Duration(float64(time.Second) / c.cfg.OpenRate))
+}
+
+func (c *Controller) organisation(name string) *organisation {
+	c.mu.RLock()
+	org, ok := c.organisations[name]
+	c.mu.RUnlock()
+	if ok {
+		return org
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if org, ok := c.organisations[name]; ok {
+		return org
+	}
+	org = &organisation{turn: make(chan struct{}, 1), retries: newRetryBudget(c.cfg.RetryRatio, c.cfg.RetryBurst)}
+	c.organisations[name] = org
+	return org
+}
+
+// noteShortPart counts a refusal while the instance's part was smaller than the
+// organisation's rate: another instance may have had tokens left.
+func (c *Controller) noteShortPart(name string, spender blackboard.Spender) {
+	growing, ok := spender.(grower)
+	configured, known := c.cfg.Board.Configuration.Get().Organisations[name]
+	if ok && known && growing.Rate() < configured.GetRate() {
+		c.refusedShort.Add(name, 1)
+	}
+}
+
+// refusal is a NotRun error with the time after which a repetition may succeed.
+func refusal(after time.Duration) error {
+	if after < leastRetryAfter {
+		after = leastRetryAfter
+	}
+	if after == never {
+		after = unknownRetryAfter
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeConfigurationLimit,
+		"the organisation is over its rate").WithRetryAfter(after)
+}
--- a/internal/escrow/amount.go
+++ b/internal/escrow/amount.go
@@ -60,7 +60,9 @@
 }
 
 // Plus returns the sum.
-func (a Amount) Plus(b Amount) Amount { return Amount{Units: a.Units + b.Units, Tokens: a.Tokens + b.Tokens} }
+func (a Amount) Plus(b Amount) Amount {
+	return Amount{Units: a.Units + b.Units, Tokens: a.Tokens + b.Tokens}
+}
 
 // split takes units out of a, with their part of the tokens.
 func (a *Amount) split(units int64) Amount {
--- a/internal/escrow/bucket.go
+++ b/internal/escrow/bucket.go
@@ -34,17 +34,26 @@
 // Take spends n tokens at now, or none when there are fewer. Then wait is the
 // time until there will be n, or Never.
 func (b *Bucket) Take(now time.Duration, n float64) (wait time.Duration, ok bool) {
+	if wait := b.Wait(now, n); wait > 0 {
+		return wait, false
+	}
+	b.amount.Tokens -= n
+	return 0, true
+}
+
+// Wait returns the time until there will be n tokens: 0 when there are now, and
+// Never when there will not be.
+func (b *Bucket) Wait(now time.Duration, n float64) time.Duration {
 	b.accrue(now)
 	if b.amount.Tokens >= n {
-		b.amount.Tokens -= n
-		return 0, true
+		return 0
 	}
 	rate := b.Rate()
 	if rate <= 0 || n > b.limit.CapacityOf(b.amount.Units) {
-		return Never, false
+		return Never
 	}
 	seconds := (n - b.amount.Tokens) / rate
-	return time.Duration(math.Ceil(seconds*float64(time.Second))) + 1, false
+	return time.Duration(math.Ceil(seconds*float64(time.Second))) + 1
 }
 
 // Split takes units out, with their part of the tokens. What it returns may be
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -180,9 +180,9 @@
 	}
 }
 
-// Target returns how many units a holder should have for its want: all of it
-// while the wants together fit, else an equal level that nobody exceeds.
-func (l *Ledger) Target(holder string) int64 {
+// Target returns how many of total units a holder should have for its want: all
+// of it while the wants together fit, else an equal level that nobody exceeds.
+func (l *Ledger) Target(holder string, total int64) int64 {
 	wants := make([]int64, 0, len(l.Entries))
 	var own int64
 	for _, e := range l.Entries {
@@ -191,7 +191,7 @@
 			own = e.Want
 		}
 	}
-	return min(own, Level(l.Units, wants))
+	return min(own, Level(total, wants))
 }
 
 // Wanted sums the wants of all entries.
--- /dev/null
+++ b/internal/share/ask.go
@@ -0,0 +1,249 @@
+package share
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	peerv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/peer/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/escrow"
+	"github.com/hornbeamlock/hornbeamlock/internal/lease"
+)
+
+const (
+	// slack is by how much of it a holding must exceed the need before the rest
+	// is handed back.
+	slack = 4
+	// suspectTime is for how long an allocator that did not answer is passed over.
+	suspectTime = 3 * time.Second
+)
+
+// renew asks the allocator in charge of an account's limit for what the demand
+// calls for, and hands back what other allocators granted before. Only one renew
+// of an account runs at a time.
+func (c *Controller) renew(ctx context.Context, a *Account) {
+	now := c.cfg.Clock()
+	want := a.prepare(now, c.leastUnits(a.resource))
+	primary := c.allocatorOf(a.resource)
+	err := c.ask(ctx, a, primary, want)
+	if err != nil && ctx.Err() == nil {
+		c.suspect(primary)
+		primary = c.allocatorOf(a.resource)
+		err = c.ask(ctx, a, primary, want)
+	}
+	for _, other := range a.others(primary) {
+		if c.suspected(other) {
+			continue
+		}
+		_ = c.ask(ctx, a, other, a.rest(want, other))
+	}
+	a.conclude(c.cfg.Clock(), want, err, c.cfg.Random())
+}
+
+// ask carries out one exchange with an allocator.
+func (c *Controller) ask(ctx context.Context, a *Account, allocator string, want int64) error {
+	sent := c.cfg.Clock()
+	r := a.request(sent, allocator, want, c.sequence.Add(1))
+	if r == nil {
+		return nil
+	}
+	grant, err := c.call(ctx, allocator, r)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	a.settle(c.cfg.Clock(), sent, allocator, r, grant)
+	if grant.GetLeaseMs() <= 0 && !grant.GetUnknown() {
+		return trace.LimitExceeded("share: instance %s cannot grant", allocator)
+	}
+	return nil
+}
+
+// call sends a share request to an instance, which may be this one.
+func (c *Controller) call(ctx context.Context, id string, r *peerv1.ShareRequest) (*peerv1.ShareGrant, error) {
+	r.Incarnation = c.cfg.Self.Incarnation
+	if id == c.cfg.Self.ID {
+		return c.HandleShareRequest(ctx, id, r), nil
+	}
+	member, ok := c.directory.Load().members[id]
+	if !ok || c.cfg.Peers == nil {
+		return nil, trace.NotFound("share: instance %s is not known", id)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	defer cancel()
+	c.messages.Add(1)
+	response, err := c.cfg.Peers.Call(ctx, member.PeerAddress, &peerv1.Request{
+		From: c.cfg.Self.ID, Kind: &peerv1.Request_ShareRequest{ShareRequest: r},
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	grant := response.GetShareGrant()
+	if response.GetError() != "" || grant == nil {
+		return nil, trace.Errorf("share: instance %s refused: %s", id, response.GetError())
+	}
+	return grant, nil
+}
+
+// prepare brings the demand up to now and returns how many units are wanted.
+func (a *Account) prepare(now time.Duration, least int64) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.expire(now)
+	a.demand.update(now)
+	if a.limit.Rate > 0 {
+		return a.demand.wantRate(now, a.limit)
+	}
+	return min(a.limit.Units, a.demand.wantUnits(now, least))
+}
+
+// others lists the allocators besides the one in charge that granted something.
+func (a *Account) others(primary string) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var ids []string
+	for _, h := range a.holdings {
+		if h.allocator != primary && !h.orphaned {
+			ids = append(ids, h.allocator)
+		}
+	}
+	return ids
+}
+
+// rest returns how much of the want the other holdings leave open.
+func (a *Account) rest(want int64, except string) int64 {
+	now := a.clock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, h := range a.holdings {
+		if h.allocator != except && h.lease.Valid(now) {
+			want -= h.bucket.Amount(now).Units
+		}
+	}
+	return max(0, want)
+}
+
+// request makes the next request to an allocator. What is handed back leaves the
+// bucket here. It returns nil when there is nothing to hold and nothing to ask.
+func (a *Account) request(now time.Duration, allocator string, want int64, sequence uint64) *peerv1.ShareRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h := a.holding(allocator)
+	if h == nil {
+		if want == 0 {
+			return nil
+		}
+		h = &holding{allocator: allocator, ceiling: -1}
+		h.bucket.SetLimit(now, a.limit)
+		a.holdings = append(a.holdings, h)
+	}
+	h.sequence = sequence
+	held := h.bucket.Amount(now)
+	keep := a.keep(h, held.Units, want)
+	r := &peerv1.ShareRequest{Resource: a.resource, Sequence: sequence, Held: message(held), Need: want}
+	if keep < held.Units {
+		returned := h.bucket.Split(now, held.Units-keep)
+		r.Give = true
+		r.Want = message(escrow.Amount{Units: keep, Tokens: held.Tokens - returned.Tokens})
+		return r
+	}
+	r.Want = &peerv1.ShareAmount{Units: want, Tokens: a.demand.missing}
+	return r
+}
+
+// keep decides how much of a holding is kept. The caller holds mu.
+func (a *Account) keep(h *holding, held, want int64) int64 {
+	keep := held
+	if want < held-held/slack || want == 0 {
+		keep = want
+	}
+	if h.ceiling >= 0 {
+		keep = min(keep, h.ceiling)
+	}
+	if a.limit.Rate > 0 || !a.demand.reported {
+		return keep
+	}
+	return min(held, max(keep, a.demand.used-a.heldElsewhere(h)))
+}
+
+// heldElsewhere sums the units of the other holdings. The caller holds mu.
+func (a *Account) heldElsewhere(except *holding) int64 {
+	now := a.clock()
+	var sum int64
+	for _, h := range a.holdings {
+		if h != except && h.lease.Valid(now) {
+			sum += h.bucket.Amount(now).Units
+		}
+	}
+	return sum
+}
+
+// holding returns what an allocator granted. The caller holds mu.
+func (a *Account) holding(allocator string) *holding {
+	i := slices.IndexFunc(a.holdings, func(h *holding) bool { return h.allocator == allocator && !h.orphaned })
+	if i < 0 {
+		return nil
+	}
+	return a.holdings[i]
+}
+
+// settle takes over an allocator's answer to a request that was sent at sent.
+func (a *Account) settle(now, sent time.Duration, allocator string, r *peerv1.ShareRequest, g *peerv1.ShareGrant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h := a.holding(allocator)
+	if h == nil || h.sequence != r.GetSequence() || g.GetSequence() != h.sequence {
+		return
+	}
+	if g.GetUnknown() {
+		h.orphaned = true
+		return
+	}
+	length := time.Duration(g.GetLeaseMs()) * time.Millisecond
+	if length <= 0 {
+		return
+	}
+	h.lease = h.lease.Later(lease.Granted(sent, length))
+	held := h.bucket.Amount(now).Units
+	h.ceiling = -1
+	switch granted := g.GetGranted().GetUnits(); {
+	case granted > held:
+		h.bucket.Absorb(now, escrow.Amount{Units: granted - held, Tokens: g.GetGranted().GetTokens()})
+		a.demand.missing = max(0, a.demand.missing-g.GetGranted().GetTokens())
+	case granted < held:
+		h.ceiling = granted
+	}
+	a.notify()
+}
+
+// conclude ends a renewal: it sets when to ask next, and for how long requests
+// that find too little are refused at once.
+func (a *Account) conclude(now time.Duration, want int64, err error, random float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.asking = false
+	a.nextAsk = now + askEvery + time.Duration(random*float64(askEvery))
+	a.expire(now)
+	a.dropEmpty(now, want)
+	a.demand.missing = 0
+	if err != nil || a.held(now).Units < want {
+		a.emptyCount++
+		a.emptyUntil = now + backoff(a.emptyCount, backoffLast, random)
+	} else {
+		a.emptyCount, a.emptyUntil = 0, 0
+	}
+	a.notify()
+}
+
+// dropEmpty forgets holdings without units that nothing is wanted from. The
+// caller holds mu.
+func (a *Account) dropEmpty(now time.Duration, want int64) {
+	a.holdings = slices.DeleteFunc(a.holdings, func(h *holding) bool {
+		return want == 0 && h.bucket.Amount(now).Units == 0
+	})
+}
+
+func message(a escrow.Amount) *peerv1.ShareAmount {
+	return &peerv1.ShareAmount{Units: a.Units, Tokens: a.Tokens}
+}
--- /dev/null
+++ b/internal/share/fleet_test.go
@@ -0,0 +1,381 @@
+package share
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	configv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/config/v1"
+	peerv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/peer/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/admission"
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/fleetconfig"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// node is one instance of a fleet in memory.
+type node struct {
+	fleet   *fleet
+	member  blackboard.Member
+	board   *blackboard.Board
+	control *Controller
+	admit   *admission.Controller
+	stop    context.CancelFunc
+	done    chan struct{}
+
+	mu     sync.Mutex
+	paused chan struct{} // nil while running; guarded by mu
+}
+
+// gate blocks while the instance is paused.
+func (n *node) gate() {
+	n.mu.Lock()
+	paused := n.paused
+	n.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+}
+
+func (n *node) pause() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paused = make(chan struct{})
+}
+
+func (n *node) resume() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.paused)
+	n.paused = nil
+}
+
+// fleet is instances, a table and the network between them, in virtual time.
+type fleet struct {
+	t      *testing.T
+	table  *memoryTable
+	began  time.Time
+	view   *fleetconfig.View
+	tune   func(*Config)
+	random *rand.Rand
+
+	mu    sync.Mutex
+	nodes map[string]*node
+	// cut tells whether the link from one place to another is broken; places are
+	// failure domains or "table".
+	cut      func(from, to string) bool
+	admitted map[string][]time.Time // by organisation
+	offered  map[string]int
+	refused  map[string]int
+	truth    map[string]*idealBucket
+	wrongful map[string]int
+}
+
+// idealBucket is the organisation's limit as one bucket for the whole fleet.
+type idealBucket struct {
+	rate, burst, tokens float64
+	at                  time.Time
+}
+
+func (b *idealBucket) advance(now time.Time) {
+	b.tokens = min(b.burst, b.tokens+b.rate*now.Sub(b.at).Seconds())
+	b.at = now
+}
+
+func newFleet(t *testing.T, view *fleetconfig.View, tune func(*Config)) *fleet {
+	return &fleet{
+		t: t, table: newMemoryTable(), began: time.Now(), view: view, tune: tune,
+		random: rand.New(rand.NewPCG(1, 2)),
+		nodes:  make(map[string]*node), cut: func(string, string) bool { return false },
+		admitted: make(map[string][]time.Time), offered: make(map[string]int),
+		refused: make(map[string]int), wrongful: make(map[string]int), truth: make(map[string]*idealBucket),
+	}
+}
+
+func (f *fleet) setCut(cut func(from, to string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+}
+
+func (f *fleet) isCut(from, to string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut(from, to) || f.cut(to, from)
+}
+
+// start adds an instance to the fleet.
+func (f *fleet) start(id, domain string, incarnation uint64) *node {
+	n := &node{
+		fleet: f, board: blackboard.NewBoard(), done: make(chan struct{}),
+		member: blackboard.Member{ID: id, FailureDomain: domain, Incarnation: incarnation, PeerAddress: id},
+	}
+	n.board.Configuration.Set(f.view)
+	cfg := Config{
+		Self: n.member, Board: n.board, Table: nodeTable{n}, Peers: nodePeers{n},
+		Clock:  func() time.Duration { return time.Since(f.began) + time.Hour },
+		Random: func() float64 { f.mu.Lock(); defer f.mu.Unlock(); return f.random.Float64() },
+	}
+	if f.tune != nil {
+		f.tune(&cfg)
+	}
+	f.mu.Lock()
+	for _, other := range f.nodes {
+		other.board.Members.Put(id, n.member)
+		n.board.Members.Put(other.member.ID, other.member)
+	}
+	f.mu.Unlock()
+	var err error
+	n.control, err = New(cfg)
+	require.NoError(f.t, err)
+	n.admit, err = admission.New(admission.Config{Board: n.board, Demand: n.control.Demand})
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	f.mu.Lock()
+	f.nodes[id] = n
+	f.mu.Unlock()
+	go func() {
+		defer close(n.done)
+		if err := n.control.Run(ctx); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	return n
+}
+
+// startAll starts n instances spread over the failure domains.
+func (f *fleet) startAll(n, domains int) []*node {
+	all := make([]*node, n)
+	for i := range all {
+		all[i] = f.start(fmt.Sprintf("i%d", i), fmt.Sprintf("d%d", i%domains), 1)
+	}
+	return all
+}
+
+// kill removes an instance without a goodbye. The others notice after delay.
+func (f *fleet) kill(n *node, delay time.Duration) {
+	n.pause()
+	f.mu.Lock()
+	delete(f.nodes, n.member.ID)
+	f.mu.Unlock()
+	time.AfterFunc(delay, func() { f.forget(n.member.ID) })
+}
+
+// forget has all others drop an instance from their members.
+func (f *fleet) forget(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, other := range f.nodes {
+		other.board.Members.Delete(id)
+	}
+}
+
+// shutdown ends an instance gracefully.
+func (f *fleet) shutdown(n *node) {
+	f.forget(n.member.ID)
+	n.stop()
+	<-n.done
+	f.mu.Lock()
+	delete(f.nodes, n.member.ID)
+	f.mu.Unlock()
+}
+
+func (f *fleet) shutdownAll() {
+	f.mu.Lock()
+	all := make([]*node, 0, len(f.nodes))
+	for _, n := range f.nodes {
+		all = append(all, n)
+	}
+	f.mu.Unlock()
+	for _, n := range all {
+		n.stop()
+	}
+	for _, n := range all {
+		<-n.done
+	}
+}
+
+// nodeTable is the table as one instance reaches it.
+type nodeTable struct{ n *node }
+
+func (t nodeTable) reach(ctx context.Context) error {
+	t.n.gate()
+	if t.n.fleet.isCut(t.n.member.FailureDomain, "table") {
+		<-ctx.Done()
+		return errOutage
+	}
+	return nil
+}
+
+func (t nodeTable) Get(ctx context.Context, keys ...string) ([]platform.Row, time.Time, error) {
+	if err := t.reach(ctx); err != nil {
+		return nil, time.Time{}, err
+	}
+	rows, now, err := t.n.fleet.table.Get(ctx, keys...)
+	return rows, now, errors.Join(err, t.reach(ctx))
+}
+
+func (t nodeTable) List(ctx context.Context, prefix string) ([]platform.Row, time.Time, error) {
+	if err := t.reach(ctx); err != nil {
+		return nil, time.Time{}, err
+	}
+	return t.n.fleet.table.List(ctx, prefix)
+}
+
+func (t nodeTable) Commit(ctx context.Context, c []platform.Condition, w []platform.Write) (platform.CommitResult, error) {
+	if err := t.reach(ctx); err != nil {
+		return platform.CommitResult{}, err
+	}
+	result, err := t.n.fleet.table.Commit(ctx, c, w)
+	return result, errors.Join(err, t.reach(ctx))
+}
+
+// nodePeers is the network as one instance reaches it.
+type nodePeers struct{ n *node }
+
+func (p nodePeers) Call(ctx context.Context, address string, req *peerv1.Request) (*peerv1.Response, error) {
+	p.n.gate()
+	f := p.n.fleet
+	f.mu.Lock()
+	to := f.nodes[address]
+	f.mu.Unlock()
+	if to == nil || f.isCut(p.n.member.FailureDomain, to.member.FailureDomain) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	delay := 100 * time.Microsecond
+	if to.member.FailureDomain != p.n.member.FailureDomain {
+		delay = 500 * time.Microsecond
+	}
+	answer := make(chan *peerv1.Response, 1)
+	go func() {
+		time.Sleep(delay)
+		to.gate()
+		grant := to.control.HandleShareRequest(ctx, req.GetFrom(), req.GetShareRequest())
+		time.Sleep(delay)
+		if !f.isCut(p.n.member.FailureDomain, to.member.FailureDomain) {
+			answer <- &peerv1.Response{Kind: &peerv1.Response_ShareGrant{ShareGrant: grant}}
+		}
+	}()
+	select {
+	case r := <-answer:
+		p.n.gate()
+		return r, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// request offers one statement to an instance and records the outcome.
+func (f *fleet) request(n *node, organisation string) {
+	n.gate()
+	offered := time.Now()
+	err := n.admit.Admit(context.Background(), organisation)
+	n.gate()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.offered[organisation]++
+	b := f.truth[organisation]
+	b.advance(time.Now())
+	if err == nil {
+		b.tokens--
+		f.admitted[organisation] = append(f.admitted[organisation], time.Now())
+		return
+	}
+	if verdict.Of(err) != verdict.NotRun {
+		f.t.Errorf("refusal without NotRun: %v", err)
+	}
+	f.refused[organisation]++
+	if b.tokens >= 1 && !offered.IsZero() {
+		f.wrongful[organisation]++
+	}
+}
+
+// drive offers Poisson arrivals at the instance that at names, until ctx ends.
+func (f *fleet) drive(ctx context.Context, organisation string, perSecond float64, at func() *node) {
+	f.mu.Lock()
+	o := f.view.Organisations[organisation]
+	if f.truth[organisation] == nil {
+		f.truth[organisation] = &idealBucket{rate: o.GetRate(), burst: o.GetBurst(), tokens: o.GetBurst(), at: time.Now()}
+	}
+	random := rand.New(rand.NewPCG(7, uint64(len(organisation))+uint64(perSecond)))
+	f.mu.Unlock()
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+			if n := at(); n != nil {
+				go f.request(n, organisation)
+			}
+		}
+	}()
+}
+
+// requireWithinLimit checks that in every window the fleet together admitted at
+// most rate*window + burst.
+func (f *fleet) requireWithinLimit(organisation string, rate, burst float64) {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	times := f.admitted[organisation]
+	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
+	if excess, at := windowExcess(times, rate, burst); excess > 1e-6 {
+		f.t.Errorf("%s: %.3f statements too many at %v", organisation, excess, at.Sub(f.began))
+	}
+}
+
+// windowExcess returns by how much the worst window exceeds rate*window + burst:
+// a bucket that starts full goes below zero exactly when some window does.
+func windowExcess(times []time.Time, rate, burst float64) (worst float64, at time.Time) {
+	tokens, last := burst, time.Time{}
+	for i, now := range times {
+		if i > 0 {
+			tokens = min(burst, tokens+rate*now.Sub(last).Seconds())
+		}
+		last = now
+		tokens--
+		if -tokens > worst {
+			worst, at = -tokens, now
+		}
+	}
+	return worst, at
+}
+
+func testView(version uint64, organisations ...*configv1.Organisation) *fleetconfig.View {
+	return fleetconfig.Compile(&configv1.Configuration{Version: version, Organisations: organisations})
+}
+
+func TestWindowExcessFindsAnExcess(t *testing.T) {
+	base := time.Unix(0, 0)
+	times := []time.Time{base, base, base, base.Add(time.Second), base.Add(time.Second)}
+	excess, _ := windowExcess(times, 1, 3)
+	require.InDelta(t, 1, excess, 1e-9)
+	excess, _ = windowExcess(times, 2, 3)
+	require.Zero(t, excess)
+}
+
+func TestFleetServesDemandAtOneInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, testView(1, &configv1.Organisation{Name: "one", Rate: 200, Burst: 100}), nil)
+		nodes := f.startAll(9, 4)
+		time.Sleep(5 * time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		f.drive(ctx, "one", 160, func() *node { return nodes[3] })
+		<-ctx.Done()
+		time.Sleep(time.Second)
+		f.shutdownAll()
+		f.requireWithinLimit("one", 200, 100)
+		t.Logf("offered %d refused %d wrongful %d; commits %d", f.offered["one"], f.refused["one"], f.wrongful["one"], f.table.commits)
+		require.Less(t, float64(f.refused["one"]), 0.001*float64(f.offered["one"]))
+	})
+}
