Watch database groups, confirm commits and promote without a coordinator

Cause: nothing sampled the groups' servers, acknowledged commits by a majority or ordered a promotion.

Change: internal/group with the decision core in election (detection, choice of the server, one attempt as a state machine), confirm (who holds which position) and observer (which instances watch which group).

Checked: go test -race ./internal/group/... passes: first election, primary's death with an acknowledged write kept, confirmation cut off and superseded, read index, all with three instances over fake servers in virtual time.

--- /dev/null
+++ b/internal/group/announce.go
@@ -0,0 +1,114 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	peerv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/peer/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/group/election"
+)
+
+const (
+	// announceTimeout bounds one announcement to one member.
+	announceTimeout = 2 * time.Second
+	// announceParallel is how many members are told at once.
+	announceParallel = 32
+)
+
+// announce tells all members of a primary, in the background.
+func (w *watcher) announce(term uint64, primary string) {
+	if w.c.cfg.Peers == nil {
+		return
+	}
+	members := w.c.cfg.Board.Members.Snapshot()
+	w.c.spawn(func(ctx context.Context) {
+		var calls errgroup.Group
+		calls.SetLimit(announceParallel)
+		for id, member := range members {
+			if id == w.c.cfg.InstanceID {
+				continue
+			}
+			calls.Go(func() error {
+				w.announceTo(ctx, member.PeerAddress, term, primary)
+				return nil
+			})
+		}
+		_ = calls.Wait()
+	})
+}
+
+// announceTo tells one member; one that knows a higher term tells it back.
+func (w *watcher) announceTo(ctx context.Context, address string, term uint64, primary string) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	response, err := w.c.cfg.Peers.Call(ctx, address, &peerv1.Request{
+		From: w.c.cfg.InstanceID,
+		Kind: &peerv1.Request_GroupAnnouncement{GroupAnnouncement: &peerv1.GroupAnnouncement{
+			Service: w.service, Term: term, Primary: primary,
+		}},
+	})
+	if err != nil {
+		return
+	}
+	if ack := response.GetGroupAnnouncement(); ack.GetTerm() > term && w.learn(ack.GetTerm(), ack.GetPrimary(), sourceAnnouncement) {
+		w.nudge()
+	}
+}
+
+// HandleAnnouncement takes over a primary that another instance tells of, and
+// answers whether this instance cannot reach the suspects either. It returns an
+// empty acknowledgement for a service that is unknown here.
+func (c *Controller) HandleAnnouncement(ctx context.Context, a *peerv1.GroupAnnouncement) *peerv1.GroupAnnouncementAck {
+	w := c.watcher(a.GetService())
+	if w == nil {
+		return &peerv1.GroupAnnouncementAck{}
+	}
+	if w.configured(a.GetPrimary()) && w.learn(a.GetTerm(), a.GetPrimary(), sourceAnnouncement) {
+		w.nudge()
+	}
+	ack := &peerv1.GroupAnnouncementAck{}
+	if a.GetSuspects() != nil || a.GetPrimary() == "" {
+		ack.Agrees = !w.seesPrimary(ctx, a.GetPrimary())
+	}
+	group, _ := c.cfg.Board.Groups.Get(a.GetService())
+	ack.Term, ack.Primary = group.Term, group.Primary
+	return ack
+}
+
+func (w *watcher) configured(endpoint string) bool {
+	for _, server := range w.members() {
+		if server.Endpoint == endpoint {
+			return true
+		}
+	}
+	return false
+}
+
+// seesPrimary asks the endpoint, or every server when it is empty, whether it
+// works as the primary.
+func (w *watcher) seesPrimary(ctx context.Context, endpoint string) bool {
+	servers := w.members()
+	seen := make(chan bool, len(servers))
+	asked := 0
+	for _, server := range servers {
+		if endpoint != "" && server.Endpoint != endpoint {
+			continue
+		}
+		if w.c.spawn(func(context.Context) { seen <- w.isPrimary(ctx, server) }) {
+			asked++
+		}
+	}
+	for range asked {
+		if <-seen {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *watcher) isPrimary(ctx context.Context, server election.Server) bool {
+	status, err := w.status(ctx, server, w.c.cfg.StatusTimeout)
+	return err == nil && status.Primary && status.Serving
+}
--- /dev/null
+++ b/internal/group/controller.go
@@ -0,0 +1,208 @@
+package group
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
+	"gopkg.in/tomb.v2"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/fleetconfig"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// errStopped is why nothing more is started once Run has ended or not begun.
+var errStopped = errors.New("the group controller does not run")
+
+// Controller watches the groups of all configured services.
+type Controller struct {
+	cfg     Config
+	limiter *rate.Limiter
+	meters  meters
+	watch   roster
+
+	mu       sync.RWMutex
+	watchers map[string]*watcher // guarded by mu, by service
+	tomb     *tomb.Tomb          // guarded by mu; nil while Run is not running
+	ctx      context.Context     // guarded by mu; ends with the tomb
+}
+
+// New returns a controller that does nothing until Run. The error is that of
+// Config.CheckAndSetDefaults.
+func New(cfg Config) (*Controller, error) {
+	if err := cfg.CheckAndSetDefaults(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	calls := int(max(1, cfg.TrafficCallsPerSecond))
+	return &Controller{
+		cfg:      cfg,
+		limiter:  rate.NewLimiter(rate.Limit(cfg.TrafficCallsPerSecond), calls),
+		meters:   newMeters(cfg.Metrics),
+		watchers: make(map[string]*watcher),
+	}, nil
+}
+
+// reconcileInterval is the shortest pause between two looks at the configuration
+// and the members.
+const reconcileInterval = 500 * time.Millisecond
+
+// Run watches until ctx ends and returns nil then.
+func (c *Controller) Run(ctx context.Context) error {
+	t, tombCtx := tomb.WithContext(ctx)
+	c.mu.Lock()
+	if c.tomb != nil {
+		c.mu.Unlock()
+		return trace.BadParameter("group: Run is called twice")
+	}
+	c.tomb, c.ctx = t, tombCtx
+	c.mu.Unlock()
+	t.Go(func() error {
+		c.reconcileLoop(tombCtx)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.tomb = nil
+		return nil
+	})
+	err := t.Wait()
+	if err == nil || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// spawn runs f under the tomb with a context that ends with it. It reports false
+// when the controller does not run.
+func (c *Controller) spawn(f func(ctx context.Context)) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.spawnLocked(f)
+}
+
+func (c *Controller) spawnLocked(f func(ctx context.Context)) bool {
+	if c.tomb == nil || c.ctx.Err() != nil {
+		return false
+	}
+	ctx := c.ctx
+	c.tomb.Go(func() error {
+		f(ctx)
+		return nil
+	})
+	return true
+}
+
+// reconcileLoop keeps one watcher per configured service.
+func (c *Controller) reconcileLoop(ctx context.Context) {
+	ticker := time.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	for {
+		configured := c.cfg.Board.Configuration.Changed()
+		c.reconcile(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-configured:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *Controller) reconcile(ctx context.Context) {
+	c.watch.refresh(c.candidates(time.Now()))
+	view := c.cfg.Board.Configuration.Get()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, service := range view.Services {
+		w, exists := c.watchers[name]
+		if !exists {
+			w = newWatcher(ctx, c, name)
+			c.watchers[name] = w
+		}
+		w.configure(service)
+		if !exists && !c.spawnLocked(func(context.Context) { w.run() }) {
+			return
+		}
+	}
+	for name, w := range c.watchers {
+		if _, exists := view.Services[name]; !exists {
+			w.stop()
+			delete(c.watchers, name)
+		}
+	}
+	c.dropRows(view)
+}
+
+// dropRows removes the rows of endpoints and services no longer configured.
+func (c *Controller) dropRows(view *fleetconfig.View) {
+	for id := range c.cfg.Board.Endpoints.Snapshot() {
+		if _, exists := view.Endpoints[id]; !exists {
+			c.cfg.Board.Endpoints.Delete(id)
+		}
+	}
+	for name := range c.cfg.Board.Groups.Snapshot() {
+		if _, exists := view.Services[name]; !exists {
+			c.cfg.Board.Groups.Delete(name)
+		}
+	}
+}
+
+// watcher returns the watcher of service, or nil for an unknown one.
+func (c *Controller) watcher(service string) *watcher {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.watchers[service]
+}
+
+// Touch notes that the service has traffic here, so that it is sampled.
+func (c *Controller) Touch(service string) {
+	if w := c.watcher(service); w != nil {
+		w.touch(time.Now())
+	}
+}
+
+// ReportFailure tells that the data path saw a connection to the endpoint fail.
+// The endpoint's group is sampled at once; the primary is in doubt until then.
+func (c *Controller) ReportFailure(endpointID string, _ error) {
+	entry, ok := c.cfg.Board.Configuration.Get().Endpoints[endpointID]
+	if !ok {
+		return
+	}
+	if w := c.watcher(entry.Service); w != nil {
+		w.doubt(endpointID)
+	}
+}
+
+// awaitRetryAfter is what callers are told who waited for a primary in vain.
+const awaitRetryAfter = time.Second
+
+// AwaitPrimary waits until a working primary of the service is known whose term
+// differs from notTerm; 0 accepts any. The error is a *verdict.Error NotRun.
+func (c *Controller) AwaitPrimary(ctx context.Context, service string, notTerm uint64) (blackboard.Group, error) {
+	w := c.watcher(service)
+	if w == nil {
+		return blackboard.Group{}, verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow,
+			"the service has no database group here yet").WithRetryAfter(awaitRetryAfter)
+	}
+	w.touch(time.Now())
+	for {
+		changed, group, working := w.primary()
+		if working && group.Term != notTerm {
+			return group, nil
+		}
+		select {
+		case <-changed:
+		case <-w.ctx.Done():
+			return group, noPrimary(w.ctx.Err())
+		case <-ctx.Done():
+			return group, noPrimary(ctx.Err())
+		}
+	}
+}
+
+func noPrimary(cause error) error {
+	return verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow,
+		"the database group has no primary at present").WithRetryAfter(awaitRetryAfter).WithCause(cause)
+}
--- /dev/null
+++ b/internal/group/controller_test.go
@@ -0,0 +1,108 @@
+package group
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+var (
+	servers   = []string{"a", "b", "c"}
+	instances = []string{"i1", "i2", "i3"}
+)
+
+// run starts a group of three servers and three instances inside a bubble.
+func run(t *testing.T, body func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, servers...)
+		stop := w.start(instances...)
+		defer stop()
+		body(t, w)
+	})
+}
+
+func TestFirstPrimaryIsElectedAndConfirms(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		group := w.await("i1", 0)
+		require.Equal(t, group.Primary, w.await("i2", 0).Primary)
+		time.Sleep(time.Second)
+		p, ok := w.write(group.Primary)
+		require.True(t, ok)
+		require.NoError(t, w.nodes["i2"].Confirm(t.Context(), testService, p))
+		index, err := w.nodes["i3"].ReadIndex(t.Context(), testService)
+		require.NoError(t, err)
+		require.Equal(t, p, index)
+	})
+}
+
+func TestPrimaryDeathKeepsAcknowledgedWrites(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		first := w.await("i1", 0)
+		time.Sleep(time.Second)
+		p, _ := w.write(first.Primary)
+		require.NoError(t, w.nodes["i1"].Confirm(t.Context(), testService, p))
+		w.change(func() { w.servers[first.Primary].up = false })
+		for _, instance := range instances {
+			second := w.await(instance, first.Term)
+			require.Greater(t, second.Term, first.Term)
+			require.NotEqual(t, first.Primary, second.Primary)
+			require.True(t, w.servers[second.Primary].history().Contains(p))
+		}
+	})
+}
+
+func TestConfirmSaysMayHaveRun(t *testing.T) {
+	cases := map[string]struct {
+		isolate bool
+		deposed bool
+	}{
+		"replicas unreachable until the deadline": {isolate: true},
+		"term superseded":                         {isolate: true, deposed: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(t *testing.T, w *world) {
+				group := w.await("i1", 0)
+				time.Sleep(time.Second)
+				w.change(func() {
+					w.faults = func(from, _, _ string) fault {
+						if tc.isolate && from == group.Primary {
+							return faultSilent
+						}
+						return faultNone
+					}
+				})
+				p, ok := w.write(group.Primary)
+				require.True(t, ok)
+				if tc.deposed {
+					w.change(func() { w.servers[group.Primary].up = false })
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+				defer cancel()
+				began := time.Now()
+				err := w.nodes["i1"].Confirm(ctx, testService, p)
+				var verdictErr *verdict.Error
+				require.ErrorAs(t, err, &verdictErr)
+				require.Equal(t, verdict.MayHaveRun, verdictErr.Verdict)
+				require.Equal(t, verdict.CodeCompletionUnknown, verdictErr.Code)
+				require.Equal(t, tc.deposed, time.Since(began) < 30*time.Second, "superseded is told at once")
+			})
+		})
+	}
+}
+
+func TestUnknownServiceIsNotRun(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		_, err := w.nodes["i1"].AwaitPrimary(t.Context(), "nowhere", 0)
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+		_, err = w.nodes["i1"].ReadIndex(t.Context(), "nowhere")
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(w.nodes["i1"].Confirm(t.Context(), "nowhere", position.Position{})))
+	})
+}
--- /dev/null
+++ b/internal/group/elect.go
@@ -0,0 +1,172 @@
+package group
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+	"go.uber.org/zap"
+
+	peerv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/peer/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/group/election"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+)
+
+// elect starts a promotion unless other observers see a working primary or one
+// appears while this instance waits for its turn.
+func (w *watcher) elect(a election.Assessment, rank int) {
+	if !w.agreed(a) {
+		w.setElecting(false)
+		return
+	}
+	if !w.awaitTurn(rank) {
+		return
+	}
+	w.attempt(a)
+}
+
+// awaitTurn lets observers before this one go first, and reports whether the
+// group is still without a primary afterwards.
+func (w *watcher) awaitTurn(rank int) bool {
+	if rank == 0 {
+		return true
+	}
+	delay := time.Duration(float64(rank) * float64(w.c.cfg.RankDelay) * (1 + rand.Float64()/2))
+	select {
+	case <-w.ctx.Done():
+		return false
+	case <-time.After(delay):
+	}
+	w.sample(w.ctx)
+	again := w.assess(time.Now())
+	w.note(again)
+	return again.Condition == election.Headless
+}
+
+// agreed asks the other observers whether they see a working primary.
+func (w *watcher) agreed(a election.Assessment) bool {
+	others := w.c.otherObservers(w.service)
+	if len(others) == 0 || w.c.cfg.Peers == nil {
+		return true
+	}
+	began := time.Now()
+	defer func() { w.c.meters.phase(phaseAgree, time.Since(began)) }()
+	ctx, cancel := context.WithTimeout(w.ctx, w.c.cfg.AgreeTimeout)
+	defer cancel()
+	answers := make(chan *peerv1.GroupAnnouncementAck, len(others))
+	for _, member := range others {
+		if !w.c.spawn(func(context.Context) { answers <- w.ask(ctx, member, a) }) {
+			return false
+		}
+	}
+	return w.count(answers, len(others), a)
+}
+
+// count gathers the answers of n observers; a nil answer is silence.
+func (w *watcher) count(answers <-chan *peerv1.GroupAnnouncementAck, n int, a election.Assessment) bool {
+	agreeing, disagreeing := 0, 0
+	for range n {
+		switch ack := <-answers; {
+		case ack == nil:
+		case ack.GetTerm() > a.Term:
+			w.learn(ack.GetTerm(), ack.GetPrimary(), sourceAnnouncement)
+			w.nudge()
+			return false
+		case ack.GetAgrees():
+			agreeing++
+		default:
+			disagreeing++
+		}
+	}
+	if election.Agreed(agreeing, disagreeing) {
+		return true
+	}
+	w.c.meters.disagreements.Add(1)
+	event.GroupDisagreed.Emit(w.log, zap.Uint64("term", a.Term), zap.String("primary", a.Primary.Endpoint),
+		zap.Int("observers", disagreeing))
+	return false
+}
+
+// ask returns one observer's answer, or nil if there is none.
+func (w *watcher) ask(ctx context.Context, member blackboard.Member, a election.Assessment) *peerv1.GroupAnnouncementAck {
+	suspects := a.Suspects
+	if a.Primary.Endpoint != "" {
+		suspects = []string{a.Primary.Endpoint}
+	}
+	response, err := w.c.cfg.Peers.Call(ctx, member.PeerAddress, &peerv1.Request{
+		From: w.c.cfg.InstanceID,
+		Kind: &peerv1.Request_GroupAnnouncement{GroupAnnouncement: &peerv1.GroupAnnouncement{
+			Service: w.service, Term: a.Term, Primary: a.Primary.Endpoint, Suspects: suspects,
+		}},
+	})
+	if err != nil || response.GetError() != "" {
+		return nil
+	}
+	return response.GetGroupAnnouncement()
+}
+
+// attempt runs one attempt to promote a server.
+func (w *watcher) attempt(a election.Assessment) {
+	ctx, span := w.c.cfg.Tracer.Start(w.ctx, "group.attempt")
+	defer span.End()
+	began := time.Now()
+	servers := w.members()
+	term := election.NextTerm(a.Term, w.knownStatuses())
+	attempt := election.NewAttempt(term, w.c.cfg.InstanceID+"/"+uuid.NewString(), a.Primary.Endpoint, servers)
+	span.SetAttributes(attribute.String("service", w.service), attribute.Int64("term", int64(term)))
+	w.c.meters.elections.Add(1)
+	event.GroupElectionStarted.Emit(w.log, zap.Uint64("term", term), zap.String("proposer", attempt.Proposer()))
+	w.prepare(ctx, attempt, servers)
+	if attempt.Phase() == election.PhasePromoting {
+		w.promote(ctx, attempt)
+	}
+	if attempt.Phase() != election.PhaseFollowing {
+		w.lost(attempt)
+		return
+	}
+	w.won(attempt, servers, time.Since(began))
+}
+
+// knownStatuses returns the latest status of every server that ever answered.
+func (w *watcher) knownStatuses() []platform.ServerStatus {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var statuses []platform.ServerStatus
+	for _, s := range w.sights {
+		if s.Answered {
+			statuses = append(statuses, s.Status)
+		}
+	}
+	return statuses
+}
+
+func (w *watcher) lost(attempt *election.Attempt) {
+	phase := attempt.Phase()
+	w.c.meters.electionsLost.Add(1)
+	w.pause = w.retry.NextBackOff()
+	event.GroupElectionLost.Emit(w.log, zap.Uint64("term", attempt.Term()),
+		zap.String("proposer", attempt.Proposer()), zap.Stringer("phase", phase),
+		zap.Uint64("superior", attempt.Superior()))
+}
+
+// won tells everybody of the new primary and attaches the others to it.
+func (w *watcher) won(attempt *election.Attempt, servers []election.Server, took time.Duration) {
+	began := time.Now()
+	chosen := attempt.Chosen()
+	w.c.meters.promotions.Add(1)
+	event.GroupPromoted.Emit(w.log, zap.Uint64("term", attempt.Term()),
+		zap.String("primary", chosen.Endpoint), zap.Duration("duration", took))
+	w.learn(attempt.Term(), chosen.Endpoint, sourcePromotion)
+	w.announce(attempt.Term(), chosen.Endpoint)
+	for _, server := range servers {
+		if server.Endpoint != chosen.Endpoint {
+			w.c.spawn(func(context.Context) { w.follow(server, attempt.Term(), chosen.ControlAddress) })
+		}
+	}
+	w.c.meters.phase(phaseLearn, time.Since(began))
+	w.nudge()
+}
--- /dev/null
+++ b/internal/group/meters.go
@@ -0,0 +1,54 @@
+package group
+
+import (
+	"expvar"
+	"time"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/metrics"
+)
+
+// meters are the variables of the controller. Those in microseconds are sums; the
+// count beside them gives the mean.
+type meters struct {
+	statusCalls, statusFailures     *expvar.Int
+	elections, electionsLost        *expvar.Int
+	promotions, disagreements       *expvar.Int
+	follows                         *expvar.Int
+	confirms, confirmCalls          *expvar.Int
+	confirmsSuperseded              *expvar.Int
+	readIndexes, readIndexRounds    *expvar.Int
+	phaseMicroseconds, phaseEntries *expvar.Map
+}
+
+func newMeters(set *metrics.Set) meters {
+	return meters{
+		statusCalls:        set.Counter("group_status_calls_total"),
+		statusFailures:     set.Counter("group_status_failures_total"),
+		elections:          set.Counter("group_elections_total"),
+		electionsLost:      set.Counter("group_elections_lost_total"),
+		promotions:         set.Counter("group_promotions_total"),
+		disagreements:      set.Counter("group_disagreements_total"),
+		follows:            set.Counter("group_follows_total"),
+		confirms:           set.Counter("group_confirms_total"),
+		confirmCalls:       set.Counter("group_confirm_calls_total"),
+		confirmsSuperseded: set.Counter("group_confirms_superseded_total"),
+		readIndexes:        set.Counter("group_read_indexes_total"),
+		readIndexRounds:    set.Counter("group_read_index_rounds_total"),
+		phaseMicroseconds:  set.Labelled("group_phase_microseconds_total"),
+		phaseEntries:       set.Labelled("group_phase_entries_total"),
+	}
+}
+
+// The phases of a failover that are timed.
+const (
+	phaseDetect  = "detect"
+	phaseAgree   = "agree"
+	phasePrepare = "prepare"
+	phasePromote = "promote"
+	phaseLearn   = "learn"
+)
+
+func (m *meters) phase(name string, took time.Duration) {
+	m.phaseMicroseconds.Add(name, took.Microseconds())
+	m.phaseEntries.Add(name, 1)
+}
--- /dev/null
+++ b/internal/group/observer/observer.go
@@ -0,0 +1,68 @@
+// Package observer decides which instances watch which database group steadily.
+// It performs no I/O. Instances with the same view of the members decide alike.
+package observer
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+)
+
+// Candidate is an instance that may observe.
+type Candidate struct {
+	ID            string
+	FailureDomain string
+}
+
+// Assigner assigns observers among a fixed set of candidates.
+type Assigner struct {
+	domains []string
+	all     []string
+	byName  map[string]*rendezvous.Rendezvous
+}
+
+// NewAssigner returns an assigner for the candidates, in any order.
+func NewAssigner(candidates []Candidate) *Assigner {
+	members := make(map[string][]string)
+	a := &Assigner{byName: make(map[string]*rendezvous.Rendezvous)}
+	for _, c := range candidates {
+		members[c.FailureDomain] = append(members[c.FailureDomain], c.ID)
+		a.all = append(a.all, c.ID)
+	}
+	slices.Sort(a.all)
+	for domain, ids := range members {
+		slices.Sort(ids)
+		a.domains = append(a.domains, domain)
+		a.byName[domain] = rendezvous.New(ids, xxhash.Sum64String)
+	}
+	slices.Sort(a.domains)
+	return a
+}
+
+// Observers returns up to n observers of service, the first being the one that
+// acts first. They lie in different failure domains as long as there are enough.
+func (a *Assigner) Observers(service string, n int) []string {
+	var chosen []string
+	for _, domain := range top(service, a.domains, n) {
+		chosen = append(chosen, a.byName[domain].Lookup(service))
+	}
+	if len(chosen) == min(n, len(a.all)) {
+		return chosen
+	}
+	rest := slices.DeleteFunc(slices.Clone(a.all), func(id string) bool { return slices.Contains(chosen, id) })
+	return append(chosen, top(service, rest, n-len(chosen))...)
+}
+
+// top returns the n names that rank highest for key, the best first. Each is
+// looked up among the names that are left.
+func top(key string, names []string, n int) []string {
+	rest := slices.Clone(names)
+	var best []string
+	for len(best) < n && len(rest) > 0 {
+		name := rendezvous.New(rest, xxhash.Sum64String).Lookup(key)
+		best = append(best, name)
+		rest = slices.DeleteFunc(rest, func(other string) bool { return other == name })
+	}
+	return best
+}
