--- a/internal/group/election/assess.go
+++ b/internal/group/election/assess.go
@@ -91,18 +91,22 @@
 	if primary != nil {
 		result.Primary, result.Term = primary.Server, max(knownTerm, primary.Status.PromisedTerm)
 	}
-	live, failed := 0, 0
+	c := counts{size: len(sights), superseding: superseding(sights, result.Term)}
 	for _, sight := range sights {
-		if sight.Live() {
-			live++
-		}
-		if sight.Failed(now, limits) {
-			failed++
+		failed := sight.Failed(now, limits)
+		if failed {
 			result.Suspects = append(result.Suspects, sight.Server.Endpoint)
 		}
+		switch {
+		case sight.Live():
+			c.live++
+		case failed:
+			c.failed++
+		default:
+			c.undecided++
+		}
 	}
-	c := counts{size: len(sights), live: live, failed: failed, superseding: superseding(sights, result.Term)}
-	result.Condition = c.judge(stateOf(primary, result.Term, stalled, now, limits))
+	result.Condition = c.judge(stateOf(primary, c.undecided, result.Term, stalled, now, limits))
 	return result
 }
 
@@ -115,8 +119,12 @@
 	primaryUnknown                     // neither of the two for long enough
 )
 
-func stateOf(primary *Sight, term uint64, stalled bool, now time.Time, limits Limits) primaryState {
+// stateOf judges the primary. While none is known, each of the undecided servers,
+// which neither answer nor count as failed yet, may be it.
+func stateOf(primary *Sight, undecided int, term uint64, stalled bool, now time.Time, limits Limits) primaryState {
 	switch {
+	case primary == nil && undecided > 0:
+		return primaryUnknown
 	case primary == nil || stalled || primary.Failed(now, limits) || demoted(primary, term):
 		return primaryGone
 	case primary.Live() && primary.Status.Serving:
@@ -126,15 +134,16 @@
 	}
 }
 
-// counts are numbers of servers of one group.
-type counts struct{ size, live, failed, superseding int }
+// counts are numbers of servers of one group. Each one is live, failed or, while
+// it may still answer in time, undecided.
+type counts struct{ size, live, failed, undecided, superseding int }
 
 // judge derives the group's condition. A primary that works is of no use where a
 // majority cannot be asked to confirm its commits.
 func (c counts) judge(primary primaryState) Condition {
 	majority := Majority(c.size)
 	switch {
-	case c.live < majority && c.size-c.failed < majority:
+	case c.live+c.undecided < majority:
 		return Minority
 	case primary == primaryWorks && c.superseding < majority:
 		return Healthy
@@ -171,7 +180,7 @@
 	term := knownTerm
 	for i := range sights {
 		sight := &sights[i]
-		if sight.Server.Endpoint == knownPrimary && best == nil {
+		if sight.Server.Endpoint == knownPrimary && knownPrimary != "" && best == nil {
 			best = sight
 		}
 		if sight.Answered && sight.Status.Primary && sight.Status.PromisedTerm >= term && sight.Status.PromisedTerm > 0 {
--- /dev/null
+++ b/internal/group/election/election_test.go
@@ -0,0 +1,148 @@
+package election_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/group/election"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+)
+
+func at(term, offset uint64) position.Position { return position.Position{Term: term, Offset: offset} }
+
+// granted is a serving server that promised a term while its log ended at p.
+func granted(endpoint string, p position.Position) election.Grant {
+	return election.Grant{
+		Server: election.Server{Endpoint: endpoint},
+		Status: platform.ServerStatus{Endpoint: endpoint, Durable: p, Serving: true},
+	}
+}
+
+func avoided(g election.Grant) election.Grant {
+	g.Server.Avoid = true
+	return g
+}
+
+func stopped(g election.Grant) election.Grant {
+	g.Status.Serving = false
+	return g
+}
+
+func TestChoose(t *testing.T) {
+	cases := map[string]struct {
+		grants []election.Grant
+		size   int
+		want   string
+	}{
+		"nobody granted":                       {nil, 3, ""},
+		"too few granted":                      {[]election.Grant{granted("a", at(1, 9))}, 3, ""},
+		"most advanced":                        {[]election.Grant{granted("a", at(1, 4)), granted("b", at(1, 9))}, 3, "b"},
+		"later term goes before longer log":    {[]election.Grant{granted("a", at(1, 9)), granted("b", at(2, 5))}, 3, "b"},
+		"preferred among equals":               {[]election.Grant{granted("a", at(1, 4)), granted("p", at(1, 4))}, 3, "p"},
+		"stopped one is ahead, third unknown":  {[]election.Grant{stopped(granted("a", at(1, 9))), granted("b", at(1, 4))}, 3, ""},
+		"stopped one is ahead of a majority":   {[]election.Grant{stopped(granted("a", at(1, 9))), granted("b", at(1, 4)), granted("c", at(1, 3))}, 3, "b"},
+		"avoided one is ahead of a majority":   {[]election.Grant{avoided(granted("a", at(1, 9))), granted("b", at(1, 4)), granted("c", at(1, 4))}, 3, "b"},
+		"avoided one alone has enough":         {[]election.Grant{avoided(granted("a", at(1, 9))), granted("b", at(1, 4))}, 3, "a"},
+		"avoided one of a later term":          {[]election.Grant{avoided(granted("a", at(2, 3))), granted("b", at(1, 9))}, 3, "a"},
+		"group of one":                         {[]election.Grant{granted("a", at(0, 0))}, 1, "a"},
+		"half of four is no majority":          {[]election.Grant{granted("a", at(1, 1)), granted("b", at(1, 1))}, 4, ""},
+		"all stopped":                          {[]election.Grant{stopped(granted("a", at(1, 1))), stopped(granted("b", at(1, 1)))}, 3, ""},
+		"behind a majority, though it serves":  {[]election.Grant{stopped(granted("a", at(1, 9))), stopped(granted("b", at(1, 9))), granted("c", at(1, 3))}, 3, ""},
+		"equal to those stopped, so it may go": {[]election.Grant{stopped(granted("a", at(1, 9))), granted("c", at(1, 9))}, 3, "c"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			server, ok := election.Choose(tc.grants, tc.size, "p")
+			require.Equal(t, tc.want, server.Endpoint)
+			require.Equal(t, tc.want != "", ok)
+		})
+	}
+}
+
+func TestAssess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := election.Limits{Silence: time.Second, Refusals: 2}
+	sight := func(endpoint string, promised uint64, primary bool) election.Sight {
+		return election.Sight{Server: election.Server{Endpoint: endpoint}, Answered: true, Status: platform.ServerStatus{
+			Endpoint: endpoint, PromisedTerm: promised, Primary: primary, Serving: true,
+		}}
+	}
+	primary, b, c := sight("a", 2, true), sight("b", 2, false), sight("c", 2, false)
+	silent := func(s election.Sight, d time.Duration) election.Sight {
+		s.FailingSince, s.Failures = now.Add(-d), 1
+		return s
+	}
+	refused := func(s election.Sight, times int) election.Sight {
+		s.FailingSince, s.Failures, s.Refused = now.Add(-time.Millisecond), times, true
+		return s
+	}
+	stopped := func(s election.Sight, d time.Duration) election.Sight {
+		s.Status.Serving, s.NotServingSince = false, now.Add(-d)
+		return s
+	}
+	cases := map[string]struct {
+		sights  []election.Sight
+		term    uint64
+		stalled bool
+		want    election.Condition
+		primary string
+	}{
+		"all is well":                       {sights: []election.Sight{primary, b, c}, want: election.Healthy, primary: "a"},
+		"one replica gone":                  {sights: []election.Sight{primary, b, silent(c, time.Hour)}, want: election.Healthy, primary: "a"},
+		"both replicas gone":                {sights: []election.Sight{primary, silent(b, time.Hour), silent(c, time.Hour)}, want: election.Minority, primary: "a"},
+		"replicas just fell silent":         {sights: []election.Sight{primary, silent(b, 0), silent(c, 0)}, want: election.Healthy, primary: "a"},
+		"primary silent briefly":            {sights: []election.Sight{silent(primary, time.Second/2), b, c}, want: election.Unsettled, primary: "a"},
+		"primary silent for long":           {sights: []election.Sight{silent(primary, time.Second), b, c}, want: election.Headless, primary: "a"},
+		"primary refused once":              {sights: []election.Sight{refused(primary, 1), b, c}, want: election.Unsettled, primary: "a"},
+		"primary refused twice":             {sights: []election.Sight{refused(primary, 2), b, c}, want: election.Headless, primary: "a"},
+		"primary and a replica gone":        {sights: []election.Sight{silent(primary, time.Hour), silent(b, time.Hour), c}, want: election.Minority, primary: "a"},
+		"database stopped briefly":          {sights: []election.Sight{stopped(primary, 0), b, c}, want: election.Unsettled, primary: "a"},
+		"database stopped for long":         {sights: []election.Sight{stopped(primary, time.Second), b, c}, want: election.Headless, primary: "a"},
+		"log reaches nobody":                {sights: []election.Sight{primary, b, c}, stalled: true, want: election.Headless, primary: "a"},
+		"fresh group":                       {sights: []election.Sight{sight("a", 0, false), sight("b", 0, false), sight("c", 0, false)}, want: election.Headless},
+		"fresh group, one still unknown":    {sights: []election.Sight{sight("a", 0, false), sight("b", 0, false), {}}, want: election.Unsettled},
+		"fresh group, one gone":             {sights: []election.Sight{sight("a", 0, false), sight("b", 0, false), silent(election.Sight{}, time.Hour)}, want: election.Headless},
+		"nothing known":                     {sights: []election.Sight{{}, {}, {}}, want: election.Unsettled},
+		"no servers":                        {want: election.Minority},
+		"primary prepared for a later term": {sights: []election.Sight{sight("a", 3, false), b, c}, term: 2, want: election.Headless, primary: "a"},
+		"majority prepared for a later":     {sights: []election.Sight{primary, sight("b", 3, false), sight("c", 3, false)}, want: election.Headless, primary: "a"},
+		"one prepared for a later":          {sights: []election.Sight{primary, sight("b", 3, false), c}, want: election.Healthy, primary: "a"},
+		"two that claim it":                 {sights: []election.Sight{primary, sight("b", 3, true), c}, want: election.Healthy, primary: "b"},
+		"only the replaced one claims it":   {sights: []election.Sight{primary, sight("b", 3, false), c}, term: 3, want: election.Headless, primary: "a"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			known := ""
+			if tc.term > 0 {
+				known = "a"
+			}
+			got := election.Assess(tc.sights, tc.term, known, tc.stalled, now, limits)
+			require.Equal(t, tc.want, got.Condition, "%s", got.Condition)
+			require.Equal(t, tc.primary, got.Primary.Endpoint)
+		})
+	}
+}
+
+func TestCurrentNeedsAMajorityWithoutAHigherPromise(t *testing.T) {
+	primary := platform.ServerStatus{Primary: true, PromisedTerm: 2}
+	cases := map[string]struct {
+		statuses []platform.ServerStatus
+		want     bool
+	}{
+		"primary alone":                 {[]platform.ServerStatus{primary}, false},
+		"primary and a replica":         {[]platform.ServerStatus{primary, {PromisedTerm: 2}}, true},
+		"replica that promised a later": {[]platform.ServerStatus{primary, {PromisedTerm: 3}}, false},
+		"third that did not":            {[]platform.ServerStatus{primary, {PromisedTerm: 3}, {PromisedTerm: 1}}, true},
+		"no primary":                    {[]platform.ServerStatus{{PromisedTerm: 2}, {PromisedTerm: 2}}, false},
+		"no term":                       {[]platform.ServerStatus{{Primary: true}, {}}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, current := election.Current(tc.statuses, 3)
+			require.Equal(t, tc.want, current)
+		})
+	}
+}
