--- /dev/null
+++ b/internal/fleetconfig/key.go
@@ -0,0 +1,68 @@
+package fleetconfig
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base32"
+	"encoding/base64"
+	"strings"
+
+	configv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/config/v1"
+)
+
+const (
+	keyPrefix   = "hbl"
+	secretBytes = 32 // 256 bits
+	keyIDBytes  = 10
+	maxKeyBytes = 256
+)
+
+var keyIDEncoding = base32.NewEncoding("abcdefghijklmnopqrstuvwxyz234567").WithPadding(base32.NoPadding)
+
+// NewKey makes a key of an organisation: its stored form and the whole key,
+// "hbl_<id>_<secret>", which is not stored anywhere.
+func NewKey(organisation string) (stored *configv1.Key, whole string) {
+	id := keyIDEncoding.EncodeToString(randomBytes(keyIDBytes))
+	whole = keyPrefix + "_" + id + "_" + base64.RawURLEncoding.EncodeToString(randomBytes(secretBytes))
+	digest := sha256.Sum256([]byte(whole))
+	return &configv1.Key{Id: id, Organisation: organisation, Sha256: digest[:]}, whole
+}
+
+func randomBytes(n int) []byte {
+	b := make([]byte, n)
+	_, _ = rand.Read(b) // never fails; see crypto/rand
+	return b
+}
+
+// KeyID returns the public part of a whole key. It reports false when the text
+// does not have the form of a key.
+func KeyID(whole string) (string, bool) {
+	if len(whole) > maxKeyBytes {
+		return "", false
+	}
+	parts := strings.SplitN(whole, "_", 3)
+	if len(parts) != 3 || parts[0] != keyPrefix || parts[1] == "" || parts[2] == "" {
+		return "", false
+	}
+	return parts[1], true
+}
+
+// MatchKey returns the stored key that the whole key belongs to, if the view
+// allows it for the organisation. Digests are compared in constant time, against
+// zeros when the id is unknown.
+func (v *View) MatchKey(organisation, whole string) (*configv1.Key, bool) {
+	id, wellFormed := KeyID(whole)
+	stored, known := v.Keys[id]
+	expected := make([]byte, sha256.Size)
+	if known && len(stored.GetSha256()) == sha256.Size {
+		expected = stored.GetSha256()
+	}
+	digest := sha256.Sum256([]byte(whole))
+	equal := subtle.ConstantTimeCompare(digest[:], expected) == 1
+	if !wellFormed || !known || !equal || stored.GetOrganisation() != organisation {
+		return nil, false
+	}
+	_, exists := v.Organisations[organisation]
+	return stored, exists
+}
