Accept changes of the configuration everywhere or not at all

Cause: operators' changes, keys above all, must be in force at every instance that serves, while instances die and failure domains are cut off. Conclusion: thin but whole; fault cases are not tested yet.

--- /dev/null
+++ b/internal/configuration/commit.go
@@ -0,0 +1,242 @@
+package configuration
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	operatorv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/operator/v1"
+	peerv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/peer/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/fleetconfig"
+	"github.com/hornbeamlock/hornbeamlock/internal/membership"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+)
+
+// tableState is what a coordinator needs to know of the table.
+type tableState struct {
+	now      time.Time
+	pending  pending
+	headRow  platform.Row
+	head     fleetconfig.Head
+	changeID platform.Row
+	epochRow platform.Row
+	epoch    *peerv1.MemberEpoch
+	members  []memberRow
+}
+
+// memberRow is a registered member with the revision of its row.
+type memberRow struct {
+	member   *peerv1.Member
+	revision uint64
+}
+
+// readState reads the epoch before the members: a commit under that epoch then
+// proves that the list was complete.
+func (c *Controller) readState(ctx context.Context, changeID string) (*tableState, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	rows, now, err := c.cfg.Table.Get(ctx, pendingRow, headRow, changeIDRow(changeID), membership.EpochRow)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s := &tableState{now: now, headRow: rows[1], changeID: rows[2], epochRow: rows[3]}
+	s.pending = pending{row: rows[0], now: now}
+	if s.head, err = fleetconfig.DecodeHead(rows[1].Value); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s.pending.head = s.head
+	if rows[0].Revision != 0 {
+		if s.pending.stage, err = decodePending(rows[0].Value); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	if s.epoch, err = membership.DecodeEpoch(rows[3].Value); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s.members, err = c.readMembers(ctx)
+	return s, trace.Wrap(err)
+}
+
+func (c *Controller) readMembers(ctx context.Context) ([]memberRow, error) {
+	rows, _, err := c.cfg.Table.List(ctx, membership.MemberPrefix())
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	members := make([]memberRow, 0, len(rows))
+	for _, row := range rows {
+		m, err := membership.DecodeMember(row.Key, row.Value)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		members = append(members, memberRow{member: m, revision: row.Revision})
+	}
+	return members, nil
+}
+
+// commit sends the one write that accepts the change. It reports true when a
+// member joined or left meanwhile, so that staging has to go on. On any error
+// the attempt has been given up.
+func (c *Controller) commit(ctx context.Context, a *attempt) (again bool, err error) {
+	conditions, writes, err := c.acceptance(ctx, a)
+	if err != nil {
+		c.abort(ctx, a)
+		return false, trace.Wrap(err)
+	}
+	limited, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	result, err := c.cfg.Table.Commit(limited, conditions, writes)
+	if err != nil {
+		return false, c.settleCommit(ctx, a, err)
+	}
+	if result.Applied {
+		return false, nil
+	}
+	found, err := c.readState(ctx, a.change.GetId())
+	if err == nil && found.pending.stage.GetAttempt() == a.stage.GetAttempt() && time.Now().Before(a.deadline) {
+		a.found = found
+		return true, nil
+	}
+	return false, c.settleCommit(ctx, a, trace.CompareFailed("the members changed or another coordinator took over"))
+}
+
+// acceptance returns the conditions and writes of the accepting commit.
+func (c *Controller) acceptance(ctx context.Context, a *attempt) ([]platform.Condition, []platform.Write, error) {
+	conditions := []platform.Condition{
+		{Key: headRow, Revision: a.found.headRow.Revision},
+		{Key: pendingRow, Revision: a.pending},
+		{Key: membership.EpochRow, Revision: a.found.epochRow.Revision},
+		{Key: a.found.changeID.Key},
+	}
+	writes := []platform.Write{{Key: pendingRow, Delete: true}}
+	body, err := bodyWrites(a)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	writes = append(writes, body...)
+	history, err := c.historyWrites(ctx, a)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	writes = append(writes, history...)
+	goneConditions, goneWrites, err := removalWrites(a)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	return append(conditions, goneConditions...), append(writes, goneWrites...), nil
+}
+
+func bodyWrites(a *attempt) ([]platform.Write, error) {
+	head, chunks, err := fleetconfig.Encode(a.next)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	writes := []platform.Write{{Key: headRow, Value: head}}
+	for i, chunk := range chunks {
+		writes = append(writes, platform.Write{Key: bodyRow(i), Value: chunk})
+	}
+	for i := len(chunks); i < a.found.head.Chunks; i++ {
+		writes = append(writes, platform.Write{Key: bodyRow(i), Delete: true})
+	}
+	return writes, nil
+}
+
+// historyWrites records the change and drops the oldest one that is kept.
+func (c *Controller) historyWrites(ctx context.Context, a *attempt) ([]platform.Write, error) {
+	version := a.next.GetVersion()
+	entry, err := proto.Marshal(&operatorv1.HistoryEntry{Version: version, Change: a.change, AcceptedUnixMs: a.found.now.UnixMilli()})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	writes := []platform.Write{
+		{Key: changeRow(version), Value: entry},
+		{Key: changeIDRow(a.change.GetId()), Value: []byte(strconv.FormatUint(version, 10))},
+	}
+	old := prunedVersion(version)
+	if old == 0 {
+		return writes, nil
+	}
+	dropped, err := c.HistoryEntry(ctx, old)
+	if trace.IsNotFound(err) {
+		return writes, nil
+	}
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return append(writes,
+		platform.Write{Key: changeRow(old), Delete: true},
+		platform.Write{Key: changeIDRow(dropped.GetChange().GetId()), Delete: true}), nil
+}
+
+// removalWrites deletes the rows of the members that are surely gone. A member
+// that registers again, or a domain that writes its contact row, before the
+// commit makes it fail.
+func removalWrites(a *attempt) ([]platform.Condition, []platform.Write, error) {
+	gone := a.round.gone
+	if len(gone) == 0 {
+		return nil, nil, nil
+	}
+	var conditions []platform.Condition
+	var writes []platform.Write
+	for _, row := range a.round.contacts {
+		conditions = append(conditions, platform.Condition{Key: row.Key, Revision: row.Revision})
+	}
+	for _, m := range gone {
+		key := membership.MemberRow(m.member.GetId())
+		conditions = append(conditions, platform.Condition{Key: key, Revision: m.revision})
+		writes = append(writes, platform.Write{Key: key, Delete: true})
+	}
+	epoch := proto.CloneOf(a.found.epoch)
+	epoch.Count++
+	epoch.RemovedUnixMs = max(epoch.GetRemovedUnixMs(), a.round.removedAt.UnixMilli())
+	value, err := membership.EncodeEpoch(epoch)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	return conditions, append(writes, platform.Write{Key: membership.EpochRow, Value: value}), nil
+}
+
+// settleCommit finds out what became of a commit whose answer was lost. The
+// commit may still be under way, so a change counts as refused only once its
+// pending row has been deleted, which makes the commit's condition fail.
+func (c *Controller) settleCommit(ctx context.Context, a *attempt, cause error) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.cfg.AcceptTimeout)
+	defer cancel()
+	for {
+		known, accepted := c.lookForOutcome(ctx, a)
+		switch {
+		case known && accepted:
+			return nil
+		case known:
+			c.resolve(a.stage.GetAttempt(), false)
+			c.resolveEverywhere(ctx, c.everyone(a), a.stage, false)
+			return refuse(RefusedUnavailable, cause, "the change was not taken")
+		}
+		select {
+		case <-ctx.Done():
+			return refuse(OutcomeUnknown, cause, "the platform's table does not answer")
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (c *Controller) lookForOutcome(ctx context.Context, a *attempt) (known, accepted bool) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	found, err := c.readState(ctx, a.change.GetId())
+	if err != nil {
+		return false, false
+	}
+	if before, err := c.acceptedBefore(ctx, found, a.change); before != nil || err != nil {
+		return before != nil || AsRefusal(err).isInvalid(), before != nil && before.Version == a.next.GetVersion()
+	}
+	if found.pending.row.Revision != a.pending {
+		return true, false
+	}
+	result, err := c.cfg.Table.Commit(ctx,
+		[]platform.Condition{{Key: pendingRow, Revision: a.pending}},
+		[]platform.Write{{Key: pendingRow, Delete: true}})
+	return err == nil && result.Applied, false
+}
--- /dev/null
+++ b/internal/configuration/evidence.go
@@ -0,0 +1,99 @@
+package configuration
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	peerv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/peer/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/membership"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+)
+
+// evidence gathers what is known of the missing members, and the contact rows
+// that it relies on.
+func (c *Controller) evidence(ctx context.Context, a *attempt, missing []memberRow) (membership.Evidence, []platform.Row, time.Time, error) {
+	contacts, now, err := c.readContacts(ctx, missing)
+	if err != nil {
+		return membership.Evidence{}, nil, now, trace.Wrap(err)
+	}
+	age := func(unixMs int64) time.Duration { return now.Sub(time.UnixMilli(unixMs)) }
+	e := membership.Evidence{
+		Reachable:    a.round.vouches(a.found.members),
+		SinceRemoval: membership.Forever,
+		SinceGrant:   make(map[string]time.Duration),
+		SinceContact: make(map[string]time.Duration),
+		DomainAge:    make(map[string]time.Duration),
+	}
+	if at := a.found.epoch.GetRemovedUnixMs(); at != 0 {
+		e.SinceRemoval = age(at)
+	}
+	for domain, at := range a.found.epoch.GetGrantedUnixMs() {
+		e.SinceGrant[domain] = age(at)
+	}
+	for domain, at := range a.found.epoch.GetDomainSinceUnixMs() {
+		e.DomainAge[domain] = age(at)
+	}
+	for _, m := range missing {
+		e.Missing = append(e.Missing, membership.Missing{
+			ID: m.member.GetId(), Domain: m.member.GetFailureDomain(),
+			SinceRegistered: age(m.member.GetRegisteredUnixMs()),
+		})
+	}
+	for _, row := range contacts {
+		if row.Revision == 0 {
+			continue
+		}
+		at, err := strconv.ParseInt(string(row.Value), 10, 64)
+		if err != nil {
+			return membership.Evidence{}, nil, now, trace.Wrap(err, "row %s", row.Key)
+		}
+		e.SinceContact[membership.ContactDomain(row.Key)] = age(at)
+	}
+	return e, contacts, now, nil
+}
+
+func (c *Controller) readContacts(ctx context.Context, missing []memberRow) ([]platform.Row, time.Time, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	domains := make(map[string]bool)
+	var keys []string
+	for _, m := range missing {
+		if domain := m.member.GetFailureDomain(); !domains[domain] {
+			domains[domain] = true
+			keys = append(keys, membership.ContactRow(domain))
+		}
+	}
+	rows, now, err := c.cfg.Table.Get(ctx, keys...)
+	return rows, now, trace.Wrap(err)
+}
+
+// vouches returns what the registered members that staged the attempt say.
+func (r *round) vouches(rows []memberRow) []membership.Vouch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var vouches []membership.Vouch
+	for _, row := range rows {
+		if ack, ok := r.acks[row.member.GetId()]; ok {
+			vouches = append(vouches, vouchOf(row.member, ack))
+		}
+	}
+	return vouches
+}
+
+func vouchOf(m *peerv1.Member, ack *peerv1.StageAck) membership.Vouch {
+	v := membership.Vouch{
+		ID: m.GetId(), Domain: m.GetFailureDomain(),
+		Up: time.Duration(ack.GetUpMs()) * time.Millisecond, Fresh: ack.GetFresh(),
+		Granted: make(map[string]time.Duration, len(ack.GetSilentMs())), Met: make(map[string]bool, len(ack.GetMet())),
+	}
+	for id, age := range ack.GetSilentMs() {
+		v.Granted[id] = time.Duration(age) * time.Millisecond
+	}
+	for _, id := range ack.GetMet() {
+		v.Met[id] = true
+	}
+	return v
+}
--- /dev/null
+++ b/internal/configuration/fleet_test.go
@@ -0,0 +1,483 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	configv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/config/v1"
+	peerv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/peer/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/membership"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+)
+
+var errDown = errors.New("no answer")
+
+// fakeTable is a transactional table in memory that can be down, slow, or lose
+// answers.
+type fakeTable struct {
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	revision uint64
+	down     bool
+	reads    int
+	writes   int
+	// onCommit, when set, decides the fate of the commits that it matches.
+	onCommit func(writes []platform.Write) fate
+	// onApplied is told of applied commits, with the lock held.
+	onApplied func(writes []platform.Write)
+}
+
+type fate int
+
+const (
+	fatePass fate = iota
+	fateLoseRequest
+	fateLoseAnswer
+)
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: make(map[string]platform.Row)} }
+
+const tableLatency = 2 * time.Millisecond
+
+func (f *fakeTable) wait(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(tableLatency):
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errDown
+	}
+	return nil
+}
+
+func (f *fakeTable) Get(ctx context.Context, keys ...string) ([]platform.Row, time.Time, error) {
+	if err := f.wait(ctx); err != nil {
+		return nil, time.Time{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	rows := make([]platform.Row, len(keys))
+	for i, key := range keys {
+		rows[i] = f.rows[key]
+		rows[i].Key = key
+	}
+	return rows, time.Now(), nil
+}
+
+func (f *fakeTable) List(ctx context.Context, prefix string) ([]platform.Row, time.Time, error) {
+	if err := f.wait(ctx); err != nil {
+		return nil, time.Time{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	var rows []platform.Row
+	for _, key := range slices.Sorted(maps.Keys(f.rows)) {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, f.rows[key])
+		}
+	}
+	return rows, time.Now(), nil
+}
+
+func (f *fakeTable) Commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (platform.CommitResult, error) {
+	if err := f.wait(ctx); err != nil {
+		return platform.CommitResult{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	outcome := fatePass
+	if f.onCommit != nil {
+		outcome = f.onCommit(writes)
+	}
+	if outcome == fateLoseRequest {
+		return platform.CommitResult{}, errDown
+	}
+	result := f.apply(conditions, writes)
+	if outcome == fateLoseAnswer {
+		return platform.CommitResult{}, errDown
+	}
+	return result, nil
+}
+
+func (f *fakeTable) apply(conditions []platform.Condition, writes []platform.Write) platform.CommitResult {
+	f.writes++
+	result := platform.CommitResult{Applied: true, Now: time.Now()}
+	for _, c := range conditions {
+		row := f.rows[c.Key]
+		row.Key = c.Key
+		result.Current = append(result.Current, row)
+		result.Applied = result.Applied && row.Revision == c.Revision
+	}
+	if !result.Applied {
+		return result
+	}
+	f.revision++
+	result.Revision = f.revision
+	defer func() {
+		if f.onApplied != nil {
+			f.onApplied(writes)
+		}
+	}()
+	for _, w := range writes {
+		if w.Delete {
+			delete(f.rows, w.Key)
+			continue
+		}
+		f.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: f.revision}
+	}
+	return result
+}
+
+func (f *fakeTable) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakeTable) head(t require.TestingT) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	head, err := decodeHeadRow(f.rows[headRow])
+	require.NoError(t, err)
+	return head
+}
+
+type fakeObjects struct {
+	mu   sync.Mutex
+	data map[string][]byte
+}
+
+func (f *fakeObjects) Put(_ context.Context, name string, data []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.data[name] = data
+	return nil
+}
+
+func (f *fakeObjects) Get(_ context.Context, name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if data, ok := f.data[name]; ok {
+		return data, nil
+	}
+	return nil, trace.NotFound("no object %s", name)
+}
+
+// instance is one simulated entry instance.
+type instance struct {
+	id, domain string
+	board      *blackboard.Board
+	config     *Controller
+	members    *membership.Controller
+	cancel     context.CancelFunc
+	done       sync.WaitGroup
+}
+
+// fleet is many instances on one in-memory network, in one synctest bubble.
+type fleet struct {
+	t       *testing.T
+	base    time.Time
+	table   *fakeTable
+	objects *fakeObjects
+
+	mu        sync.Mutex
+	instances map[string]*instance // guarded by mu; those that run, by address
+	cut       func(from, to *instance) bool
+	noTable   func(from *instance) bool
+	calls     int
+	bytes     int
+	rng       *rand.Rand // guarded by mu
+}
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{
+		t: t, base: time.Now(), table: newFakeTable(), objects: &fakeObjects{data: make(map[string][]byte)},
+		instances: make(map[string]*instance), rng: rand.New(rand.NewPCG(1, 1)),
+	}
+}
+
+func (f *fleet) jitter() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Float64()
+}
+
+func (f *fleet) clock() time.Duration { return time.Since(f.base) + time.Hour }
+
+// network is one instance's way to the others.
+type network struct {
+	fleet *fleet
+	from  *instance
+}
+
+const networkLatency = 500 * time.Microsecond
+
+func (n network) Call(ctx context.Context, address string, req *peerv1.Request) (*peerv1.Response, error) {
+	if err := n.travel(ctx, address); err != nil {
+		return nil, err
+	}
+	n.fleet.mu.Lock()
+	to := n.fleet.instances[address]
+	n.fleet.calls++
+	n.fleet.mu.Unlock()
+	res := to.handle(ctx, proto.CloneOf(req))
+	if err := n.travel(ctx, address); err != nil {
+		return nil, err
+	}
+	n.fleet.mu.Lock()
+	n.fleet.bytes += proto.Size(req) + proto.Size(res)
+	n.fleet.mu.Unlock()
+	if res.GetError() != "" {
+		return nil, errors.New(res.GetError())
+	}
+	return proto.CloneOf(res), nil
+}
+
+// travel waits for the latency, or for the caller's deadline when the way is cut.
+func (n network) travel(ctx context.Context, address string) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(networkLatency):
+	}
+	n.fleet.mu.Lock()
+	to, cut := n.fleet.instances[address], n.fleet.cut
+	n.fleet.mu.Unlock()
+	if to == nil || cut != nil && cut(n.from, to) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (i *instance) handle(ctx context.Context, req *peerv1.Request) *peerv1.Response {
+	switch req.GetKind().(type) {
+	case *peerv1.Request_Heartbeat:
+		return i.members.HandleHeartbeat(ctx, req)
+	case *peerv1.Request_Stage:
+		return i.config.HandleStage(ctx, req)
+	case *peerv1.Request_Resolve:
+		return i.config.HandleResolve(ctx, req)
+	case *peerv1.Request_FetchConfiguration:
+		return i.config.HandleFetch(ctx, req)
+	default:
+		return &peerv1.Response{Error: "no handler"}
+	}
+}
+
+// cutTable is the table as seen by one instance.
+type cutTable struct {
+	*fakeTable
+	fleet *fleet
+	from  *instance
+}
+
+func (c cutTable) blocked(ctx context.Context) error {
+	c.fleet.mu.Lock()
+	noTable := c.fleet.noTable
+	c.fleet.mu.Unlock()
+	if noTable != nil && noTable(c.from) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (c cutTable) Get(ctx context.Context, keys ...string) ([]platform.Row, time.Time, error) {
+	if err := c.blocked(ctx); err != nil {
+		return nil, time.Time{}, err
+	}
+	return c.fakeTable.Get(ctx, keys...)
+}
+
+func (c cutTable) List(ctx context.Context, prefix string) ([]platform.Row, time.Time, error) {
+	if err := c.blocked(ctx); err != nil {
+		return nil, time.Time{}, err
+	}
+	return c.fakeTable.List(ctx, prefix)
+}
+
+func (c cutTable) Commit(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (platform.CommitResult, error) {
+	if err := c.blocked(ctx); err != nil {
+		return platform.CommitResult{}, err
+	}
+	return c.fakeTable.Commit(ctx, conditions, writes)
+}
+
+func addressOf(id string) string { return id + ":1" }
+
+// start runs one instance.
+func (f *fleet) start(id, domain string) *instance {
+	i := &instance{id: id, domain: domain, board: blackboard.NewBoard()}
+	table := cutTable{fakeTable: f.table, fleet: f, from: i}
+	var err error
+	i.config, err = New(Config{
+		ID: id, Board: i.board, Table: table, Objects: f.objects, Caller: network{f, i}, Clock: f.clock,
+	})
+	require.NoError(f.t, err)
+	f.mu.Lock()
+	seeds := slices.Sorted(maps.Keys(f.instances))
+	f.mu.Unlock()
+	i.members, err = membership.New(membership.Config{
+		ID: id, FailureDomain: domain, PeerAddress: addressOf(id), Board: i.board, Table: table,
+		Caller: network{f, i}, Configuration: i.config, Clock: f.clock, Seeds: seeds, Jitter: f.jitter,
+	})
+	require.NoError(f.t, err)
+	i.config.Bind(i.members)
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	f.mu.Lock()
+	f.instances[addressOf(id)] = i
+	f.mu.Unlock()
+	i.done.Go(func() { require.NoError(f.t, i.members.Run(ctx)) })
+	i.done.Go(func() { require.NoError(f.t, i.config.Run(ctx)) })
+	return i
+}
+
+// kill ends an instance without a goodbye.
+func (f *fleet) kill(i *instance) {
+	f.mu.Lock()
+	delete(f.instances, addressOf(i.id))
+	f.mu.Unlock()
+	i.cancel()
+	i.done.Wait()
+}
+
+func (f *fleet) stopAll() {
+	for _, i := range f.all() {
+		f.kill(i)
+	}
+}
+
+func (f *fleet) all() []*instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*instance
+	for _, address := range slices.Sorted(maps.Keys(f.instances)) {
+		all = append(all, f.instances[address])
+	}
+	return all
+}
+
+// startMany starts n instances spread over the domains and waits until all serve.
+func (f *fleet) startMany(n int, domains ...string) []*instance {
+	var all []*instance
+	for k := range n {
+		domain := domains[k%len(domains)]
+		all = append(all, f.start(fmt.Sprintf("%s-%d", domain, k/len(domains)), domain))
+	}
+	f.waitServing(all...)
+	return all
+}
+
+func (f *fleet) waitServing(all ...*instance) {
+	f.waitFor("every instance serves and knows all others", func() bool {
+		for _, i := range all {
+			if !f.serving(i) || !i.members.Self().GetRegistered() || i.board.Members.Len() != len(f.all())-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// waitFor waits on a condition, by the bubble's clock.
+func (f *fleet) waitFor(what string, condition func() bool) {
+	f.t.Helper()
+	for range 20_000 {
+		if condition() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Fail(f.t, "never came true: "+what)
+}
+
+// serving tells whether the instance may serve now.
+func (f *fleet) serving(i *instance) bool { return i.board.Lease.Get().Lease.Valid(f.clock()) }
+
+// staleInstance names an instance that serves what only an older version than
+// the accepted one allows; empty when there is none.
+func (f *fleet) staleInstance(head uint64) string {
+	for _, i := range f.all() {
+		view := i.board.Configuration.Get()
+		if f.serving(i) && view.Version < head && view.StagedVersion < head {
+			return fmt.Sprintf("%s serves version %d staged %d while %d is accepted", i.id, view.Version, view.StagedVersion, head)
+		}
+	}
+	return ""
+}
+
+// watchStep is the time between two checks; the moment of acceptance itself is
+// checked by the table.
+const watchStep = 10 * time.Millisecond
+
+// watch checks that no instance serves by an older version, until the returned
+// function is called.
+func (f *fleet) watch() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	f.table.onApplied = func(writes []platform.Write) {
+		for _, w := range writes {
+			if w.Key != headRow {
+				continue
+			}
+			head, err := decodeHeadRow(platform.Row{Value: w.Value})
+			if stale := f.staleInstance(head); err != nil || stale != "" {
+				f.t.Errorf("at the acceptance at %v: %s", time.Since(f.base), stale)
+			}
+		}
+	}
+	done.Go(func() {
+		for ctx.Err() == nil {
+			if stale := f.staleInstance(f.table.head(f.t)); stale != "" {
+				f.t.Errorf("at %v: %s", time.Since(f.base), stale)
+				return
+			}
+			time.Sleep(watchStep)
+		}
+	})
+	return func() {
+		cancel()
+		done.Wait()
+	}
+}
+
+func putOrganisation(id string, base uint64, name string) *configv1.Change {
+	return &configv1.Change{Id: id, BaseVersion: base, Author: "test", Operations: []*configv1.Operation{{
+		Kind: &configv1.Operation_PutOrganisation{PutOrganisation: &configv1.Organisation{Name: name, Rate: 1, Burst: 1}},
+	}}}
+}
+
+// inBubble runs a test with a fleet and checks staleness throughout.
+func inBubble(t *testing.T, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		stop := f.watch()
+		defer func() {
+			stop()
+			f.stopAll()
+		}()
+		test(t, f)
+	})
+}
--- a/internal/fleetconfig/fleetconfig_test.go
+++ b/internal/fleetconfig/fleetconfig_test.go
@@ -184,7 +184,7 @@
 			require.LessOrEqual(t, o.GetBurst(), min(old.Organisations[name].GetBurst(), next.Organisations[name].GetBurst()))
 		}
 		for name, s := range both.Services {
-			require.False(t, s.GetOpenToAll() && !(old.Services[name].GetOpenToAll() && next.Services[name].GetOpenToAll()))
+			require.Equal(t, old.Services[name].GetOpenToAll() && next.Services[name].GetOpenToAll(), s.GetOpenToAll())
 		}
 		for id, e := range both.Endpoints {
 			a, b := old.Endpoints[id].Endpoint, next.Endpoints[id].Endpoint
--- /dev/null
+++ b/internal/membership/config.go
@@ -0,0 +1,124 @@
+package membership
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	oteltrace "go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	peerv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/peer/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/lease"
+	"github.com/hornbeamlock/hornbeamlock/internal/metrics"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+)
+
+// Caller sends a request to the peer at an address.
+type Caller interface {
+	Call(ctx context.Context, address string, req *peerv1.Request) (*peerv1.Response, error)
+}
+
+// Configuration is the part of the configuration controller that membership
+// needs.
+type Configuration interface {
+	// Ensure brings the version in force, or staged, up to the ones given. It
+	// asks the peer at address, or the table when address is empty.
+	Ensure(ctx context.Context, version, staged uint64, address string) error
+}
+
+// Config holds what a Controller needs.
+type Config struct {
+	// ID names this instance; PeerAddress is where peers reach it.
+	ID            string
+	FailureDomain string
+	PeerAddress   string
+	// Seeds are peer addresses that are asked while no peer answers.
+	Seeds         []string
+	Board         *blackboard.Board
+	Table         platform.Table
+	Instances     platform.InstanceList
+	Caller        Caller
+	Configuration Configuration
+	Limits        Limits
+	Fanout        Fanout
+	// HeartbeatInterval is the time between heartbeats to one peer.
+	HeartbeatInterval time.Duration
+	// PollInterval is the time between two looks at the table.
+	PollInterval time.Duration
+	// ListInterval is the time between two looks at the platform's list.
+	ListInterval time.Duration
+	// Clock counts pauses; see package lease.
+	Clock lease.Clock
+	// Jitter returns a number from 0 to 1; nil means a random one.
+	Jitter  func() float64
+	Log     *zap.Logger
+	Metrics *metrics.Set
+	Tracer  oteltrace.Tracer
+}
+
+// Defaults of Config.
+const (
+	DefaultHeartbeatInterval = time.Second
+	DefaultPollInterval      = 15 * time.Second
+	DefaultListInterval      = 30 * time.Second
+
+	registerPause = 500 * time.Millisecond
+	relistAfter   = 5 * time.Minute
+	// retryUnanswered is after how long a peer that did not answer is tried again.
+	retryUnanswered = 5 * time.Second
+	tableTimeout    = 2 * time.Second
+)
+
+// CheckAndSetDefaults checks the configuration and fills in defaults.
+func (c *Config) CheckAndSetDefaults() error {
+	if c.ID == "" || c.FailureDomain == "" || c.PeerAddress == "" {
+		return trace.BadParameter("ID, FailureDomain and PeerAddress are needed")
+	}
+	if c.Board == nil || c.Table == nil || c.Caller == nil || c.Configuration == nil {
+		return trace.BadParameter("Board, Table, Caller and Configuration are needed")
+	}
+	c.setDurations()
+	if c.Fanout.Own <= 0 {
+		c.Fanout.Own = DefaultOwnFanout
+	}
+	if c.Fanout.Other <= 0 {
+		c.Fanout.Other = DefaultOtherFanout
+	}
+	if c.Clock == nil {
+		c.Clock = lease.BootClock
+	}
+	if c.Jitter == nil {
+		c.Jitter = randomJitter
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	if c.Tracer == nil {
+		c.Tracer = noop.NewTracerProvider().Tracer("membership")
+	}
+	return nil
+}
+
+func (c *Config) setDurations() {
+	for _, d := range []struct {
+		value    *time.Duration
+		standard time.Duration
+	}{
+		{&c.Limits.Lease, DefaultLease},
+		{&c.Limits.Margin, DefaultMargin},
+		{&c.Limits.Isolation, DefaultIsolation},
+		{&c.HeartbeatInterval, DefaultHeartbeatInterval},
+		{&c.PollInterval, DefaultPollInterval},
+		{&c.ListInterval, DefaultListInterval},
+	} {
+		if *d.value <= 0 {
+			*d.value = d.standard
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,179 @@
+package membership
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/peer/v1"
+)
+
+const (
+	// recentChange is for how long a changed entry is sent by itself to peers
+	// whose view differs; later the whole view is sent.
+	recentChange = 20 * time.Second
+	// removedKept is for how long removed members are remembered.
+	removedKept = 10 * time.Minute
+	// unregisteredKept is after how long without news a member that is not in
+	// the table is forgotten.
+	unregisteredKept = time.Minute
+)
+
+// entry is one member as this instance knows it.
+type entry struct {
+	member  *peerv1.Member // never modified once stored
+	changed time.Duration  // when the entry last changed, boot time
+	heard   time.Duration  // when a message of it last arrived, boot time
+	version uint64         // configuration version that it last told
+}
+
+// view is the set of known members, this instance included. It spreads by
+// comparison of digests. It has no lock of its own.
+type view struct {
+	entries map[string]*entry
+	digest  uint64
+}
+
+func newView() *view { return &view{entries: make(map[string]*entry)} }
+
+// hashOf digests what two views have to agree on.
+func hashOf(m *peerv1.Member) uint64 {
+	if m.GetRemoved() {
+		return 0
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(m.GetId())
+	_, _ = h.WriteString("\x00" + m.GetFailureDomain() + "\x00" + m.GetPeerAddress())
+	var tail [10]byte
+	binary.BigEndian.PutUint64(tail[:], m.GetIncarnation())
+	if m.GetLeaving() {
+		tail[8] = 1
+	}
+	if m.GetRegistered() {
+		tail[9] = 1
+	}
+	_, _ = h.Write(tail[:])
+	return h.Sum64()
+}
+
+// merge returns the newer knowledge of a member; it may be either argument.
+func merge(known, told *peerv1.Member) *peerv1.Member {
+	switch {
+	case told.GetIncarnation() > known.GetIncarnation():
+		return told
+	case told.GetIncarnation() < known.GetIncarnation(), known.GetRemoved():
+		return known
+	case told.GetRemoved():
+		return told
+	}
+	leaving := known.GetLeaving() || told.GetLeaving()
+	registered := known.GetRegistered() || told.GetRegistered()
+	if leaving == known.GetLeaving() && registered == known.GetRegistered() {
+		return known
+	}
+	both := proto.CloneOf(known)
+	both.Leaving, both.Registered = leaving, registered
+	return both
+}
+
+// learn takes up what is told of a member and reports whether the view changed.
+func (v *view) learn(told *peerv1.Member, now time.Duration) bool {
+	if told.GetId() == "" {
+		return false
+	}
+	known, ok := v.entries[told.GetId()]
+	if !ok {
+		v.entries[told.GetId()] = &entry{member: told, changed: now, heard: now}
+		v.digest ^= hashOf(told)
+		return true
+	}
+	merged := merge(known.member, told)
+	if merged == known.member {
+		return false
+	}
+	v.set(known, merged, now)
+	return true
+}
+
+func (v *view) set(e *entry, m *peerv1.Member, now time.Duration) {
+	v.digest ^= hashOf(e.member) ^ hashOf(m)
+	e.member, e.changed = m, now
+}
+
+// remove marks a member as removed, if that incarnation is the one known.
+func (v *view) remove(id string, incarnation uint64, now time.Duration) bool {
+	e, ok := v.entries[id]
+	if !ok || e.member.GetRemoved() || e.member.GetIncarnation() > incarnation {
+		return false
+	}
+	m := proto.CloneOf(e.member)
+	m.Removed, m.Registered = true, false
+	v.set(e, m, now)
+	return true
+}
+
+// forget drops removed members after a while, and members that are not in the
+// table and have not been heard of.
+func (v *view) forget(self string, now time.Duration) {
+	for id, e := range v.entries {
+		old := e.member.GetRemoved() && now-e.changed > removedKept
+		lost := !e.member.GetRegistered() && !e.member.GetRemoved() && now-max(e.heard, e.changed) > unregisteredKept
+		if id != self && (old || lost) {
+			v.digest ^= hashOf(e.member)
+			delete(v.entries, id)
+		}
+	}
+}
+
+// reconcile makes the registered members exactly those of the table's rows.
+func (v *view) reconcile(rows []*peerv1.Member, now time.Duration) {
+	listed := make(map[string]bool, len(rows))
+	for _, m := range rows {
+		listed[m.GetId()] = true
+		v.learn(m, now)
+	}
+	for id, e := range v.entries {
+		if e.member.GetRegistered() && !listed[id] {
+			v.remove(id, e.member.GetIncarnation(), now)
+		}
+	}
+}
+
+// news returns what to send to a peer whose digest differs: the entries that
+// changed lately, or all when there are none or the peer is a stranger.
+func (v *view) news(stranger bool, now time.Duration) []*peerv1.Member {
+	var recent, all []*peerv1.Member
+	for _, e := range v.entries {
+		all = append(all, e.member)
+		if now-e.changed <= recentChange {
+			recent = append(recent, e.member)
+		}
+	}
+	if stranger || len(recent) == 0 {
+		return all
+	}
+	return recent
+}
+
+// domains returns the failure domains of the registered members.
+func (v *view) domains() map[string]bool {
+	found := make(map[string]bool)
+	for _, e := range v.entries {
+		if e.member.GetRegistered() {
+			found[e.member.GetFailureDomain()] = true
+		}
+	}
+	return found
+}
+
+// alone tells whether no other registered member of the domain is known.
+func (v *view) alone(self, domain string) bool {
+	for id, e := range v.entries {
+		if id != self && e.member.GetRegistered() && e.member.GetFailureDomain() == domain {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -26,13 +26,13 @@
 
 // link is the connection to one address, made at the first call.
 type link struct {
-	dialing chan struct{} // holds one token: whoever has it may dial
-	mu      sync.Mutex
-	conn    *quic.Conn                  // guarded by mu; nil while there is none
-	used    time.Time                   // guarded by mu
-	retryAt time.Time                   // guarded by mu
-	backoff *backoff.ExponentialBackOff // guarded by mu
-	failure error                       // guarded by mu
+	dialling chan struct{} // holds one token: whoever has it may dial
+	mu       sync.Mutex
+	conn     *quic.Conn                  // guarded by mu; nil while there is none
+	used     time.Time                   // guarded by mu
+	retryAt  time.Time                   // guarded by mu
+	backoff  *backoff.ExponentialBackOff // guarded by mu
+	failure  error                       // guarded by mu
 }
 
 func (l *links) get(address string, maxBackoff time.Duration) (*link, error) {
@@ -47,7 +47,7 @@
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = minBackoff
 	b.MaxInterval = maxBackoff
-	made := &link{dialing: make(chan struct{}, 1), backoff: b, used: time.Now()}
+	made := &link{dialling: make(chan struct{}, 1), backoff: b, used: time.Now()}
 	l.byAddress[address] = made
 	return made, nil
 }
@@ -152,8 +152,8 @@
 // one dials wait for it.
 func (n *Node) connect(ctx context.Context, k *link, address string) (*quic.Conn, error) {
 	select {
-	case k.dialing <- struct{}{}:
-		defer func() { <-k.dialing }()
+	case k.dialling <- struct{}{}:
+		defer func() { <-k.dialling }()
 	case <-ctx.Done():
 		return nil, trace.Wrap(ctx.Err())
 	}
@@ -232,5 +232,5 @@
 func (k *link) idleSince(before time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.dialing) == 0 && k.used.Before(before)
+	return len(k.dialling) == 0 && k.used.Before(before)
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -139,10 +139,10 @@
 func (n *Node) accept(ctx context.Context, t *tomb.Tomb) error {
 	for {
 		conn, err := n.listener.Accept(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
 			return trace.Wrap(err)
 		}
 		t.Go(func() error { n.serveConn(ctx, conn); return nil })
