--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -168,7 +168,7 @@
 // cut is the outcome of an answer that broke off. One whose error response has
 // come is settled, unless it is the connection's own end.
 func (x *exchange) cut(err error) outcome {
-	if settled := x.failed && x.declined == nil && x.c.lease == nil; !settled {
+	if settled := x.failed && !x.isDeclined() && x.c.lease == nil; !settled {
 		return x.lost(err, true)
 	}
 	x.c.ready()
@@ -177,10 +177,10 @@
 
 // message relays one message other than ReadyForQuery.
 func (x *exchange) message(message pgproto3.BackendMessage) error {
-	if x.declined != nil {
+	answers := &x.c.answers
+	if x.isDeclined() {
 		return nil
 	}
-	answers := &x.c.answers
 	switch m := message.(type) {
 	case *pgproto3.ErrorResponse:
 		return x.errorResponse(m)
@@ -248,7 +248,7 @@
 
 // end finishes an answer at its ReadyForQuery.
 func (x *exchange) end(status byte) outcome {
-	if x.declined != nil {
+	if x.isDeclined() {
 		return x.declinedOutcome()
 	}
 	if x.isBehind() {
@@ -294,6 +294,8 @@
 	return outcome{err: errBehind, verdict: verdict.NotRun, started: true, elsewhere: true}
 }
 
+func (x *exchange) isDeclined() bool { return x.declined != nil }
+
 // declinedOutcome has the request repeated at the primary, or at the next one.
 func (x *exchange) declinedOutcome() outcome {
 	if x.placed.replica {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/json"
 	"flag"
 	"net"
+	"net/http/httptest"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -307,3 +309,28 @@
 	row, _ := r.board.Groups.Get(service)
 	return row.Primary
 }
+
+// awaitInFlight waits until the endpoints have that many leases in all.
+func (r *rig) awaitInFlight(n int) {
+	r.t.Helper()
+	require.Eventually(r.t, func() bool {
+		sum := 0
+		for _, s := range r.group.Servers() {
+			sum += r.pools.InFlight(s.Endpoint())
+		}
+		return sum == n
+	}, patience, time.Millisecond)
+}
+
+// awaitCallers waits until that many callers are connected.
+func (r *rig) awaitCallers(n int) {
+	r.t.Helper()
+	require.Eventually(r.t, func() bool {
+		var vars struct {
+			Callers int `json:"gateway_callers"`
+		}
+		recorder := httptest.NewRecorder()
+		r.metrics.ServeHTTP(recorder, nil)
+		return json.Unmarshal(recorder.Body.Bytes(), &vars) == nil && vars.Callers == n
+	}, patience, time.Millisecond)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -86,7 +86,7 @@
 	case c.failed && !ending:
 		return verdict.New(verdict.NotRun, verdict.CodeInFailedTransaction,
 			"the transaction was rolled back; statements are ignored until it is ended")
-	case c.lease != nil && ending:
+	case ending && (c.lease != nil || c.failed):
 		// The end of a transaction that was admitted is let through even when the
 		// serving lease has lapsed meanwhile.
 		return nil
