Never tell a repeated statement as not run after an attempt that may have run

Cause: an idempotent write that was repeated after a lost answer and then ran out of time was told as not run; a connection's deadline that fired before the context's changed the error code.

--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -269,3 +269,19 @@
 		})
 	}
 }
+
+// TestRepeatedThenTimedOut holds that a statement whose first attempt may have
+// run is never told as not run, although its second attempt surely did not.
+func TestRepeatedThenTimedOut(t *testing.T) {
+	r := newFaultRig(t)
+	conn := r.connect("hornbeamlock.timeout=1s hornbeamlock.idempotent=on default_query_exec_mode=simple_protocol")
+	exec(t, conn, "DELETE FROM passes")
+	r.strike(lost)
+	r.admission.onRetry = func() {
+		row, _ := r.board.Groups.Get(service)
+		row.Electing = true
+		r.board.Groups.Put(service, row)
+	}
+	_, err := conn.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (7, 'Anna') ON CONFLICT DO NOTHING")
+	refused(t, err, verdict.CodeQueryCanceled, verdict.MayHaveRun)
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -105,7 +105,8 @@
 type admission struct {
 	admitted atomic.Int64
 	refuse   atomic.Bool
-	noRetry  atomic.Bool
+	// onRetry runs before a repetition is allowed, if set.
+	onRetry func()
 }
 
 func (a *admission) Admit(context.Context, string) error {
@@ -116,7 +117,12 @@
 	return nil
 }
 
-func (a *admission) AllowRetry(string) bool { return !a.noRetry.Load() }
+func (a *admission) AllowRetry(string) bool {
+	if a.onRetry != nil {
+		a.onRetry()
+	}
+	return true
+}
 
 // units is a share of a fixed size.
 type units int
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +32,8 @@
 	failed  []string      // endpoints where it has failed
 	waited  time.Duration // for replicas
 	notTerm uint64        // term whose primary has refused it
+	// mayHaveRun is true once an attempt has left the outcome open.
+	mayHaveRun bool
 }
 
 func newQuery(sql string) *request {
@@ -182,7 +185,7 @@
 		return c.answerError(rq, rolledBack(result.err))
 	}
 	c.failed = !implicit
-	if ctx.Err() != nil {
+	if timedOut(ctx, result.err) {
 		return c.answerError(rq, c.interruption(ctx).WithCause(result.err))
 	}
 	return c.answerError(rq, rolledBack(result.err))
@@ -204,10 +207,16 @@
 	if errors.Is(context.Cause(ctx), errCancelled) || c.wasCancelled() {
 		return verdict.New(verdict.NotRun, verdict.CodeQueryCanceled, "cancelled on request")
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return verdict.New(verdict.NotRun, verdict.CodeQueryCanceled, "the statement could not run in time")
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return verdict.New(verdict.NotRun, verdict.CodeAdminShutdown, "this instance is shutting down")
 	}
-	return verdict.New(verdict.NotRun, verdict.CodeAdminShutdown, "this instance is shutting down")
+	return verdict.New(verdict.NotRun, verdict.CodeQueryCanceled, "the statement could not run in time")
+}
+
+// timedOut tells whether the time for a statement is over. The connection's
+// deadline may fire just before the context's.
+func timedOut(ctx context.Context, err error) bool {
+	return ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // Pauses between two attempts.
@@ -223,7 +232,7 @@
 	for {
 		placed, err := c.place(ctx, rq)
 		if err != nil {
-			return c.answerError(rq, verdict.As(err, verdict.NotRun))
+			return c.answerError(rq, rq.truthful(verdict.As(err, verdict.NotRun)))
 		}
 		result := c.attempt(ctx, rq, placed)
 		if result.callerGone != nil {
@@ -233,19 +242,29 @@
 			return nil
 		}
 		if reason := c.whyNotRepeat(ctx, rq, placed, result); reason != nil {
-			return c.answerError(rq, reason)
+			return c.answerError(rq, rq.truthful(reason))
 		}
 		event.StatementRepeated.Emit(c.server.cfg.Log, zap.String("endpoint", placed.endpoint),
 			zap.Stringer("verdict", result.verdict), zap.Error(result.err))
 		c.server.metrics.retries.Add(1)
 		c.answers.takeBack()
 		if !result.elsewhere && !sleep(ctx, pause) {
-			return c.answerError(rq, c.interruption(ctx))
+			return c.answerError(rq, rq.truthful(c.interruption(ctx)))
 		}
 		pause = min(2*pause, maxPause)
 	}
 }
 
+// truthful corrects the verdict of an error by the attempts before it.
+func (rq *request) truthful(reason *verdict.Error) *verdict.Error {
+	if !rq.mayHaveRun || reason.Verdict != verdict.NotRun {
+		return reason
+	}
+	corrected := *reason
+	corrected.Verdict = verdict.MayHaveRun
+	return &corrected
+}
+
 // attempt runs a request once.
 func (c *caller) attempt(ctx context.Context, rq *request, placed placement) outcome {
 	if !c.attach(placed.lease.Conn) {
@@ -258,6 +277,7 @@
 		placed.lease.Release()
 	}
 	if result.err != nil {
+		rq.mayHaveRun = rq.mayHaveRun || result.verdict == verdict.MayHaveRun
 		rq.failed = append(rq.failed, placed.endpoint)
 	}
 	return result
@@ -275,7 +295,7 @@
 	if errors.As(result.err, &final) {
 		return final
 	}
-	if ctx.Err() != nil || c.wasCancelled() {
+	if timedOut(ctx, result.err) && !rq.hasTimeLeft(ctx) || c.wasCancelled() {
 		reason := c.interruption(ctx)
 		reason.Verdict = result.verdict
 		return reason.WithCause(result.err)
@@ -290,6 +310,13 @@
 	return nil
 }
 
+// hasTimeLeft tells whether another attempt can still be made: a read that gets no
+// answer is given up before the statement's own deadline.
+func (rq *request) hasTimeLeft(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() == nil && (!ok || time.Until(deadline) > maxPause/4)
+}
+
 // sleep waits for d. It reports false when ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
