Hold sessions' floors across roaming and failover by tests

Cause: the term of a placement was read from the blackboard after the placement, so that a promotion in between made the new primary count as the one that had declined, and writes waited for nothing. Change: the decision carries the term that it rests on; bounded reads renew the read index beside the statement, so that lagging replicas can serve them.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -38,6 +38,9 @@
 	answers   answers
 	identity  atomic.Pointer[identity] // nil until logged in
 
+	// spawn runs work beside the caller's goroutine.
+	spawn func(func() error)
+
 	state     *session.State
 	toldFloor string
 	batch     batch
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -331,12 +332,16 @@
 // awaitCallers waits until that many callers are connected.
 func (r *rig) awaitCallers(n int) {
 	r.t.Helper()
-	require.Eventually(r.t, func() bool {
-		var vars struct {
-			Callers int `json:"gateway_callers"`
-		}
-		recorder := httptest.NewRecorder()
-		r.metrics.ServeHTTP(recorder, nil)
-		return json.Unmarshal(recorder.Body.Bytes(), &vars) == nil && vars.Callers == n
-	}, patience, time.Millisecond)
+	require.Eventually(r.t, func() bool { return r.gauge("gateway_callers") == n }, patience, time.Millisecond)
+}
+
+// gauge reads one number of the metrics.
+func (r *rig) gauge(name string) int {
+	var vars map[string]json.RawMessage
+	recorder := httptest.NewRecorder()
+	r.metrics.ServeHTTP(recorder, nil)
+	require.NoError(r.t, json.Unmarshal(recorder.Body.Bytes(), &vars))
+	n, err := strconv.Atoi(string(vars[name]))
+	require.NoError(r.t, err, name)
+	return n
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -32,6 +32,9 @@
 // place decides where a request runs and acquires a connection there. Errors are
 // NotRun verdicts.
 func (c *caller) place(ctx context.Context, rq *request) (placement, error) {
+	if c.state.Options.Bounded && rq.read() {
+		c.refreshIndex(ctx)
+	}
 	for ctx.Err() == nil {
 		decision := routing.Decide(c.routingInput(rq))
 		switch decision.Action {
@@ -128,23 +131,16 @@
 			Bytes: rq.size(), Settings: c.state.EndpointSettings(),
 		})
 		if err == nil {
-			return c.placed(lease, id, decision), nil
+			return placement{
+				lease: lease, endpoint: id, replica: decision.Action == routing.UseReplica,
+				term: decision.Term, verify: decision.Verify, lowest: decision.Lowest,
+			}, nil
 		}
 		rq.failed = append(rq.failed, id)
 	}
 	return placement{}, err
 }
 
-func (c *caller) placed(lease *pool.Lease, id string, decision routing.Decision) placement {
-	p := placement{lease: lease, endpoint: id, lowest: decision.Lowest, verify: decision.Verify}
-	p.replica = decision.Action == routing.UseReplica
-	if !p.replica {
-		group, _ := c.server.cfg.Board.Groups.Get(c.identity.Load().service)
-		p.term = group.Term
-	}
-	return p
-}
-
 // size is the memory that a request holds while it waits.
 func (rq *request) size() int {
 	if rq.batch != nil {
@@ -214,6 +210,7 @@
 // countPlacement counts where a request ran.
 func (c *caller) countPlacement(rq *request, replica bool) {
 	switch {
+	case rq.admitted == 0:
 	case rq.statement.Class != statement.Read:
 		c.server.metrics.writes.Add(1)
 	case replica:
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -78,15 +78,17 @@
 			return trace.Wrap(err)
 		}
 		t.Go(func() error {
-			s.serveCaller(ctx, conn)
+			s.serveCaller(ctx, conn, t.Go)
 			return nil
 		})
 	}
 }
 
-// serveCaller serves one connection until it ends.
-func (s *Server) serveCaller(ctx context.Context, conn net.Conn) {
+// serveCaller serves one connection until it ends. Work that outlives a statement
+// is given to spawn.
+func (s *Server) serveCaller(ctx context.Context, conn net.Conn, spawn func(func() error)) {
 	c := newCaller(s, conn)
+	c.spawn = spawn
 	if !s.callers.add(c, s.cfg.MaxCallers) {
 		c.refuseConnection(verdict.New(verdict.NotRun, verdict.CodeTooManyConnections, "too many callers"))
 		return
--- /dev/null
+++ b/internal/gateway/session_test.go
@@ -0,0 +1,221 @@
+package gateway_test
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/gateway"
+	"github.com/hornbeamlock/hornbeamlock/internal/grpcplatform"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+func floorOf(conn *pgx.Conn) string { return conn.PgConn().ParameterStatus("hornbeamlock.floor") }
+
+// lag keeps the replicas from showing new records.
+func (r *rig) lag(d time.Duration) {
+	for _, s := range r.group.Servers() {
+		s.SetReplayLag(d, d)
+	}
+}
+
+// claim makes the blackboard say that the replicas lag by d.
+func (r *rig) claim(d time.Duration) {
+	for id := range r.board.Endpoints.Snapshot() {
+		r.board.Endpoints.Update(id, func(row blackboard.Endpoint, _ bool) (blackboard.Endpoint, bool) {
+			row.Lag = d
+			return row, true
+		})
+	}
+}
+
+// TestReadYourWritesAfterRoaming holds that a session sees its own writes at
+// another instance, with and without its token, while the replicas lag.
+func TestReadYourWritesAfterRoaming(t *testing.T) {
+	r := newRig(t, options{})
+	r.lag(time.Hour)
+	first := r.connect("")
+	exec(t, first, "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
+	token := floorOf(first)
+	require.NotEmpty(t, token)
+	require.Equal(t, 1, count(t, first))
+	require.Equal(t, 1, count(t, r.connect("hornbeamlock.floor="+token)))
+	require.Zero(t, r.groups.indexes.Load())
+	roamed := r.connect("")
+	require.Equal(t, 1, count(t, roamed))
+	require.Equal(t, 1, count(t, roamed))
+	require.EqualValues(t, 1, r.groups.indexes.Load(), "the floor is asked for once")
+	require.Zero(t, r.counter("gateway_replica_reads_total"))
+}
+
+// TestWrongClaimsAreVerified holds that the blackboard may be wrong about where a
+// replica is, and reads are still never older than the floor.
+func TestWrongClaimsAreVerified(t *testing.T) {
+	cases := map[string]func(r *rig){
+		"replicas said to lag little": func(r *rig) { r.claim(time.Nanosecond) },
+		"replicas said to be there": func(r *rig) {
+			for id, row := range r.board.Endpoints.Snapshot() {
+				row.Replayed.Offset += 1000
+				r.board.Endpoints.Put(id, row)
+			}
+		},
+	}
+	for name, deceive := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, options{})
+			r.lag(time.Hour)
+			conn := r.connect("")
+			exec(t, conn, "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
+			deceive(r)
+			require.Equal(t, 1, count(t, conn))
+			require.Positive(t, r.counter("gateway_reads_behind_total"))
+		})
+	}
+}
+
+func TestReplicaThatCaughtUpServes(t *testing.T) {
+	r := newRig(t, options{})
+	conn := r.connect("")
+	exec(t, conn, "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
+	require.NoError(t, r.group.AwaitReplicated(patience))
+	// The blackboard still has the replicas where they were before the write.
+	r.claim(time.Nanosecond)
+	require.Equal(t, 1, count(t, conn))
+	require.EqualValues(t, 1, r.counter("gateway_replica_reads_total"))
+	require.Zero(t, r.counter("gateway_reads_behind_total"))
+}
+
+func TestBoundedStaleness(t *testing.T) {
+	r := newRig(t, options{})
+	r.lag(time.Hour)
+	reader, writer := r.connect("hornbeamlock.max_staleness=50ms"), r.connect("")
+	require.Zero(t, count(t, reader))
+	exec(t, writer, "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
+	written := time.Now()
+	// Reads may be old for 50 ms, not longer.
+	for {
+		asked := time.Now()
+		if count(t, reader) == 1 {
+			break
+		}
+		require.Less(t, asked.Sub(written), 50*time.Millisecond)
+	}
+	fresh := r.connect("hornbeamlock.max_staleness=0")
+	exec(t, writer, "INSERT INTO passes (id, holder) VALUES (2, 'Bert')")
+	require.Equal(t, 2, count(t, fresh))
+}
+
+func TestBoundedReadsUseReplicas(t *testing.T) {
+	r := newRig(t, options{})
+	conn := r.connect("hornbeamlock.max_staleness=1h")
+	for range 20 {
+		require.Zero(t, count(t, conn))
+	}
+	require.Positive(t, r.counter("gateway_replica_reads_total"))
+	require.LessOrEqual(t, r.groups.indexes.Load(), int64(2))
+}
+
+// failOver makes the first replica the primary of term 2. The records that the old
+// primary has beyond are lost, since the replica is cut off before.
+func (r *rig) failOver(beforePromotion func()) {
+	r.t.Helper()
+	adapter, err := grpcplatform.New(grpcplatform.Config{Address: "127.0.0.1:1"})
+	require.NoError(r.t, err)
+	defer adapter.Close()
+	servers := r.group.Servers()
+	ctx := context.Background()
+	for _, s := range servers[1:] {
+		granted, _, err := adapter.Platform().Groups.GroupServer(s.ControlAddress()).Prepare(ctx, 2, "test")
+		require.NoError(r.t, err)
+		require.True(r.t, granted)
+	}
+	beforePromotion()
+	granted, _, err := adapter.Platform().Groups.GroupServer(servers[1].ControlAddress()).
+		Promote(ctx, 2, "test", []string{servers[0].ControlAddress(), servers[2].ControlAddress()})
+	require.NoError(r.t, err)
+	require.True(r.t, granted)
+	require.Eventually(r.t, func() bool {
+		for _, s := range servers {
+			if status := s.Status(); status.PromisedTerm != 2 || status.Primary != (s == servers[1]) || !status.Serving {
+				return false
+			}
+		}
+		return true
+	}, patience, time.Millisecond)
+}
+
+// TestFailover holds that what the replaced primary took in is not acknowledged,
+// that floors from before are kept, and that writes find the new primary although
+// the blackboard still names the old one.
+func TestFailover(t *testing.T) {
+	r := newRig(t, options{})
+	conn, cut := r.connect(""), r.connect("hornbeamlock.timeout=300ms")
+	exec(t, conn, "INSERT INTO passes (id, holder) VALUES (1, 'kept')")
+	r.failOver(func() {
+		_, err := cut.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (2, 'lost')")
+		refused(t, err, verdict.CodeCompletionUnknown, verdict.MayHaveRun)
+	})
+	written := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (3, 'new')")
+		written <- err
+	}()
+	require.Eventually(t, func() bool { return r.counter("gateway_retries_total") > 0 }, patience, time.Millisecond)
+	r.sample()
+	require.NoError(t, <-written)
+	require.Equal(t, 2, count(t, conn))
+	require.Equal(t, 2, count(t, cut))
+}
+
+// TestSupersededFloor holds that a session whose token lies in a lost piece of
+// history gets an error and never an older read.
+func TestSupersededFloor(t *testing.T) {
+	r := newRig(t, options{})
+	exec(t, r.connect(""), "INSERT INTO passes (id, holder) VALUES (1, 'kept')")
+	r.failOver(func() {})
+	r.sample()
+	lost := position.Position{Term: 1, Offset: r.group.Primary().Status().Durable.Offset + 1}
+	conn := r.connect("hornbeamlock.floor=" + lost.String())
+	for _, sql := range []string{"SELECT count(*) FROM passes", "INSERT INTO passes (id, holder) VALUES (2, 'new')", "BEGIN"} {
+		_, err := conn.Exec(context.Background(), sql)
+		require.Contains(t, refused(t, err, verdict.CodeObjectNotInState, verdict.NotRun).Message, lost.String())
+	}
+	exec(t, conn, "RESET hornbeamlock.floor")
+	require.Equal(t, 1, count(t, conn))
+}
+
+// TestFloorOfALaterTermWaits holds that an instance that has not heard of a
+// promotion does not answer from the replaced primary.
+func TestFloorOfALaterTermWaits(t *testing.T) {
+	r := newRig(t, options{})
+	r.failOver(func() {})
+	conn := r.connect("hornbeamlock.timeout=100ms hornbeamlock.floor=2/" + strconv.FormatUint(r.group.Primary().Status().Durable.Offset, 10))
+	_, err := conn.Exec(context.Background(), "SELECT count(*) FROM passes")
+	refused(t, err, verdict.CodeQueryCanceled, verdict.NotRun)
+	r.sample()
+	require.Zero(t, count(t, conn))
+}
+
+func TestWaitingForAPrimaryIsBounded(t *testing.T) {
+	r := newRig(t, options{gateway: func(c *gateway.Config) { c.MaxWaiting = 1 }})
+	row, _ := r.board.Groups.Get(service)
+	r.board.Groups.Put(service, blackboard.Group{Service: service, Term: row.Term, History: row.History, Electing: true})
+	waiting := make(chan error, 1)
+	first, second := r.connect(""), r.connect("")
+	go func() {
+		_, err := first.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (1, 'Anna')", pgx.QueryExecModeSimpleProtocol)
+		waiting <- err
+	}()
+	require.Eventually(t, func() bool { return r.gauge("gateway_waiting_for_primary") == 1 }, patience, time.Millisecond)
+	_, err := second.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (2, 'Bert')")
+	require.NotEmpty(t, refused(t, err, verdict.CodeCannotConnectNow, verdict.NotRun).Hint)
+	r.board.Groups.Put(service, row)
+	require.NoError(t, <-waiting)
+	require.Equal(t, 1, count(t, second))
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -77,7 +77,9 @@
 type Decision struct {
 	Action    Action
 	Endpoints []string
-	Wait      time.Duration
+	// Term is the term of which UsePrimary takes Endpoints[0] for the primary.
+	Term uint64
+	Wait time.Duration
 	// Lowest is the position that the answer must reflect.
 	Lowest position.Position
 	// Verify is true when the replicas are expected but not known to be there: the
@@ -137,7 +139,7 @@
 	}
 	for _, c := range in.Candidates {
 		if c.ID == g.Primary && !c.Leaving && c.Serving {
-			return Decision{Action: UsePrimary, Endpoints: []string{c.ID}, Lowest: lowest}
+			return Decision{Action: UsePrimary, Endpoints: []string{c.ID}, Term: g.Term, Lowest: lowest}
 		}
 	}
 	return Decision{Action: AwaitPrimary}
