Add the fault-injecting relay for TCP and UDP links

Cause: faults between failure domains could not be provoked.

Change: internal/relay relays addresses under a fault per direction of a link: delay, loss, blocked, cut, slow; and connections that go silent for good.

Conclusion: links of processes and of the stand-ins can be broken at runtime.

--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,213 @@
+// Package relay sits in the links between failure domains and injects faults:
+// delay, loss, blocked directions, cut links, slow links, and connections that go
+// silent for good. A link is named by the domains at its two ends; its faults are
+// set for each direction and change while it runs.
+//
+// Invariant: without a fault, every byte of a TCP connection arrives once and in
+// order, and every UDP packet arrives at most once.
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Fault is what one direction of a link suffers. The zero value passes everything.
+type Fault struct {
+	// Delay is the time that each byte or packet takes.
+	Delay time.Duration
+	// Loss is the part of the UDP packets that is dropped, 0 to 1.
+	Loss float64
+	// Blocked holds TCP bytes back until it is lifted, and drops UDP packets.
+	Blocked bool
+	// Cut closes TCP connections, refuses new ones and drops UDP packets.
+	Cut bool
+	// BytesPerSecond slows TCP down; 0 means no limit.
+	BytesPerSecond int
+}
+
+// Direction is one direction of the link between two failure domains.
+type Direction struct {
+	From, To string
+}
+
+func (d Direction) reversed() Direction { return Direction{From: d.To, To: d.From} }
+
+// Relay is a set of links.
+type Relay struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	mu         sync.Mutex
+	faults     map[Direction]Fault      // guarded by mu
+	fallback   Fault                    // guarded by mu; for directions without a fault of their own
+	changed    chan struct{}            // guarded by mu; closed and replaced when a fault changes
+	connection map[*connection]struct{} // guarded by mu
+	listeners  map[string]*listener     // guarded by mu; by relay address
+	closers    []func()                 // guarded by mu
+}
+
+// listener is one relayed TCP address.
+type listener struct {
+	to, target string
+}
+
+// New returns a relay without links.
+func New() *Relay {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Relay{
+		ctx:        ctx,
+		cancel:     cancel,
+		faults:     make(map[Direction]Fault),
+		changed:    make(chan struct{}),
+		connection: make(map[*connection]struct{}),
+		listeners:  make(map[string]*listener),
+	}
+}
+
+// SetDefault sets the fault of all directions that have none of their own.
+func (r *Relay) SetDefault(fault Fault) {
+	r.mu.Lock()
+	r.fallback = fault
+	r.mu.Unlock()
+	r.apply()
+}
+
+// Set sets the fault of one direction, in place of the default.
+func (r *Relay) Set(direction Direction, fault Fault) {
+	r.mu.Lock()
+	r.faults[direction] = fault
+	r.mu.Unlock()
+	r.apply()
+}
+
+// SetBoth sets the same fault for both directions between two domains.
+func (r *Relay) SetBoth(a, b string, fault Fault) {
+	r.Set(Direction{From: a, To: b}, fault)
+	r.Set(Direction{From: b, To: a}, fault)
+}
+
+// Clear removes the faults of all directions but for the default.
+func (r *Relay) Clear() {
+	r.mu.Lock()
+	clear(r.faults)
+	r.mu.Unlock()
+	r.apply()
+}
+
+// Silence makes the present TCP connections from one domain to another silent
+// for good, without closing them; new ones work.
+func (r *Relay) Silence(direction Direction) {
+	for _, c := range r.connections() {
+		if c.direction == direction {
+			c.silence()
+		}
+	}
+}
+
+// apply wakes what waits on a fault and closes connections over cut links.
+func (r *Relay) apply() {
+	r.mu.Lock()
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.mu.Unlock()
+	for _, c := range r.connections() {
+		if r.isCut(c.direction) {
+			c.close()
+		}
+	}
+}
+
+func (r *Relay) isCut(direction Direction) bool {
+	there, _ := r.fault(direction)
+	back, _ := r.fault(direction.reversed())
+	return there.Cut || back.Cut
+}
+
+// fault returns a direction's fault and a channel that is closed when any fault
+// changes.
+func (r *Relay) fault(direction Direction) (Fault, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if fault, ok := r.faults[direction]; ok {
+		return fault, r.changed
+	}
+	return r.fallback, r.changed
+}
+
+func (r *Relay) connections() []*connection {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]*connection, 0, len(r.connection))
+	for c := range r.connection {
+		all = append(all, c)
+	}
+	return all
+}
+
+// onClose registers what Close does.
+func (r *Relay) onClose(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closers = append(r.closers, f)
+}
+
+// Close ends all links.
+func (r *Relay) Close() {
+	r.cancel()
+	r.mu.Lock()
+	closers := r.closers
+	r.mu.Unlock()
+	for _, f := range closers {
+		f()
+	}
+	for _, c := range r.connections() {
+		c.close()
+	}
+	r.tasks.Wait()
+}
+
+// ListenTCP relays a free port of 127.0.0.1 to target, which lies in the domain
+// to. The function from tells the domain of a connection's other end. It returns
+// the relay's address.
+func (r *Relay) ListenTCP(to, target string, from func(net.Conn) string) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	address := l.Addr().String()
+	r.mu.Lock()
+	r.listeners[address] = &listener{to: to, target: target}
+	r.mu.Unlock()
+	r.onClose(func() { _ = l.Close() })
+	r.tasks.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r.tasks.Go(func() { r.serve(conn, Direction{From: from(conn), To: to}, target) })
+		}
+	})
+	return address, nil
+}
+
+// Dial connects from a domain within this process to an address that ListenTCP
+// returned, through the same faults. Another address is dialled directly.
+func (r *Relay) Dial(ctx context.Context, from, address string) (net.Conn, error) {
+	r.mu.Lock()
+	l, ok := r.listeners[address]
+	r.mu.Unlock()
+	if !ok {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return conn, trace.Wrap(err)
+	}
+	near, far := net.Pipe()
+	r.tasks.Go(func() { r.serve(far, Direction{From: from, To: l.to}, l.target) })
+	return near, nil
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,210 @@
+package relay_test
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/relay"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const quietPeriod = 50 * time.Millisecond
+
+var there = relay.Direction{From: "garmisch", To: "tegernsee"}
+
+func startTCP(t *testing.T) (*relay.Relay, string) {
+	t.Helper()
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = target.Close() })
+	go func() {
+		for {
+			conn, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	r := relay.New()
+	t.Cleanup(r.Close)
+	address, err := r.ListenTCP(there.To, target.Addr().String(), func(net.Conn) string { return there.From })
+	require.NoError(t, err)
+	return r, address
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	_, err := conn.Write([]byte(text))
+	require.NoError(t, err)
+}
+
+func receive(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(20*time.Second)))
+	buffer := make([]byte, len(text))
+	_, err := io.ReadFull(conn, buffer)
+	require.NoError(t, err)
+	require.Equal(t, text, string(buffer))
+}
+
+func receiveNothing(t *testing.T, conn net.Conn) {
+	t.Helper()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(quietPeriod)))
+	_, err := conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+func requireClosed(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second)) // a closed pipe refuses it
+	_, err := conn.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
+func TestTCPFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  func(r *relay.Relay)
+		silent bool // nothing arrives while the fault lasts
+		closed bool // the connection is closed
+		healed bool // what was held back arrives once the faults are cleared
+	}{
+		{name: "none", fault: func(*relay.Relay) {}},
+		{name: "slow", fault: func(r *relay.Relay) {
+			r.Set(there, relay.Fault{Delay: time.Millisecond, BytesPerSecond: 10_000})
+		}},
+		{name: "another link cut", fault: func(r *relay.Relay) { r.SetBoth("garmisch", "oberstdorf", relay.Fault{Cut: true}) }},
+		{name: "requests blocked", fault: func(r *relay.Relay) { r.Set(there, relay.Fault{Blocked: true}) }, silent: true, healed: true},
+		{name: "answers blocked", fault: func(r *relay.Relay) {
+			r.Set(relay.Direction{From: there.To, To: there.From}, relay.Fault{Blocked: true})
+		}, silent: true, healed: true},
+		{name: "all links blocked", fault: func(r *relay.Relay) { r.SetDefault(relay.Fault{Blocked: true}) }, silent: true},
+		{name: "cut", fault: func(r *relay.Relay) { r.Set(there, relay.Fault{Cut: true}) }, closed: true},
+		{name: "silenced", fault: func(r *relay.Relay) { r.Silence(there) }, silent: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, address := startTCP(t)
+			conn := dial(t, address)
+			send(t, conn, "before")
+			receive(t, conn, "before")
+			c.fault(r)
+			if c.closed {
+				requireClosed(t, conn)
+				requireClosed(t, dial(t, address))
+				return
+			}
+			send(t, conn, "during")
+			if !c.silent {
+				receive(t, conn, "during")
+				return
+			}
+			receiveNothing(t, conn)
+			r.Clear()
+			if !c.healed {
+				receiveNothing(t, conn)
+				return
+			}
+			receive(t, conn, "during")
+		})
+	}
+}
+
+func TestSilenceSparesNewConnections(t *testing.T) {
+	r, address := startTCP(t)
+	old := dial(t, address)
+	send(t, old, "x")
+	receive(t, old, "x")
+	r.Silence(there)
+	fresh := dial(t, address)
+	send(t, fresh, "works")
+	receive(t, fresh, "works")
+	send(t, old, "lost")
+	receiveNothing(t, old)
+}
+
+func TestDialWithinTheProcess(t *testing.T) {
+	r, address := startTCP(t)
+	conn, err := r.Dial(t.Context(), "oberstdorf", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	send(t, conn, "one")
+	receive(t, conn, "one")
+	r.SetBoth("oberstdorf", "tegernsee", relay.Fault{Cut: true})
+	requireClosed(t, conn)
+}
+
+func TestEndOfStreamIsRelayed(t *testing.T) {
+	_, address := startTCP(t)
+	conn := dial(t, address)
+	send(t, conn, "last words")
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	rest, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Equal(t, "last words", string(rest))
+}
+
+func TestUDPFaults(t *testing.T) {
+	echo, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	defer echo.Close()
+	go func() {
+		buffer := make([]byte, 100)
+		for {
+			n, from, err := echo.ReadFromUDPAddrPort(buffer)
+			if err != nil {
+				return
+			}
+			_, _ = echo.WriteToUDPAddrPort(buffer[:n], from)
+		}
+	}()
+	r := relay.New()
+	defer r.Close()
+	address, err := r.ListenUDP(there.To, echo.LocalAddr().String(), func(netip.AddrPort) string { return there.From })
+	require.NoError(t, err)
+	conn, err := net.Dial("udp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	faults := []struct {
+		name  string
+		fault relay.Fault
+		lost  bool
+	}{
+		{"none", relay.Fault{}, false},
+		{"delay", relay.Fault{Delay: time.Millisecond}, false},
+		{"loss", relay.Fault{Loss: 1}, true},
+		{"blocked", relay.Fault{Blocked: true}, true},
+		{"cut", relay.Fault{Cut: true}, true},
+		{"healed", relay.Fault{}, false},
+	}
+	for _, f := range faults {
+		r.Set(there, f.fault)
+		send(t, conn, f.name)
+		if f.lost {
+			receiveNothing(t, conn)
+		} else {
+			receive(t, conn, f.name)
+		}
+	}
+}
