Let relays stand between the stand-in servers of a group

Cause: log shipping between servers could not be cut by failure domain.

Change: DialControl is told both domains; the relay dials for callers within the process. A test holds an old primary behind a partition until it heals.

Conclusion: a divergent primary can be provoked and is rejoined.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -197,17 +197,15 @@
 	return address, nil
 }
 
-// Dial connects from a domain within this process to an address that ListenTCP
-// returned, through the same faults. Another address is dialled directly.
-func (r *Relay) Dial(ctx context.Context, from, address string) (net.Conn, error) {
+// Dial connects a caller within this process to a target over a link. An address
+// that ListenTCP returned stands for its own target and domain.
+func (r *Relay) Dial(direction Direction, address string) net.Conn {
 	r.mu.Lock()
-	l, ok := r.listeners[address]
-	r.mu.Unlock()
-	if !ok {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-		return conn, trace.Wrap(err)
+	if l, ok := r.listeners[address]; ok {
+		direction.To, address = l.to, l.target
 	}
+	r.mu.Unlock()
 	near, far := net.Pipe()
-	r.tasks.Go(func() { r.serve(far, Direction{From: from, To: l.to}, l.target) })
-	return near, nil
+	r.tasks.Go(func() { r.serve(far, direction, address) })
+	return near
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -146,8 +146,7 @@
 
 func TestDialWithinTheProcess(t *testing.T) {
 	r, address := startTCP(t)
-	conn, err := r.Dial(t.Context(), "oberstdorf", address)
-	require.NoError(t, err)
+	conn := r.Dial(relay.Direction{From: "oberstdorf"}, address)
 	defer conn.Close()
 	send(t, conn, "one")
 	receive(t, conn, "one")
--- a/internal/standin/database/agent.go
+++ b/internal/standin/database/agent.go
@@ -146,7 +146,7 @@
 			BaseDelay: reconnectDelay, Multiplier: 2, MaxDelay: dialMaxDelay,
 		}}),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			conn, err := s.group.DialControl(ctx, s.cfg.FailureDomain, address)
+			conn, err := s.group.DialControl(ctx, s.cfg.FailureDomain, s.domainOf(address), address)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/standin/database/config.go
+++ b/internal/standin/database/config.go
@@ -52,9 +52,10 @@
 	ReplayLagMin, ReplayLagMax time.Duration
 	// Seed makes the lag repeatable.
 	Seed uint64
-	// DialControl connects the server in fromDomain to a control address of the
-	// group; the default dials directly. Relays are put in here.
-	DialControl func(ctx context.Context, fromDomain, address string) (net.Conn, error)
+	// DialControl connects a server to the control address of another; the default
+	// dials directly. Relays are put in here. The domain to is empty for an
+	// address that is none of the group's own.
+	DialControl func(ctx context.Context, from, to, address string) (net.Conn, error)
 }
 
 // CheckAndSetDefaults fills in defaults and refuses what cannot work.
@@ -88,7 +89,7 @@
 		return trace.BadParameter("replay lag: maximum %v lies below minimum %v", c.ReplayLagMax, c.ReplayLagMin)
 	}
 	if c.DialControl == nil {
-		c.DialControl = func(ctx context.Context, _, address string) (net.Conn, error) {
+		c.DialControl = func(ctx context.Context, _, _, address string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		}
 	}
--- a/internal/standin/database/failover_test.go
+++ b/internal/standin/database/failover_test.go
@@ -1,6 +1,8 @@
 package database_test
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/grpcplatform"
 	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/relay"
 	"github.com/hornbeamlock/hornbeamlock/internal/standin/database"
 )
 
@@ -71,6 +74,35 @@
 	}
 }
 
+func TestOldPrimaryBehindAPartition(t *testing.T) {
+	links := relay.New()
+	t.Cleanup(links.Close)
+	group := startGroup(t, database.Config{DialControl: func(_ context.Context, from, to, address string) (net.Conn, error) {
+		return links.Dial(relay.Direction{From: from, To: to}, address), nil
+	}})
+	agents, servers := dialAgents(t, group), group.Servers()
+	old := connect(t, group, servers[0])
+	for _, server := range servers[1:] {
+		links.SetBoth(servers[0].FailureDomain(), server.FailureDomain(), relay.Fault{Cut: true})
+	}
+	exec(t, old, "INSERT INTO passes (id, holder) VALUES (1, 'lost')")
+	for _, agent := range agents[1:] {
+		_, _, err := agent.Prepare(t.Context(), 2, "p")
+		require.NoError(t, err)
+	}
+	granted, _, err := agents[1].Promote(t.Context(), 2, "p", []string{servers[0].ControlAddress(), servers[2].ControlAddress()})
+	require.NoError(t, err)
+	require.True(t, granted)
+	exec(t, connect(t, group, servers[1]), "INSERT INTO passes (id, holder) VALUES (2, 'kept')")
+	require.True(t, servers[0].IsPrimary()) // of term 1, as nobody could tell it
+	links.Clear()
+	require.Eventually(t, func() bool { return !servers[0].IsPrimary() }, waitLimit, time.Millisecond)
+	require.NoError(t, group.AwaitReplicated(waitLimit))
+	var id int64
+	require.NoError(t, connect(t, group, servers[0]).QueryRow(t.Context(), "SELECT id FROM passes").Scan(&id))
+	require.EqualValues(t, 2, id)
+}
+
 func TestConfirmNeedsItsOwnTerm(t *testing.T) {
 	group := startGroup(t, database.Config{Schema: []string{}})
 	agent := dialAgents(t, group)[1]
--- a/internal/standin/database/group.go
+++ b/internal/standin/database/group.go
@@ -26,6 +26,7 @@
 	for i, serverConfig := range cfg.Servers {
 		server, err := newServer(serverConfig, &g.cfg, cfg.Seed+uint64(i))
 		if err == nil {
+			server.domainOf = g.domainOf
 			g.servers = append(g.servers, server)
 			err = server.Restart()
 		}
@@ -69,6 +70,15 @@
 	return g.AwaitReplicated(startTimeout)
 }
 
+func (g *Group) domainOf(address string) string {
+	for _, server := range g.servers {
+		if server.ControlAddress() == address {
+			return server.FailureDomain()
+		}
+	}
+	return ""
+}
+
 // AwaitReplicated waits until every server has run the whole log of the primary.
 func (g *Group) AwaitReplicated(timeout time.Duration) error {
 	primary := g.Primary()
--- a/internal/standin/database/server.go
+++ b/internal/standin/database/server.go
@@ -23,6 +23,8 @@
 	slots  chan struct{}
 	lag    lagSource
 	runner runner
+	// domainOf returns the failure domain of a control address of the group.
+	domainOf func(address string) string
 
 	// mu guards the fields below. It may be taken while store.mu is held, never
 	// the other way round.
