Check recorded histories against what the databases hold

Cause: nothing judged whether the promises about sessions and writes held.

Change: internal/history records writes with their verdicts and reads, and finds stale and backward reads, lost, doubled and untruly refused writes, and rows of other organisations.

--- /dev/null
+++ b/internal/history/check.go
@@ -0,0 +1,179 @@
+package history
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// Kind is which promise a violation breaks.
+type Kind string
+
+// The kinds of violations.
+const (
+	// StaleRead is a read that missed a write that its own session had been
+	// acknowledged before.
+	StaleRead Kind = "stale read"
+	// BackwardRead is a read that saw less than an earlier read of its session.
+	BackwardRead Kind = "backward read"
+	// LostWrite is an acknowledged write whose row is missing at the end.
+	LostWrite Kind = "lost write"
+	// DoubledWrite is a write whose row is there more than once.
+	DoubledWrite Kind = "doubled write"
+	// UntrueRefusal is a write with the verdict "not run" whose row is there.
+	UntrueRefusal Kind = "untrue refusal"
+	// ForeignRow is a row of another organisation, seen by a read or stored
+	// under a write's ID.
+	ForeignRow Kind = "foreign row"
+	// UnknownRow is a row that nobody wrote.
+	UnknownRow Kind = "unknown row"
+)
+
+// Violation is one broken promise.
+type Violation struct {
+	Kind   Kind
+	Detail string
+}
+
+// String returns the violation for a report.
+func (v Violation) String() string { return string(v.Kind) + ": " + v.Detail }
+
+// Check returns the violations of a history against the rows at its end.
+func Check(h History, rows []Row) []Violation {
+	violations := checkReads(h)
+	return append(violations, checkRows(h.Writes, rows)...)
+}
+
+// Count returns how many violations are of the kind.
+func Count(violations []Violation, kind Kind) int {
+	count := 0
+	for _, v := range violations {
+		if v.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+// sessionKey is what a session's promise about reads is kept for.
+type sessionKey struct {
+	session, key string
+}
+
+// known is a number that a session knew of a key from an instant on.
+type known struct {
+	at     time.Time
+	number int64
+}
+
+// checkReads compares each read with what its session knew when it began.
+func checkReads(h History) []Violation {
+	written := make(map[sessionKey][]known)
+	for _, w := range h.Writes {
+		if w.Outcome == verdict.Ran {
+			k := sessionKey{w.Session, w.Key}
+			written[k] = append(written[k], known{w.End, w.Number})
+		}
+	}
+	read := make(map[sessionKey][]known)
+	for _, r := range h.Reads {
+		k := sessionKey{r.Session, r.Key}
+		read[k] = append(read[k], known{r.End, r.Highest})
+	}
+	risingByTime(written)
+	risingByTime(read)
+	var violations []Violation
+	for _, r := range h.Reads {
+		k := sessionKey{r.Session, r.Key}
+		if own := knownAt(written[k], r.Start); r.Highest < own {
+			violations = append(violations, Violation{StaleRead, fmt.Sprintf("session %s read %d of %s after writing %d", r.Session, r.Highest, r.Key, own)})
+		}
+		if seen := knownAt(read[k], r.Start); r.Highest < seen {
+			violations = append(violations, Violation{BackwardRead, fmt.Sprintf("session %s read %d of %s after reading %d", r.Session, r.Highest, r.Key, seen)})
+		}
+		if r.Owner != "" && r.Owner != r.Organisation {
+			violations = append(violations, Violation{ForeignRow, fmt.Sprintf("session %s of %s read a row of %s", r.Session, r.Organisation, r.Owner)})
+		}
+	}
+	return violations
+}
+
+// risingByTime sorts by time and replaces each number by the highest so far.
+func risingByTime(all map[sessionKey][]known) {
+	for _, list := range all {
+		slices.SortFunc(list, func(a, b known) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.number, b.number)) })
+		for i := 1; i < len(list); i++ {
+			list[i].number = max(list[i].number, list[i-1].number)
+		}
+	}
+}
+
+// knownAt returns the highest number known at an instant.
+func knownAt(list []known, at time.Time) int64 {
+	later, _ := slices.BinarySearchFunc(list, at, func(k known, at time.Time) int {
+		if k.at.After(at) {
+			return 1
+		}
+		return -1
+	})
+	if later == 0 {
+		return 0
+	}
+	return list[later-1].number
+}
+
+// attempts condenses the attempts at one write.
+type attempts struct {
+	write        Write
+	acknowledged bool
+	// refused is true while every attempt was "not run".
+	refused bool
+}
+
+func checkRows(writes []Write, rows []Row) []Violation {
+	byID := make(map[string]*attempts, len(writes))
+	for _, w := range writes {
+		a, ok := byID[w.ID]
+		if !ok {
+			a = &attempts{write: w, refused: true}
+			byID[w.ID] = a
+		}
+		a.acknowledged = a.acknowledged || w.Outcome == verdict.Ran
+		a.refused = a.refused && w.Outcome == verdict.NotRun
+	}
+	count := make(map[string]int, len(rows))
+	var violations []Violation
+	for _, row := range rows {
+		count[row.ID]++
+		violations = append(violations, checkRow(row, byID[row.ID], count[row.ID])...)
+	}
+	for _, w := range writes {
+		a := byID[w.ID]
+		if a.acknowledged && count[w.ID] == 0 {
+			a.acknowledged = false // reported once
+			violations = append(violations, Violation{LostWrite, "row " + w.ID + " of session " + w.Session})
+		}
+	}
+	return violations
+}
+
+// checkRow checks one row against the attempts at writing it; seen counts the
+// rows with its ID so far.
+func checkRow(row Row, a *attempts, seen int) []Violation {
+	switch {
+	case a == nil:
+		return []Violation{{UnknownRow, "row " + row.ID}}
+	case seen == 2:
+		return []Violation{{DoubledWrite, "row " + row.ID + " of session " + a.write.Session}}
+	case seen > 2:
+		return nil
+	case a.refused:
+		return []Violation{{UntrueRefusal, "row " + row.ID + " of session " + a.write.Session}}
+	case row.Organisation != a.write.Organisation || row.Key != a.write.Key || row.Number != a.write.Number:
+		return []Violation{{ForeignRow, "row " + row.ID + " differs from what session " + a.write.Session + " wrote"}}
+	}
+	return nil
+}
