Run a pipeline on the stand-in database as one transaction

Cause: each statement between two Syncs committed on its own, unlike PostgreSQL.

Change: messages of the extended protocol wait for Sync or Flush; several executions share one transaction.

Conclusion: a failed pipeline leaves nothing behind.

--- a/internal/standin/database/database_test.go
+++ b/internal/standin/database/database_test.go
@@ -290,6 +290,24 @@
 	require.EqualValues(t, 1, count(t, conn))
 }
 
+func TestPipelineIsOneTransaction(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	conn := connect(t, group, group.Primary())
+	insert := "INSERT INTO passes (id, holder) VALUES ($1, 'x')"
+	batch := &pgx.Batch{}
+	batch.Queue(insert, 1)
+	batch.Queue(insert, 1)
+	requireCode(t, conn.SendBatch(t.Context(), batch).Close(), "23505")
+	require.EqualValues(t, 0, count(t, conn))
+	before := groupPosition(t, conn)
+	batch = &pgx.Batch{}
+	batch.Queue(insert, 1)
+	batch.Queue(insert, 2)
+	require.NoError(t, conn.SendBatch(t.Context(), batch).Close())
+	require.EqualValues(t, 2, count(t, conn))
+	require.Equal(t, before.Offset+1, groupPosition(t, conn).Offset)
+}
+
 func TestSlotsBoundConcurrentStatements(t *testing.T) {
 	group := startGroup(t, database.Config{Slots: 1})
 	sleeper, waiter := connect(t, group, group.Primary()), connect(t, group, group.Primary())
--- a/internal/standin/database/extended.go
+++ b/internal/standin/database/extended.go
@@ -1,6 +1,7 @@
 package database
 
 import (
+	"bytes"
 	"context"
 	"regexp"
 	"slices"
@@ -32,6 +33,73 @@
 
 var parameterPattern = regexp.MustCompile(`\$(\d+)`)
 
+// runQueue runs the queued messages. Several executions before a Sync form one
+// transaction unless one is open.
+func (s *session) runQueue(ctx context.Context) {
+	queue := s.queue
+	s.queue = nil
+	if s.txn.status == statusIdle && executions(queue) > 1 {
+		s.txn = transaction{status: statusInBlock, implicit: true}
+	}
+	for _, message := range queue {
+		if err := s.extended(ctx, message); err != nil {
+			s.fail(err)
+			s.skipping = true
+			return
+		}
+	}
+}
+
+// endPipeline commits at a Sync what runQueue began, unless it has failed.
+func (s *session) endPipeline(ctx context.Context) {
+	s.skipping = false
+	if s.txn.implicit && s.txn.status == statusInBlock {
+		if _, err := s.commit(ctx); err != nil {
+			s.fail(err)
+		}
+	}
+	s.endUnlessBlock()
+}
+
+func executions(queue []pgproto3.FrontendMessage) int {
+	count := 0
+	for _, message := range queue {
+		if _, ok := message.(*pgproto3.Execute); ok {
+			count++
+		}
+	}
+	return count
+}
+
+// cloneMessage copies a message out of the receive buffer.
+func cloneMessage(message pgproto3.FrontendMessage) pgproto3.FrontendMessage {
+	switch m := message.(type) {
+	case *pgproto3.Parse:
+		clone := *m
+		clone.ParameterOIDs = slices.Clone(m.ParameterOIDs)
+		return &clone
+	case *pgproto3.Bind:
+		clone := *m
+		clone.Parameters = make([][]byte, len(m.Parameters))
+		for i, parameter := range m.Parameters {
+			clone.Parameters[i] = bytes.Clone(parameter)
+		}
+		clone.ParameterFormatCodes = slices.Clone(m.ParameterFormatCodes)
+		clone.ResultFormatCodes = slices.Clone(m.ResultFormatCodes)
+		return &clone
+	case *pgproto3.Describe:
+		clone := *m
+		return &clone
+	case *pgproto3.Execute:
+		clone := *m
+		return &clone
+	case *pgproto3.Close:
+		clone := *m
+		return &clone
+	}
+	return message
+}
+
 // extended serves one message of the extended query protocol.
 func (s *session) extended(ctx context.Context, message pgproto3.FrontendMessage) error {
 	switch m := message.(type) {
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -36,6 +36,8 @@
 	settings map[string]string
 	prepared map[string]*preparedStatement
 	portals  map[string]*portal
+	// queue is the messages of the extended protocol that have not been run.
+	queue []pgproto3.FrontendMessage
 	// skipping is true after an error until the client's next Sync.
 	skipping bool
 	// seen is the position that the last statement saw or made.
@@ -181,23 +183,21 @@
 func (s *session) handle(ctx context.Context, message pgproto3.FrontendMessage) error {
 	switch m := message.(type) {
 	case *pgproto3.Query:
+		s.runQueue(ctx)
 		s.simpleQuery(ctx, m.String)
 		return s.ready()
 	case *pgproto3.Sync:
-		s.skipping = false
-		s.endUnlessBlock()
+		s.runQueue(ctx)
+		s.endPipeline(ctx)
 		return s.ready()
 	case *pgproto3.Flush:
+		s.runQueue(ctx)
 		return s.backend.Flush()
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		return nil // the rest of a copy that has failed
 	default:
-		if s.skipping {
-			return nil
-		}
-		if err := s.extended(ctx, m); err != nil {
-			s.fail(err)
-			s.skipping = true
+		if !s.skipping {
+			s.queue = append(s.queue, cloneMessage(m))
 		}
 		return nil
 	}
