shared: let an instance tell peers another address than it listens on

Cause: peers.listen was what other instances dial, so no link between instances could pass a relay or a translated address.

Change: peers.advertise, empty by default, is what membership tells others.

Conclusion: links between instances can be relayed.

--- a/internal/instance/build.go
+++ b/internal/instance/build.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 
@@ -90,6 +91,7 @@
 
 func (i *Instance) buildFleet(_ context.Context, p *parts) error {
 	s := i.cfg.Settings
+	peerAddress := cmp.Or(s.Peers.Advertise, p.node.Address())
 	outside := p.adapter.Platform()
 	var err error
 	p.configuration, err = configuration.New(configuration.Config{
@@ -109,7 +111,7 @@
 	p.membership, err = membership.New(membership.Config{
 		ID:            s.Instance.ID,
 		FailureDomain: s.Instance.FailureDomain,
-		PeerAddress:   p.node.Address(),
+		PeerAddress:   peerAddress,
 		Seeds:         s.Peers.Seeds,
 		Board:         i.board,
 		Table:         outside.Table,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,9 +60,10 @@
 
 // Peers is the listener for other instances.
 type Peers struct {
-	Listen string    `json:"listen" validate:"required,ip_port" doc:"IP address and UDP port, as other instances reach it."`
-	TLS    MutualTLS `json:"tls" validate:"required" doc:"Mutual TLS between instances."`
-	Seeds  []string  `json:"seeds" validate:"max=64,dive,ip_port" doc:"Peer addresses to ask first, used while the platform is down."`
+	Listen    string    `json:"listen" validate:"required,ip_port" doc:"IP address and UDP port."`
+	Advertise string    `json:"advertise" validate:"omitempty,ip_port" doc:"IP address and UDP port that other instances are told, where it is not peers.listen."`
+	TLS       MutualTLS `json:"tls" validate:"required" doc:"Mutual TLS between instances."`
+	Seeds     []string  `json:"seeds" validate:"max=64,dive,ip_port" doc:"Peer addresses to ask first, used while the platform is down."`
 }
 
 // Operations is the listener for metrics and probes.
