--- a/internal/group/fake_test.go
+++ b/internal/group/fake_test.go
@@ -277,6 +277,8 @@
 		})
 		require.NoError(w.t, err)
 		w.nodes[name] = c
+	}
+	for _, c := range w.nodes {
 		running.Go(func() { require.NoError(w.t, c.Run(ctx)) })
 	}
 	synctest.Wait()
