--- a/internal/group/elect.go
+++ b/internal/group/elect.go
@@ -135,9 +135,6 @@
 	span.SetAttributes(attribute.String("service", w.service), attribute.Int64("term", int64(term)))
 	w.c.meters.elections.Add(1)
 	event.GroupElectionStarted.Emit(w.log, zap.Uint64("term", term), zap.String("proposer", attempt.Proposer()))
-	if a.Condition == election.Healthy && a.Primary.Avoid {
-		w.drainPrimary(ctx, attempt, a)
-	}
 	w.prepare(ctx, attempt, servers)
 	if attempt.Phase() == election.PhasePromoting {
 		w.promote(ctx, attempt)
--- a/internal/group/failover_test.go
+++ b/internal/group/failover_test.go
@@ -192,6 +192,8 @@
 			})
 			s.kill(s.first.Primary)
 		}, moves: moves},
+		"primary is leaving":   {fault: func(s *scene) { s.setLeaving(s.first.Primary) }, moves: moves},
+		"a replica is leaving": {fault: func(s *scene) { s.setLeaving(s.others(s.first.Primary)[0]) }, moves: stays},
 		"all observers dead": {instances: 6, fault: func(s *scene) {
 			observers := s.observers()
 			s.isolate(observers...)
@@ -265,3 +267,12 @@
 		return faultNone
 	})
 }
+
+// setLeaving changes the configuration of every instance.
+func (s *scene) setLeaving(id string) {
+	view := s.view()
+	view.Endpoints[id].Endpoint.Leaving = true
+	for _, node := range s.nodes {
+		node.cfg.Board.Configuration.Set(view)
+	}
+}
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -21,6 +21,8 @@
 	// overruledUntil is until when the word of other observers, that the
 	// primary works, goes before this instance's own sight.
 	overruledUntil time.Time
+	// leavingSince is since when the primary has been leaving.
+	leavingSince time.Time
 	// switchAfter is when the next planned change of primary may be tried.
 	switchAfter time.Time
 	// pause is until the next step after an attempt that failed; else zero.
@@ -173,7 +175,7 @@
 		if place.observes {
 			w.attach(a, place.rank)
 			w.rescueStranded(a, place.rank)
-			w.switchOver(a, place.rank)
+			w.switchOver(a, place.rank, time.Now())
 		}
 	case election.Headless:
 		waited := place.observes || time.Since(w.loop.headlessSince) >= w.c.cfg.FallbackDelay
--- a/internal/group/switchover.go
+++ b/internal/group/switchover.go
@@ -1,41 +1,46 @@
 package group
 
 import (
-	"context"
 	"time"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/group/election"
 )
 
 const (
-	// switchoverSlack is by how many records a successor may be behind when a
-	// planned change of primary begins.
+	// switchoverQuiet is how long a leaving primary keeps its place, so that
+	// open transactions can end. New writes wait meanwhile.
+	switchoverQuiet = 500 * time.Millisecond
+	// switchoverPatience is how long a successor may take to get all of the log.
+	switchoverPatience = 3 * time.Second
+	// switchoverSlack is by how many records a successor may be behind after that.
 	switchoverSlack = 64
-	// switchoverCatchUp bounds the wait for the successor to have everything
-	// once the former primary takes no more writes.
-	switchoverCatchUp = 300 * time.Millisecond
 	// switchoverPause separates planned changes that did not succeed.
 	switchoverPause = 5 * time.Second
-	// catchUpInterval is the pause between looks at the successors.
-	catchUpInterval = 10 * time.Millisecond
 )
 
 // switchOver replaces a working primary that is leaving, once another server has
-// nearly all of its log.
-func (w *watcher) switchOver(a election.Assessment, rank int) {
-	now := time.Now()
-	if !a.Primary.Avoid || now.Before(w.loop.switchAfter) || !w.successorReady(a, switchoverSlack) {
+// all of its log. The observers take turns by rank in case one of them fails to.
+func (w *watcher) switchOver(a election.Assessment, rank int, now time.Time) {
+	if !a.Primary.Avoid {
+		w.loop.leavingSince, w.loop.switchAfter = time.Time{}, time.Time{}
 		return
 	}
-	first := w.loop.switchAfter.IsZero()
-	w.loop.switchAfter = now.Add(switchoverPause * time.Duration(rank+1))
-	if first && rank > 0 {
+	if w.loop.leavingSince.IsZero() {
+		w.loop.leavingSince = now
+		w.loop.switchAfter = now.Add(switchoverQuiet + time.Duration(rank)*switchoverPause)
+	}
+	slack := uint64(0)
+	if now.Sub(w.loop.leavingSince) > switchoverPatience {
+		slack = switchoverSlack
+	}
+	if now.Before(w.loop.switchAfter) || !w.successorReady(a, slack) {
 		return
 	}
+	w.loop.switchAfter = now.Add(switchoverPause)
 	w.attempt(a, w.members())
 }
 
-// successorReady tells whether a server that is not leaving lacks at most slack
+// successorReady tells whether a server that may be chosen lacks at most slack
 // records of the primary's log.
 func (w *watcher) successorReady(a election.Assessment, slack uint64) bool {
 	w.mu.Lock()
@@ -55,21 +60,3 @@
 	}
 	return false
 }
-
-// drainPrimary stops the writes at a working primary that is being replaced, and
-// waits for a successor to take the rest of its log. It is a courtesy to commits
-// in flight: the attempt is as safe without it.
-func (w *watcher) drainPrimary(ctx context.Context, attempt *election.Attempt, a election.Assessment) {
-	ctx, cancel := context.WithTimeout(ctx, switchoverCatchUp)
-	defer cancel()
-	agent := w.c.cfg.Groups.GroupServer(a.Primary.ControlAddress)
-	granted, status, err := agent.Prepare(ctx, attempt.Term(), attempt.Proposer())
-	if err != nil || !granted {
-		return
-	}
-	w.record(a.Primary, status, time.Now())
-	for ctx.Err() == nil && !w.successorReady(a, 0) {
-		sleep(ctx, catchUpInterval)
-		w.sample(ctx)
-	}
-}
