Give relayed links a base delay and a tap

Cause: the distance between domains and a fault on top of it could not be told apart, and nobody could see what endpoints are sent.

Change: relay.Config with Delay by direction and Tap.

Conclusion: links have the deployment's distances, and leaks of keys can be looked for.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,7 +18,7 @@
 
 // Fault is what one direction of a link suffers. The zero value passes everything.
 type Fault struct {
-	// Delay is the time that each byte or packet takes.
+	// Delay is added to the time that each byte or packet takes.
 	Delay time.Duration
 	// Loss is the part of the UDP packets that is dropped, 0 to 1.
 	Loss float64
@@ -37,8 +37,28 @@
 
 func (d Direction) reversed() Direction { return Direction{From: d.To, To: d.From} }
 
+// Config describes a relay. The zero value adds no delay.
+type Config struct {
+	// Delay is the time that bytes take over a direction without a fault.
+	Delay func(Direction) time.Duration
+	// Tap sees everything that is relayed, by the address that ListenTCP or
+	// ListenUDP returned. It must not keep data.
+	Tap func(address string, data []byte)
+}
+
+// CheckAndSetDefaults fills in defaults.
+func (c *Config) CheckAndSetDefaults() {
+	if c.Delay == nil {
+		c.Delay = func(Direction) time.Duration { return 0 }
+	}
+	if c.Tap == nil {
+		c.Tap = func(string, []byte) {}
+	}
+}
+
 // Relay is a set of links.
 type Relay struct {
+	cfg    Config
 	ctx    context.Context
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -58,9 +78,11 @@
 }
 
 // New returns a relay without links.
-func New() *Relay {
+func New(cfg Config) *Relay {
+	cfg.CheckAndSetDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Relay{
+		cfg:        cfg,
 		ctx:        ctx,
 		cancel:     cancel,
 		faults:     make(map[Direction]Fault),
@@ -191,7 +213,7 @@
 			if err != nil {
 				return
 			}
-			r.tasks.Go(func() { r.serve(conn, Direction{From: from(conn), To: to}, target) })
+			r.tasks.Go(func() { r.serve(conn, Direction{From: from(conn), To: to}, address, target) })
 		}
 	})
 	return address, nil
@@ -200,12 +222,13 @@
 // Dial connects a caller within this process to a target over a link. An address
 // that ListenTCP returned stands for its own target and domain.
 func (r *Relay) Dial(direction Direction, address string) net.Conn {
+	target := address
 	r.mu.Lock()
 	if l, ok := r.listeners[address]; ok {
-		direction.To, address = l.to, l.target
+		direction.To, target = l.to, l.target
 	}
 	r.mu.Unlock()
 	near, far := net.Pipe()
-	r.tasks.Go(func() { r.serve(far, direction, address) })
+	r.tasks.Go(func() { r.serve(far, direction, address, target) })
 	return near
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -37,7 +37,7 @@
 			}()
 		}
 	}()
-	r := relay.New()
+	r := relay.New(relay.Config{})
 	t.Cleanup(r.Close)
 	address, err := r.ListenTCP(there.To, target.Addr().String(), func(net.Conn) string { return there.From })
 	require.NoError(t, err)
@@ -178,7 +178,7 @@
 			_, _ = echo.WriteToUDPAddrPort(buffer[:n], from)
 		}
 	}()
-	r := relay.New()
+	r := relay.New(relay.Config{})
 	defer r.Close()
 	address, err := r.ListenUDP(there.To, echo.LocalAddr().String(), func(netip.AddrPort) string { return there.From })
 	require.NoError(t, err)
--- a/internal/relay/tcp.go
+++ b/internal/relay/tcp.go
@@ -17,6 +17,7 @@
 // connection is one relayed TCP connection.
 type connection struct {
 	direction Direction
+	address   string
 	near, far net.Conn
 	closeOnce sync.Once
 	closed    chan struct{}
@@ -35,7 +36,7 @@
 }
 
 // serve relays one accepted connection until either end closes it.
-func (r *Relay) serve(near net.Conn, direction Direction, target string) {
+func (r *Relay) serve(near net.Conn, direction Direction, address, target string) {
 	if r.isCut(direction) || !r.awaitUnblocked(direction) {
 		_ = near.Close()
 		return
@@ -46,7 +47,7 @@
 		return
 	}
 	c := &connection{
-		direction: direction, near: near, far: far,
+		direction: direction, address: address, near: near, far: far,
 		closed: make(chan struct{}), quiet: make(chan struct{}),
 	}
 	r.mu.Lock()
@@ -85,6 +86,12 @@
 	}
 }
 
+// due is when bytes that set out now arrive.
+func (r *Relay) due(direction Direction) time.Time {
+	fault, _ := r.fault(direction)
+	return time.Now().Add(r.cfg.Delay(direction) + fault.Delay)
+}
+
 // piece is bytes on their way.
 type piece struct {
 	data []byte
@@ -114,9 +121,9 @@
 		buffer := make([]byte, readBufferBytes)
 		n, err := from.Read(buffer)
 		if n > 0 {
-			fault, _ := r.fault(direction)
+			r.cfg.Tap(c.address, buffer[:n])
 			select {
-			case pieces <- piece{data: buffer[:n], due: time.Now().Add(fault.Delay)}:
+			case pieces <- piece{data: buffer[:n], due: r.due(direction)}:
 			case <-c.closed:
 				return
 			}
--- a/internal/relay/udp.go
+++ b/internal/relay/udp.go
@@ -21,6 +21,7 @@
 // own, so that answers find their way back.
 type flow struct {
 	direction Direction
+	address   string
 	out       *net.UDPConn
 	toTarget  chan packet
 	toSender  chan packet
@@ -68,7 +69,7 @@
 			}
 			flows[sender] = f
 		}
-		r.forward(f.direction, f.toTarget, buffer[:n])
+		r.forward(f, f.direction, f.toTarget, buffer[:n])
 	}
 }
 
@@ -78,7 +79,7 @@
 		return nil, trace.ConvertSystemError(err)
 	}
 	f := &flow{
-		direction: direction, out: out,
+		direction: direction, address: conn.LocalAddr().String(), out: out,
 		toTarget: make(chan packet, maxQueuedPieces), toSender: make(chan packet, maxQueuedPieces),
 	}
 	r.tasks.Go(func() {
@@ -96,7 +97,7 @@
 				return
 			}
 			if err == nil {
-				r.forward(direction.reversed(), f.toSender, buffer[:n])
+				r.forward(f, direction.reversed(), f.toSender, buffer[:n])
 			}
 		}
 	})
@@ -104,13 +105,14 @@
 }
 
 // forward queues a packet under the direction's fault; a full queue drops it.
-func (r *Relay) forward(direction Direction, queue chan<- packet, data []byte) {
+func (r *Relay) forward(f *flow, direction Direction, queue chan<- packet, data []byte) {
 	fault, _ := r.fault(direction)
 	if fault.Blocked || fault.Cut || (fault.Loss > 0 && rand.Float64() < fault.Loss) {
 		return
 	}
+	r.cfg.Tap(f.address, data)
 	select {
-	case queue <- packet{data: append([]byte{}, data...), due: time.Now().Add(fault.Delay)}:
+	case queue <- packet{data: append([]byte{}, data...), due: r.due(direction)}:
 	default:
 	}
 }
--- a/internal/standin/database/failover_test.go
+++ b/internal/standin/database/failover_test.go
@@ -75,7 +75,7 @@
 }
 
 func TestOldPrimaryBehindAPartition(t *testing.T) {
-	links := relay.New()
+	links := relay.New(relay.Config{})
 	t.Cleanup(links.Close)
 	group := startGroup(t, database.Config{DialControl: func(_ context.Context, from, to, address string) (net.Conn, error) {
 		return links.Dial(relay.Direction{From: from, To: to}, address), nil
