--- /dev/null
+++ b/internal/harness/process.go
@@ -0,0 +1,215 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/settings"
+)
+
+const (
+	probeInterval  = 20 * time.Millisecond
+	requestTimeout = 2 * time.Second
+	// clockTicksPerSecond is the unit of processor time in /proc.
+	clockTicksPerSecond = 100
+)
+
+// Process is one entry instance.
+type Process struct {
+	ID            string
+	FailureDomain string
+	// Settings are those of the instance's file.
+	Settings settings.Settings
+	binary   string
+	file     string
+	logFile  string
+	// peerAddress is the relay in front of the instance.
+	peerAddress string
+
+	mu      sync.Mutex
+	command *exec.Cmd     // guarded by mu; nil while the process is down
+	ended   chan struct{} // guarded by mu; closed when the process has ended
+}
+
+// Start starts the process. It does not wait until it is ready.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer log.Close() //nolint:errcheck // the process has its own descriptor
+	command := exec.Command(p.binary, "-settings", p.file)
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	ended := make(chan struct{})
+	p.command, p.ended = command, ended
+	go func() {
+		defer close(ended)
+		_ = command.Wait()
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process, if it is up.
+func (p *Process) Signal(signal os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		_ = p.command.Process.Signal(signal)
+	}
+}
+
+// Stop sends the signal and waits until the process has ended.
+func (p *Process) Stop(ctx context.Context, signal os.Signal) error {
+	p.Signal(signal)
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended == nil {
+		return nil
+	}
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		return trace.LimitExceeded("instance %s has not ended", p.ID)
+	}
+	p.mu.Lock()
+	p.command, p.ended = nil, nil
+	p.mu.Unlock()
+	return nil
+}
+
+// Pid returns the process id, or 0 while the process is down.
+func (p *Process) Pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
+// Ready tells whether the instance says that it may serve callers.
+func (p *Process) Ready(ctx context.Context) bool {
+	response, err := p.get(ctx, "/ready")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close() //nolint:errcheck // nothing is read
+	return response.StatusCode == http.StatusOK
+}
+
+// AwaitReady waits until the instance may serve callers.
+func (p *Process) AwaitReady(ctx context.Context) error {
+	for !p.Ready(ctx) {
+		select {
+		case <-ctx.Done():
+			return trace.LimitExceeded("instance %s is not ready, see %s", p.ID, p.logFile)
+		case <-time.After(probeInterval):
+		}
+	}
+	return nil
+}
+
+// Metrics reads the instance's variables that are numbers.
+func (p *Process) Metrics(ctx context.Context) (map[string]float64, error) {
+	response, err := p.get(ctx, "/metrics")
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer response.Body.Close() //nolint:errcheck // read to its end
+	var all map[string]any
+	if err := json.NewDecoder(response.Body).Decode(&all); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	numbers := make(map[string]float64)
+	for name, value := range all {
+		if number, ok := value.(float64); ok {
+			numbers[name] = number
+		}
+	}
+	return numbers, nil
+}
+
+func (p *Process) get(ctx context.Context, path string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Settings.Operations.Listen+path, nil)
+	if err != nil {
+		cancel()
+		return nil, trace.Wrap(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		cancel()
+		return nil, trace.ConvertSystemError(err)
+	}
+	response.Body = &cancelOnClose{ReadCloser: response.Body, cancel: cancel}
+	return response, nil
+}
+
+// Usage is what a process has used.
+type Usage struct {
+	// Processor is the processor time since the start.
+	Processor time.Duration
+	// ResidentBytes is the memory at present.
+	ResidentBytes int64
+}
+
+// Usage reads the processor time and memory of the process.
+func (p *Process) Usage() (Usage, error) {
+	directory := filepath.Join("/proc", strconv.Itoa(p.Pid()))
+	stat, err := os.ReadFile(filepath.Join(directory, "stat"))
+	if err != nil {
+		return Usage{}, trace.ConvertSystemError(err)
+	}
+	// The fields after the name, which stands in parentheses, begin with number 3.
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	const userField, systemField, residentField = 14 - 3, 15 - 3, 24 - 3
+	if len(fields) <= residentField {
+		return Usage{}, trace.BadParameter("malformed %s/stat", directory)
+	}
+	user, _ := strconv.ParseInt(fields[userField], 10, 64)
+	system, _ := strconv.ParseInt(fields[systemField], 10, 64)
+	resident, _ := strconv.ParseInt(fields[residentField], 10, 64)
+	return Usage{
+		Processor:     time.Duration(user+system) * time.Second / clockTicksPerSecond,
+		ResidentBytes: resident * int64(os.Getpagesize()),
+	}, nil
+}
+
+// freeTCP and freeUDP return addresses that were free a moment ago.
+func freeTCP() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+func freeUDP() (string, error) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	defer conn.Close() //nolint:errcheck // nothing was sent
+	return conn.LocalAddr().String(), nil
+}
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/history"
 )
 
 // Plan says what load to make.
@@ -26,6 +28,11 @@
 	RoundTrip time.Duration
 	// Seed fixes arrivals and choices.
 	Seed uint64
+	// Dial opens a session's connection; the default connects to Instances by
+	// the PostgreSQL protocol.
+	Dial Dial
+	// Recorder takes every attempt, unless nil.
+	Recorder *history.Recorder
 }
 
 // Organisation is one tenant's part of the load.
@@ -37,6 +44,23 @@
 	// Rate and Burst are what the organisation is entitled to.
 	Rate  float64
 	Burst float64
+	// Surge changes the arrivals for a time.
+	Surge Surge
+}
+
+// Surge multiplies the arrivals of an organisation by Factor between From and To,
+// counted from the beginning of the load. The zero value changes nothing.
+type Surge struct {
+	From, To time.Duration
+	Factor   float64
+}
+
+// factor is the multiple of the arrivals after the time elapsed.
+func (s Surge) factor(elapsed time.Duration) float64 {
+	if s.Factor > 0 && elapsed >= s.From && elapsed < s.To {
+		return s.Factor
+	}
+	return 1
 }
 
 // CheckAndSetDefaults checks the plan and fills in what was left out.
@@ -47,6 +71,9 @@
 	if p.Sessions <= 0 {
 		p.Sessions = 12
 	}
+	if p.Dial == nil {
+		p.Dial = dialInstances(p.Instances)
+	}
 	if p.Deadline <= 0 {
 		p.Deadline = time.Second
 	}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -52,9 +52,11 @@
 		return
 	}
 	due := time.Now()
+	begin := due
 	entitlement := newEntitlement(o, due)
 	for {
-		due = due.Add(time.Duration(source.ExpFloat64() / o.Offered * float64(time.Second)))
+		offered := o.Offered * o.Surge.factor(due.Sub(begin))
+		due = due.Add(time.Duration(source.ExpFloat64() / offered * float64(time.Second)))
 		if !sleepUntil(ctx, due) {
 			return
 		}
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -8,9 +9,9 @@
 	"strings"
 	"time"
 
-	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"github.com/hornbeamlock/hornbeamlock/internal/history"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
@@ -24,7 +25,6 @@
 	insertEntry = `INSERT INTO entry (id, session, value) VALUES ($1, $2, $3)`
 	selectLast  = `SELECT max(value) FROM entry WHERE session = $1`
 
-	floorParameter   = "hornbeamlock.floor"
 	connectTimeout   = 3 * time.Second
 	reconnectPause   = 50 * time.Millisecond
 	abandonedAnswers = 30 * time.Second
@@ -40,7 +40,7 @@
 	score        *Score
 	source       *rand.Rand
 
-	connection *pgx.Conn
+	connection Connection
 	instance   int
 	floor      string
 	written    int64 // last number that a write was tried with
@@ -97,36 +97,62 @@
 
 func (s *session) write(ctx context.Context, j job) {
 	s.written++
+	start := time.Now()
 	id := fmt.Sprintf("%s/%d", s.name, s.written)
 	_, err := s.connection.Exec(ctx, insertEntry, id, s.name, s.written)
 	outcome := outcomeOf(err)
 	if outcome.Verdict == verdict.Ran {
 		s.confirmed = s.written
 	}
-	s.noteFloor()
+	s.floor = cmp.Or(s.connection.Floor(), s.floor)
+	s.recordWrite(id, start, outcome)
 	s.score.write(s.organisation.Name, s.service, id, j, outcome)
 }
 
 func (s *session) read(ctx context.Context, j job) {
+	start := time.Now()
 	var last *int64
 	err := s.connection.QueryRow(ctx, selectLast, s.name).Scan(&last)
 	outcome := outcomeOf(err)
 	stale := err == nil && (last == nil && s.confirmed > 0 || last != nil && *last < s.confirmed)
-	s.noteFloor()
+	s.floor = cmp.Or(s.connection.Floor(), s.floor)
+	if err == nil {
+		s.recordRead(start, last)
+	}
 	s.score.read(s.organisation.Name, j, outcome, stale)
 }
 
-func (s *session) noteFloor() {
-	if floor := s.connection.PgConn().ParameterStatus(floorParameter); floor != "" {
-		s.floor = floor
+func (s *session) recordWrite(id string, start time.Time, outcome Outcome) {
+	if s.plan.Recorder == nil {
+		return
+	}
+	s.plan.Recorder.Write(history.Write{
+		ID: id, Organisation: s.organisation.Name, Session: s.name, Key: s.name,
+		Number: s.written, Start: start, End: time.Now(), Outcome: outcome.Verdict,
+	})
+}
+
+func (s *session) recordRead(start time.Time, last *int64) {
+	if s.plan.Recorder == nil {
+		return
 	}
+	read := history.Read{
+		Organisation: s.organisation.Name, Session: s.name, Key: s.name, Start: start, End: time.Now(),
+	}
+	if last != nil {
+		read.Highest = *last
+	}
+	s.plan.Recorder.Read(read)
 }
 
 // connect makes sure that there is a connection, on the next instance in turn.
 func (s *session) connect(ctx context.Context) bool {
 	for s.connection == nil {
 		s.instance++
-		connection, err := s.dial(ctx)
+		connection, err := s.plan.Dial(ctx, DialRequest{
+			Organisation: s.organisation.Name, Key: s.organisation.Key,
+			Service: s.service, Instance: s.instance, Floor: s.floor,
+		})
 		if err == nil {
 			s.connection = connection
 			return true
@@ -139,21 +165,6 @@
 	return true
 }
 
-func (s *session) dial(ctx context.Context) (*pgx.Conn, error) {
-	address := s.plan.Instances[s.instance%len(s.plan.Instances)]
-	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable",
-		s.organisation.Name, s.organisation.Key, address, s.service))
-	if err != nil {
-		return nil, err
-	}
-	if s.floor != "" {
-		config.RuntimeParams[floorParameter] = s.floor
-	}
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	return pgx.ConnectConfig(ctx, config)
-}
-
 func (s *session) disconnect() {
 	if s.connection == nil {
 		return
