share: grow parts at once while callers wait

Cause: an instance whose demand set in was refused statements although its organisation was within its rate: the pause after a fruitless request also followed requests that had brought something, and one after a shortage of the base held back requests for demand; commits that met a conflict paused too long.

Change: a request that brings anything ends the pause, demand doubles the part, an allocator answers with the first units that become free, and conflicting commits pause for milliseconds.

--- a/internal/share/account.go
+++ b/internal/share/account.go
@@ -23,6 +23,8 @@
 	emptyUntil time.Duration
 	nextAsk    time.Duration // guarded by mu; the tick asks no earlier
 	emptyCount int           // guarded by mu; fruitless requests in a row
+	// heldBefore is how many units were held before the last request; guarded by mu
+	heldBefore int64
 	changed    chan struct{} // guarded by mu; nil while nobody waits
 }
 
--- a/internal/share/allocator.go
+++ b/internal/share/allocator.go
@@ -80,13 +80,13 @@
 }
 
 // gather waits a short time for units to become free, in the domain or from the
-// table. The caller holds p.mu, which is given up while waiting.
+// table, and takes the first that do. The caller holds p.mu, which is given up
+// while waiting.
 func (c *Controller) gather(ctx context.Context, p *part, r escrow.Request, missing int64) escrow.Amount {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
-	var sum escrow.Amount
 	c.recallHolders(p, r.Holder)
-	for missing > 0 {
+	for {
 		grown := p.growth()
 		p.mu.Unlock()
 		select {
@@ -98,13 +98,13 @@
 		p.tidy(now)
 		entry := p.ledger.Entry(r.Holder)
 		if entry.Sequence != r.Sequence || ctx.Err() != nil || c.session.left(now) == 0 {
-			return sum
+			return escrow.Amount{}
+		}
+		wanted := min(missing, p.target(now, r.Holder)-entry.Units)
+		if moved := p.ledger.Grant(p.limit, r.Holder, wanted); moved.Units > 0 {
+			return moved
 		}
-		moved := p.ledger.Grant(p.limit, r.Holder, min(missing, p.target(now, r.Holder)-entry.Units))
-		missing -= moved.Units
-		sum = sum.Plus(moved)
 	}
-	return sum
 }
 
 // part returns what this instance leased of a limit, or nil when there is no
--- a/internal/share/ask.go
+++ b/internal/share/ask.go
@@ -92,10 +92,21 @@
 	defer a.mu.Unlock()
 	a.expire(now)
 	a.demand.update(now)
-	if a.limit.Rate > 0 {
-		return a.demand.wantRate(now, a.limit)
+	a.heldBefore = a.held(now).Units
+	return a.want(now, least)
+}
+
+// want returns how many units the demand calls for; at least twice what is held
+// while callers wait, since the estimate lags behind. The caller holds mu.
+func (a *Account) want(now time.Duration, least int64) int64 {
+	if a.limit.Rate <= 0 {
+		return min(a.limit.Units, a.demand.wantUnits(now, least))
 	}
-	return min(a.limit.Units, a.demand.wantUnits(now, least))
+	want := a.demand.wantRate(now, a.limit)
+	if a.demand.missing > 0 {
+		want = max(want, 2*a.held(now).Units)
+	}
+	return min(a.limit.Units, want)
 }
 
 // others lists the allocators besides the one in charge that granted something.
@@ -226,13 +237,15 @@
 	a.nextAsk = now + askEvery + time.Duration(random*float64(askEvery))
 	a.expire(now)
 	a.dropEmpty(now, want)
-	a.demand.missing = 0
-	if err != nil || a.held(now).Units < want {
+	held := a.held(now).Units
+	switch {
+	case err == nil && (held >= want || held > a.heldBefore || a.demand.missing == 0):
+		a.emptyCount, a.emptyUntil = 0, 0
+	default:
 		a.emptyCount++
 		a.emptyUntil = now + backoff(a.emptyCount, backoffLast, random)
-	} else {
-		a.emptyCount, a.emptyUntil = 0, 0
 	}
+	a.demand.missing = 0
 	a.notify()
 }
 
--- a/internal/share/part.go
+++ b/internal/share/part.go
@@ -11,6 +11,12 @@
 // back to the table unasked.
 const partIdle = 30 * time.Second
 
+// strayIdle is the same for a part of an instance that is not the allocator.
+const strayIdle = 2 * time.Second
+
+// partExtra is the part of the demand that is leased on top of it.
+const partExtra = 4
+
 // wholeToken is one token with room for rounding.
 const wholeToken = 1.001
 
@@ -51,8 +57,10 @@
 	dirty bool
 	// emptyUntil is until when the table is known to have no more; guarded by mu
 	emptyUntil time.Duration
-	emptyCount int           // guarded by mu
-	grown      chan struct{} // guarded by mu; closed when units become free
+	emptyCount int // guarded by mu
+	// emptyBase is true when only the base was missing then; guarded by mu
+	emptyBase bool
+	grown     chan struct{} // guarded by mu; closed when units become free
 	// recalled is when each holder was last asked to hand back; guarded by mu
 	recalled map[string]time.Duration
 
@@ -115,6 +123,9 @@
 // demand that its holders told. The caller holds mu.
 func (p *part) need(now time.Duration) int64 {
 	need := p.ledger.Wanted()
+	if p.limit.Rate > 0 {
+		need += need / partExtra
+	}
 	if now >= p.baseAfter {
 		need = max(need, p.base)
 	}
@@ -136,7 +147,7 @@
 	case p.lowSince == 0:
 		p.lowSince = max(now, 1)
 		goal = p.ledger.Units
-	case now-p.lowSince < partIdle:
+	case now-p.lowSince < p.idleTime():
 		goal = p.ledger.Units
 	}
 	if now < p.ceilingUntil {
@@ -165,7 +176,19 @@
 	if goal < p.ledger.Units {
 		return p.ledger.Free.Units > 0
 	}
-	return goal > p.ledger.Units && now >= p.emptyUntil
+	if goal <= p.ledger.Units {
+		return false
+	}
+	return now >= p.emptyUntil || p.emptyBase && p.ledger.Wanted() > p.ledger.Units
+}
+
+// idleTime is how long little need is waited out before the part shrinks. The
+// caller holds mu.
+func (p *part) idleTime() time.Duration {
+	if p.base == 0 && p.ledger.Wanted() == 0 {
+		return strayIdle
+	}
+	return partIdle
 }
 
 // wake tells those who wait that units may have become free. The caller holds mu.
--- a/internal/share/watch.go
+++ b/internal/share/watch.go
@@ -130,10 +130,7 @@
 	defer a.mu.Unlock()
 	a.expire(now)
 	a.demand.update(now)
-	want := min(a.limit.Units, a.demand.wantUnits(now, least))
-	if a.limit.Rate > 0 {
-		want = a.demand.wantRate(now, a.limit)
-	}
+	want := a.want(now, least)
 	if len(a.holdings) == 0 && want == 0 {
 		return false, a.demand.idle(now)
 	}
--- a/internal/share/worker.go
+++ b/internal/share/worker.go
@@ -71,7 +71,7 @@
 			return nil
 		}
 		w.conflicts.Add(1)
-		if !sleep(ctx, backoff(attempt, backoffLast, w.cfg.Random())) {
+		if !sleep(ctx, conflictPause(attempt, w.cfg.Random())) {
 			return trace.Wrap(ctx.Err())
 		}
 	}
@@ -247,6 +247,7 @@
 	p.emptyCount++
 	p.emptyUntil = w.cfg.Clock() + backoff(p.emptyCount, tableBackoffLast, w.cfg.Random())
 	want, held := p.ledger.Wanted(), p.ledger.Units
+	p.emptyBase = want <= held
 	p.mu.Unlock()
 	if want > held {
 		w.recallDomains(p, p.cached.row.Ledger, want, held)
