Agree and prepare without waiting for a server that is suspect already

Cause: with a paused primary, the asked observers waited 400 ms for their own probe although their samples had failed, and the promoter waited 100 ms for the suspect's promise.

Change: an observer whose latest samples failed agrees at once; a promoter waits only for servers not suspect. A test ends primaries of the stand-in servers under load, killed and paused in turns, without any table.

--- a/internal/group/announce.go
+++ b/internal/group/announce.go
@@ -23,6 +23,7 @@
 		return
 	}
 	members := w.c.cfg.Board.Members.Snapshot()
+	began := time.Now()
 	w.c.spawn(func(ctx context.Context) {
 		var calls errgroup.Group
 		calls.SetLimit(announceParallel)
@@ -36,6 +37,7 @@
 			})
 		}
 		_ = calls.Wait()
+		w.c.meters.phase(phaseLearn, time.Since(began))
 	})
 }
 
@@ -92,6 +94,9 @@
 	if w.stalledFor(time.Now()) >= w.c.cfg.StallDelay/2 {
 		return false
 	}
+	if w.failedLately(endpoint, time.Now()) {
+		return false
+	}
 	servers := w.members()
 	seen := make(chan bool, len(servers))
 	asked := 0
@@ -111,6 +116,16 @@
 	return false
 }
 
+// failedLately tells whether this instance's own calls to the endpoint fail, by a
+// sample so recent that another call need not be waited for.
+func (w *watcher) failedLately(endpoint string, now time.Time) bool {
+	recent := w.c.cfg.SampleInterval + w.c.cfg.StatusTimeout
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.sights[endpoint]
+	return s != nil && !s.FailingSince.IsZero() && now.Sub(s.failedAt) < recent
+}
+
 func (w *watcher) isPrimary(ctx context.Context, server election.Server) bool {
 	status, err := w.status(ctx, server, w.c.cfg.StatusTimeout)
 	return err == nil && status.Primary && status.Serving
--- a/internal/group/attempt.go
+++ b/internal/group/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -22,27 +23,41 @@
 	status  platform.ServerStatus
 }
 
-// prepare gathers promises until a server can be chosen or the phase times out.
-// Answers that come later are not taken into account any more.
-func (w *watcher) prepare(ctx context.Context, attempt *election.Attempt, servers []election.Server) {
+// prepare gathers promises until a server can be chosen or the phase times out. It
+// waits a little for servers that have not answered, but for those not suspect
+// only. Answers that come later are not taken into account any more.
+func (w *watcher) prepare(ctx context.Context, attempt *election.Attempt, servers []election.Server, suspects []string) {
 	began := time.Now()
 	defer func() { w.c.meters.phase(phasePrepare, time.Since(began)) }()
 	ctx, cancel := context.WithTimeout(ctx, w.c.cfg.PrepareTimeout)
 	defer cancel()
 	answers := make(chan answer, len(servers))
+	awaited := make(map[string]bool)
 	for _, server := range servers {
+		awaited[server.Endpoint] = !slices.Contains(suspects, server.Endpoint)
 		w.c.spawn(func(context.Context) { w.prepareOne(ctx, attempt.Term(), attempt.Proposer(), server, answers) })
 	}
+	w.gather(ctx, attempt, answers, awaited)
+	if attempt.Phase() == election.PhasePromoting {
+		event.GroupGranted.Emit(w.log, zap.Uint64("term", attempt.Term()),
+			zap.String("proposer", attempt.Proposer()), zap.String("chosen", attempt.Chosen().Endpoint))
+	}
+}
+
+// gather feeds the answers to the attempt until it leaves its first phase.
+func (w *watcher) gather(ctx context.Context, attempt *election.Attempt, answers <-chan answer, awaited map[string]bool) {
 	var grace <-chan time.Time
 	for attempt.Phase() == election.PhasePreparing {
 		select {
 		case a := <-answers:
 			attempt.Prepared(a.server, a.granted, a.status)
 			w.record(a.server, a.status, time.Now())
+			delete(awaited, a.server.Endpoint)
 			if grace == nil && attempt.Quorum() {
 				grace = time.After(w.c.cfg.PrepareGrace)
 			}
-			if attempt.Answered() && !attempt.Decide() {
+			decided := !anyAwaited(awaited) && attempt.Decide()
+			if !decided && attempt.Answered() {
 				attempt.Abandon()
 			}
 		case <-grace:
@@ -54,10 +69,15 @@
 			}
 		}
 	}
-	if attempt.Phase() == election.PhasePromoting {
-		event.GroupGranted.Emit(w.log, zap.Uint64("term", attempt.Term()),
-			zap.String("proposer", attempt.Proposer()), zap.String("chosen", attempt.Chosen().Endpoint))
+}
+
+func anyAwaited(awaited map[string]bool) bool {
+	for _, is := range awaited {
+		if is {
+			return true
+		}
 	}
+	return false
 }
 
 // prepareOne repeats the call until the server answers or ctx ends. Repeating it
--- a/internal/group/elect.go
+++ b/internal/group/elect.go
@@ -135,7 +135,7 @@
 	span.SetAttributes(attribute.String("service", w.service), attribute.Int64("term", int64(term)))
 	w.c.meters.elections.Add(1)
 	event.GroupElectionStarted.Emit(w.log, zap.Uint64("term", term), zap.String("proposer", attempt.Proposer()))
-	w.prepare(ctx, attempt, servers)
+	w.prepare(ctx, attempt, servers, a.Suspects)
 	if attempt.Phase() == election.PhasePromoting {
 		w.promote(ctx, attempt)
 	}
@@ -170,7 +170,6 @@
 
 // won tells everybody of the new primary and attaches the others to it.
 func (w *watcher) won(attempt *election.Attempt, servers []election.Server, took time.Duration) {
-	began := time.Now()
 	chosen := attempt.Chosen()
 	w.c.meters.promotions.Add(1)
 	event.GroupPromoted.Emit(w.log, zap.Uint64("term", attempt.Term()),
@@ -182,6 +181,5 @@
 			w.c.spawn(func(context.Context) { w.follow(server, attempt.Term(), chosen.ControlAddress) })
 		}
 	}
-	w.c.meters.phase(phaseLearn, time.Since(began))
 	w.nudge()
 }
--- a/internal/group/sample.go
+++ b/internal/group/sample.go
@@ -119,8 +119,8 @@
 		s.FailingSince = sentAt
 	}
 	s.Failures++
-	s.Refused = prompt
-	if !s.Failed(time.Now(), w.c.cfg.Suspicion) {
+	s.Refused, s.failedAt = prompt, time.Now()
+	if !s.Failed(s.failedAt, w.c.cfg.Suspicion) {
 		return
 	}
 	w.c.cfg.Board.Endpoints.Update(server.Endpoint, func(row blackboard.Endpoint, exists bool) (blackboard.Endpoint, bool) {
--- /dev/null
+++ b/internal/group/standin_test.go
@@ -0,0 +1,274 @@
+package group
+
+import (
+	"context"
+	"flag"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+
+	configv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/config/v1"
+	peerv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/peer/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/fleetconfig"
+	"github.com/hornbeamlock/hornbeamlock/internal/grpcplatform"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/standin/database"
+)
+
+var failovers = flag.Int("failovers", 4, "how many primaries TestFailoverOfRealServers ends")
+
+// fleet is three controllers over gRPC before a group of stand-in servers. No
+// table is in reach of any of them.
+type fleet struct {
+	t     *testing.T
+	group *database.Group
+	nodes []*Controller
+}
+
+// direct hands announcements over without a network.
+type direct struct{ f *fleet }
+
+func (d direct) Call(ctx context.Context, address string, req *peerv1.Request) (*peerv1.Response, error) {
+	i, err := strconv.Atoi(address)
+	if err != nil {
+		return nil, err
+	}
+	ack := d.f.nodes[i].HandleAnnouncement(ctx, req.GetGroupAnnouncement())
+	return &peerv1.Response{Kind: &peerv1.Response_GroupAnnouncement{GroupAnnouncement: ack}}, nil
+}
+
+func startFleet(t *testing.T) *fleet {
+	group, err := database.StartGroup(database.Config{
+		Service: testService, Schema: []string{"CREATE TABLE passes (id BIGINT NOT NULL)"},
+	})
+	require.NoError(t, err)
+	t.Cleanup(group.Close)
+	f := &fleet{t: t, group: group}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	for i := range 3 {
+		f.nodes = append(f.nodes, f.newNode(i))
+	}
+	for _, node := range f.nodes {
+		running.Go(func() { _ = node.Run(ctx) })
+	}
+	return f
+}
+
+func (f *fleet) newNode(i int) *Controller {
+	adapter, err := grpcplatform.New(grpcplatform.Config{Address: "127.0.0.1:1"})
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = adapter.Close() })
+	service := &configv1.Service{Name: testService}
+	for _, server := range f.group.Servers() {
+		service.Endpoints = append(service.Endpoints, &configv1.Endpoint{
+			Id: server.Endpoint(), Address: server.Address(), ControlAddress: server.ControlAddress(),
+			FailureDomain: server.FailureDomain(),
+		})
+	}
+	board := blackboard.NewBoard()
+	board.Configuration.Set(fleetconfig.Compile(&configv1.Configuration{Version: 1, Services: []*configv1.Service{service}}))
+	for j := range 3 {
+		id := strconv.Itoa(j)
+		if j != i {
+			board.Members.Put(id, blackboard.Member{ID: id, FailureDomain: "domain-" + strconv.Itoa(j+1), PeerAddress: id})
+		}
+	}
+	node, err := New(Config{
+		InstanceID: strconv.Itoa(i), FailureDomain: "domain-" + strconv.Itoa(i+1), Board: board,
+		Groups: adapter.Platform().Groups, Peers: direct{f: f},
+	})
+	require.NoError(f.t, err)
+	return node
+}
+
+// connect returns a connection to a server, or nil.
+func (f *fleet) connect(ctx context.Context, endpoint string) *pgconn.PgConn {
+	host, port, err := net.SplitHostPort(f.group.Server(endpoint).Address())
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	conn, err := pgconn.Connect(ctx, "host="+host+" port="+port+" user="+f.group.Username()+
+		" password="+f.group.Password()+" dbname=x sslmode=disable")
+	if err != nil {
+		return nil
+	}
+	return conn
+}
+
+// score is what one caller was told.
+type score struct {
+	mu    sync.Mutex
+	acked map[int64]acknowledgement // guarded by mu, by id
+}
+
+// acknowledgement is when and in which term an id was acknowledged.
+type acknowledgement struct {
+	at   time.Time
+	term uint64
+}
+
+// insert writes ids through one controller, each id once, until ctx ends.
+func (f *fleet) insert(ctx context.Context, node *Controller, first, stride int64, s *score) {
+	for id := first; ctx.Err() == nil; id += stride {
+		group, err := node.AwaitPrimary(ctx, testService, 0)
+		if err != nil {
+			sleep(ctx, 10*time.Millisecond) // the controller has only just begun
+			continue
+		}
+		conn := f.connect(ctx, group.Primary)
+		if conn == nil {
+			node.ReportFailure(group.Primary, errRefused)
+			sleep(ctx, 10*time.Millisecond)
+			continue
+		}
+		f.insertOn(ctx, node, conn, group.Primary, &id, stride, s)
+		closeCtx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_ = conn.Close(closeCtx)
+		cancel()
+	}
+}
+
+// insertOn inserts on one connection until it fails.
+func (f *fleet) insertOn(ctx context.Context, node *Controller, conn *pgconn.PgConn, endpoint string, id *int64, stride int64, s *score) {
+	for ; ctx.Err() == nil; *id += stride {
+		writeCtx, cancel := context.WithTimeout(ctx, time.Second)
+		_, err := conn.Exec(writeCtx, "INSERT INTO passes (id) VALUES ("+strconv.FormatInt(*id, 10)+")").ReadAll()
+		cancel()
+		if err != nil {
+			node.ReportFailure(endpoint, err)
+			return
+		}
+		p, err := position.Parse(conn.ParameterStatus("group_position"))
+		require.NoError(f.t, err)
+		confirmCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		if node.Confirm(confirmCtx, testService, p) == nil {
+			s.mu.Lock()
+			s.acked[*id] = acknowledgement{at: time.Now(), term: p.Term}
+			s.mu.Unlock()
+		}
+		cancel()
+		sleep(ctx, time.Millisecond)
+	}
+}
+
+// firstOf returns when the first acknowledgement above a term came.
+func (s *score) firstOf(above uint64) (first time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.acked {
+		if a.term > above && (!ok || a.at.Before(first)) {
+			first, ok = a.at, true
+		}
+	}
+	return first, ok
+}
+
+// TestFailoverOfRealServers ends primaries under load, killed and paused in turns,
+// and looks for every acknowledged row afterwards. The gaps are logged only.
+func TestFailoverOfRealServers(t *testing.T) {
+	f := startFleet(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s := &score{acked: make(map[int64]acknowledgement)}
+	var running sync.WaitGroup
+	for i, node := range f.nodes {
+		running.Go(func() { f.insert(ctx, node, int64(i), int64(len(f.nodes)), s) })
+	}
+	var gaps []time.Duration
+	for i := range *failovers {
+		f.awaitWhole(s)
+		gaps = append(gaps, f.failOver(s, i%2 == 0))
+	}
+	f.awaitWhole(s)
+	cancel()
+	running.Wait()
+	f.checkRows(s)
+	slices.Sort(gaps)
+	t.Logf("%d failovers, %d rows acknowledged, gap median %v, worst %v, all %v",
+		len(gaps), len(s.acked), gaps[len(gaps)/2], gaps[len(gaps)-1], gaps)
+	for _, node := range f.nodes {
+		t.Logf("phases: microseconds %v, entries %v", node.meters.phaseMicroseconds, node.meters.phaseEntries)
+	}
+}
+
+// awaitWhole waits until rows are acknowledged and every server follows.
+func (f *fleet) awaitWhole(s *score) {
+	s.mu.Lock()
+	enough := len(s.acked) + 300
+	s.mu.Unlock()
+	require.Eventually(f.t, func() bool {
+		s.mu.Lock()
+		acked := len(s.acked)
+		s.mu.Unlock()
+		want := f.group.Primary().Status()
+		return acked >= enough && !slices.ContainsFunc(f.group.Servers(), func(server *database.Server) bool {
+			status := server.Status()
+			return status.PromisedTerm != want.PromisedTerm || status.Durable.Offset < want.Durable.Offset
+		})
+	}, time.Minute, 10*time.Millisecond)
+}
+
+// failOver ends the primary, waits for the first acknowledgement by a successor,
+// and lets the server come back.
+func (f *fleet) failOver(s *score, kill bool) time.Duration {
+	primary := f.group.Primary()
+	term := primary.Status().PromisedTerm
+	began := time.Now()
+	if kill {
+		primary.Kill()
+	} else {
+		primary.Pause()
+	}
+	var first time.Time
+	require.Eventually(f.t, func() bool {
+		var ok bool
+		first, ok = s.firstOf(term)
+		return ok
+	}, time.Minute, time.Millisecond)
+	if kill {
+		require.NoError(f.t, primary.Restart())
+	} else {
+		primary.Resume()
+	}
+	return first.Sub(began)
+}
+
+// checkRows finds every acknowledged row once at the primary, and none twice.
+func (f *fleet) checkRows(s *score) {
+	conn := f.connect(f.t.Context(), f.group.Primary().Endpoint())
+	require.NotNil(f.t, conn)
+	defer conn.Close(context.Background())
+	results, err := conn.Exec(f.t.Context(), "SELECT id FROM passes").ReadAll()
+	require.NoError(f.t, err)
+	rows := make(map[int64]int)
+	for _, row := range results[0].Rows {
+		id, err := strconv.ParseInt(string(row[0]), 10, 64)
+		require.NoError(f.t, err)
+		rows[id]++
+	}
+	lost, doubled := 0, 0
+	for id := range s.acked {
+		if rows[id] == 0 {
+			lost++
+		}
+	}
+	for _, n := range rows {
+		if n > 1 {
+			doubled++
+		}
+	}
+	require.Zero(f.t, lost, "acknowledged rows lost")
+	require.Zero(f.t, doubled, "rows doubled")
+}
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -43,6 +43,8 @@
 type sight struct {
 	election.Sight
 	sampledAt time.Time
+	// failedAt is when the latest failed call ended.
+	failedAt time.Time
 	// needsSince is since when the server has needed to be told whom to follow.
 	needsSince time.Time
 	// idleAt is the durable position at the last look.
