--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -26,7 +26,7 @@
 	if err := plan.CheckAndSetDefaults(); err != nil {
 		return trace.Wrap(err)
 	}
-	t, ctx := tomb.WithContext(ctx)
+	t := new(tomb.Tomb)
 	for i, organisation := range plan.Organisations {
 		jobs := make(chan job, maxBacklog)
 		source := rand.New(rand.NewPCG(plan.Seed, uint64(i)))
@@ -43,8 +43,7 @@
 		}
 	}
 	<-ctx.Done()
-	t.Kill(nil)
-	return t.Wait()
+	return trace.Wrap(t.Wait())
 }
 
 // arrive puts requests into jobs at exponential intervals until ctx ends.
@@ -53,9 +52,11 @@
 		return
 	}
 	due := time.Now()
+	begin := due
 	entitlement := newEntitlement(o, due)
 	for {
-		due = due.Add(time.Duration(source.ExpFloat64() / o.Offered * float64(time.Second)))
+		offered := o.Offered * o.Surge.factor(due.Sub(begin))
+		due = due.Add(time.Duration(source.ExpFloat64() / offered * float64(time.Second)))
 		if !sleepUntil(ctx, due) {
 			return
 		}
