--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,7 @@
 docs-tables events:
 	go test ./internal/event -run TestCatalogueMatchesDocs -update
 	go test ./internal/settings -run TestSchemaMatchesDocs -update
+
+# Runs every fault case with real processes; about ten minutes.
+faults:
+	go test -timeout 60m ./test/faults -every
