Measure a fleet beside a baseline: the bench

Cause: no command measured what the promises cost.

Change: bench runs hornbeamlockd processes and, in turn, a baseline of static shares, fixed pools, reads pinned to the primary after a write and a single monitor, under eight scenarios, and judges the recorded history.

--- /dev/null
+++ b/bench/hornbeamlock.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/harness"
+	"github.com/hornbeamlock/hornbeamlock/internal/load"
+)
+
+const (
+	replicaReadsMetric = "gateway_replica_reads_total"
+	primaryReadsMetric = "gateway_primary_reads_total"
+	megabyte           = 1 << 20
+)
+
+// hornbeamlockPolicy is the fleet of hornbeamlockd processes.
+type hornbeamlockPolicy struct {
+	fleet *harness.Fleet
+
+	mu                         sync.Mutex
+	replicaReads, primaryReads float64 // guarded by mu; of processes that have ended
+}
+
+// adapt implements policy.
+func (h *hornbeamlockPolicy) adapt(p *load.Plan) { p.Instances = h.fleet.CallersAddresses() }
+
+// collect adds up the reads of a process that is about to end.
+func (h *hornbeamlockPolicy) collect(ctx context.Context, process *harness.Process) {
+	metrics, err := process.Metrics(ctx)
+	if err != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.replicaReads += metrics[replicaReadsMetric]
+	h.primaryReads += metrics[primaryReadsMetric]
+}
+
+// replicaReadShare implements policy.
+func (h *hornbeamlockPolicy) replicaReadShare(ctx context.Context) float64 {
+	for _, process := range h.fleet.Instances {
+		h.collect(ctx, process)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.replicaReads+h.primaryReads == 0 {
+		return 0
+	}
+	return h.replicaReads / (h.replicaReads + h.primaryReads)
+}
+
+// measureIdle implements policy.
+func (h *hornbeamlockPolicy) measureIdle(ctx context.Context, into *result) error {
+	if !pause(ctx, settleAfterReady) {
+		return trace.Wrap(ctx.Err())
+	}
+	table, bytes := tableCounters(h.fleet.Platform), h.fleet.ControlBytes()
+	before, _, err := h.usage()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	start := time.Now()
+	if !pause(ctx, idleWindow) {
+		return trace.Wrap(ctx.Err())
+	}
+	seconds := time.Since(start).Seconds()
+	after, resident, err := h.usage()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	instances := float64(len(h.fleet.Instances))
+	tableNow := tableCounters(h.fleet.Platform)
+	into.ControlCPU = (after - before).Seconds() / seconds / instances
+	into.ControlBytes = float64(h.fleet.ControlBytes()-bytes) / seconds / instances
+	into.ControlMemory = float64(resident) / megabyte / instances
+	into.TableWritesRate = float64(tableNow.writes-table.writes) / seconds
+	into.TableReadsRate = float64(tableNow.reads-table.reads) / seconds
+	return nil
+}
+
+// usage adds up what all processes have used.
+func (h *hornbeamlockPolicy) usage() (processor time.Duration, resident int64, err error) {
+	for _, process := range h.fleet.Instances {
+		usage, err := process.Usage()
+		if err != nil {
+			return 0, 0, trace.Wrap(err)
+		}
+		processor += usage.Processor
+		resident += usage.ResidentBytes
+	}
+	return processor, resident, nil
+}
+
+func (h *hornbeamlockPolicy) close() {}
--- /dev/null
+++ b/bench/scenario.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/harness"
+	"github.com/hornbeamlock/hornbeamlock/internal/load"
+	"github.com/hornbeamlock/hornbeamlock/internal/relay"
+	standin "github.com/hornbeamlock/hornbeamlock/internal/standin/platform"
+)
+
+const (
+	// restartAfter is how long a killed primary stays down.
+	restartAfter = 8 * time.Second
+	surgeFactor  = 5
+	roamShare    = 0.3
+	endTimeout   = 30 * time.Second
+)
+
+// scenario is what happens to a fleet during the load.
+type scenario struct {
+	name string
+	// plan changes the load, unless nil.
+	plan func(p *load.Plan, duration time.Duration)
+	// disturb breaks things until the load ends, unless nil. It need not mend
+	// what the end of the run mends: links, the platform, and servers.
+	disturb func(ctx context.Context, r *run)
+}
+
+var scenarios = map[string]scenario{
+	"steady":   {},
+	"failover": {disturb: killPrimaries},
+	"noisy": {plan: func(p *load.Plan, duration time.Duration) {
+		p.Organisations[0].Surge = load.Surge{From: duration / 4, To: 3 * duration / 4, Factor: surgeFactor}
+	}},
+	"partition":  {disturb: cutPrimaryOff},
+	"store-down": {disturb: takeStoreDown},
+	"rolling":    {disturb: restartInstances},
+	"roam":       {plan: func(p *load.Plan, _ time.Duration) { p.RoamShare = roamShare }},
+	"silent":     {disturb: silenceConnections},
+}
+
+func scenarioNames() []string {
+	return slices.Sorted(maps.Keys(scenarios))
+}
+
+// killPrimaries kills each group's primary once, in turn.
+func killPrimaries(ctx context.Context, r *run) {
+	step := r.opts.duration / time.Duration(len(r.fleet.Groups)+1)
+	for i := range r.fleet.Groups {
+		if !pause(ctx, step) {
+			return
+		}
+		go r.killPrimary(ctx, i)
+	}
+	<-ctx.Done()
+}
+
+// killPrimary kills the primary of one group and restarts it later.
+func (r *run) killPrimary(ctx context.Context, index int) {
+	primary := r.fleet.Groups[index].Primary()
+	if primary == nil {
+		return
+	}
+	r.noteFailover(index)
+	primary.Kill()
+	pause(ctx, restartAfter)
+	_ = primary.Restart()
+}
+
+// cutPrimaryOff blocks all links of the domain in which the first group has its
+// primary, for the middle of the load.
+func cutPrimaryOff(ctx context.Context, r *run) {
+	if !pause(ctx, r.opts.duration/4) {
+		return
+	}
+	domain := r.fleet.Groups[0].Primary().FailureDomain()
+	for i, group := range r.fleet.Groups {
+		if group.Primary().FailureDomain() == domain {
+			r.noteFailover(i)
+		}
+	}
+	for _, other := range append([]string{harness.PlatformDomain}, r.opts.deployment.FailureDomains...) {
+		if other != domain {
+			r.fleet.Links.SetBoth(domain, other, relay.Fault{Blocked: true})
+		}
+	}
+	pause(ctx, r.opts.duration/2)
+	r.fleet.Links.Clear()
+	<-ctx.Done()
+}
+
+// takeStoreDown takes the platform down for most of the load and kills a primary
+// meanwhile.
+func takeStoreDown(ctx context.Context, r *run) {
+	if !pause(ctx, r.opts.duration/5) {
+		return
+	}
+	r.fleet.Platform.SetFault(standin.Fault{Unavailable: true})
+	if pause(ctx, r.opts.duration*3/10) {
+		go r.killPrimary(ctx, 0)
+	}
+	pause(ctx, r.opts.duration*3/10)
+	r.fleet.Platform.SetFault(standin.Fault{})
+	<-ctx.Done()
+}
+
+// restartInstances restarts one instance after the other in order.
+func restartInstances(ctx context.Context, r *run) {
+	step := r.opts.duration / time.Duration(r.opts.deployment.InstanceCount+1)
+	for i := range r.opts.deployment.InstanceCount {
+		next := time.After(step)
+		r.policy.restart(ctx, i)
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return
+		}
+	}
+	<-ctx.Done()
+}
+
+// silenceConnections makes the connections to each primary's domain silent, in turn.
+func silenceConnections(ctx context.Context, r *run) {
+	step := r.opts.duration / time.Duration(len(r.fleet.Groups)+1)
+	for i, group := range r.fleet.Groups {
+		if !pause(ctx, step) {
+			return
+		}
+		primary := group.Primary()
+		if primary == nil {
+			continue
+		}
+		r.noteFailover(i)
+		for _, other := range r.opts.deployment.FailureDomains {
+			r.fleet.Links.Silence(relay.Direction{From: other, To: primary.FailureDomain()})
+		}
+	}
+	<-ctx.Done()
+}
+
+// restart implements policy: the process ends in order and starts again.
+func (h *hornbeamlockPolicy) restart(ctx context.Context, instance int) {
+	process := h.fleet.Instances[instance]
+	h.collect(ctx, process)
+	stopCtx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	if process.Stop(stopCtx, syscall.SIGTERM) != nil {
+		_ = process.Stop(context.WithoutCancel(ctx), syscall.SIGKILL)
+	}
+	if process.Start() == nil {
+		_ = process.AwaitReady(stopCtx)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/load/score.go
+++ b/internal/load/score.go
@@ -133,6 +133,23 @@
 	return 0, false
 }
 
+// LongestSilence returns the longest time between from and to in which no write
+// of the service was acknowledged.
+func (s *Score) LongestSilence(service string, from, to time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := from
+	var longest time.Duration
+	for _, at := range s.acknowledged[service] {
+		if at.Before(from) || at.After(to) {
+			continue
+		}
+		longest = max(longest, at.Sub(last))
+		last = at
+	}
+	return max(longest, to.Sub(last))
+}
+
 // Summary condenses the score.
 type Summary struct {
 	Requests        int            `json:"requests"`
--- a/internal/standin/database/runner.go
+++ b/internal/standin/database/runner.go
@@ -176,3 +176,10 @@
 		session.cancelStatement()
 	}
 }
+
+// Running tells whether the server is up, also while it is paused.
+func (s *Server) Running() bool {
+	s.runner.mu.Lock()
+	defer s.runner.mu.Unlock()
+	return s.runner.current != nil
+}
