--- a/bench/result.go
+++ b/bench/result.go
@@ -29,8 +29,11 @@
 	Doubled          int     `json:"doubled"`
 	StaleReads       int     `json:"stale_reads"`
 	BackwardReads    int     `json:"backward_reads"`
-	ForeignRows      int     `json:"foreign_rows"`
-	UntrueRefusals   int     `json:"untrue_refusals"`
+	// UndoneReads are reads of writes that were never acknowledged and that a
+	// failover undid. They break no promise.
+	UndoneReads    int `json:"undone_reads"`
+	ForeignRows    int `json:"foreign_rows"`
+	UntrueRefusals int `json:"untrue_refusals"`
 	// OverRate is by how many statements an organisation got more than its rate
 	// and burst, at most.
 	OverRate  float64        `json:"over_rate"`
@@ -82,6 +85,7 @@
 	{"doubled", func(r *result) float64 { return float64(r.Doubled) }},
 	{"stale_reads", func(r *result) float64 { return float64(r.StaleReads) }},
 	{"backward_reads", func(r *result) float64 { return float64(r.BackwardReads) }},
+	{"undone_reads", func(r *result) float64 { return float64(r.UndoneReads) }},
 	{"foreign_rows", func(r *result) float64 { return float64(r.ForeignRows) }},
 	{"untrue_refusals", func(r *result) float64 { return float64(r.UntrueRefusals) }},
 	{"over_rate", func(r *result) float64 { return r.OverRate }},
--- a/bench/run.go
+++ b/bench/run.go
@@ -232,6 +232,7 @@
 	res.Doubled = history.Count(violations, history.DoubledWrite)
 	res.StaleReads = history.Count(violations, history.StaleRead)
 	res.BackwardReads = history.Count(violations, history.BackwardRead)
+	res.UndoneReads = history.Count(violations, history.UndoneRead)
 	res.UntrueRefusals = history.Count(violations, history.UntrueRefusal)
 	res.ForeignRows = history.Count(violations, history.ForeignRow) + history.Count(violations, history.UnknownRow)
 	for _, o := range plan.Organisations {
