--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -63,6 +63,7 @@
 
 	platformAddress string
 	certificates    *peertls.Bundle
+	ports           map[string]bool   // addresses given to processes
 	databaseRelays  map[string]string // relay address by database server address
 	controlRelays   map[string]string // relay address by control address
 
@@ -87,6 +88,7 @@
 	f := &Fleet{
 		cfg:            cfg,
 		Keys:           make(map[string]string),
+		ports:          make(map[string]bool),
 		databaseRelays: make(map[string]string),
 		controlRelays:  make(map[string]string),
 		kinds:          make(map[string]trafficKind),
@@ -321,12 +323,12 @@
 func (f *Fleet) choosePorts(p *Process) error {
 	for _, address := range []*string{&p.Settings.Callers.Listen, &p.Settings.Operators.Listen, &p.Settings.Operations.Listen} {
 		var err error
-		if *address, err = freeTCP(); err != nil {
+		if *address, err = f.freePort(listenTCP); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 	var err error
-	if p.Settings.Peers.Listen, err = freeUDP(); err != nil {
+	if p.Settings.Peers.Listen, err = f.freePort(listenUDP); err != nil {
 		return trace.Wrap(err)
 	}
 	if p.peerAddress, err = f.Links.ListenUDP(p.FailureDomain, p.Settings.Peers.Listen, f.originOfPacket); err != nil {
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -193,21 +196,32 @@
 	}, nil
 }
 
-// freeTCP and freeUDP return addresses that were free a moment ago.
-func freeTCP() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", trace.ConvertSystemError(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
+// Ports for processes lie below those that the system hands out by itself, so
+// that no other socket takes one before its process has started.
+const (
+	firstPort = 20_000
+	lastPort  = 30_000
+	portTries = 1000
+)
 
-func freeUDP() (string, error) {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return "", trace.ConvertSystemError(err)
+// freePort returns an address whose port was free a moment ago, by trying to
+// listen there.
+func (f *Fleet) freePort(listen func(address string) (io.Closer, error)) (string, error) {
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if f.ports[address] {
+			continue
+		}
+		socket, err := listen(address)
+		if err != nil {
+			continue
+		}
+		f.ports[address] = true
+		return address, trace.Wrap(socket.Close())
 	}
-	defer conn.Close() //nolint:errcheck // nothing was sent
-	return conn.LocalAddr().String(), nil
+	return "", trace.LimitExceeded("no port is free between %d and %d", firstPort, lastPort)
 }
+
+func listenTCP(address string) (io.Closer, error) { return net.Listen("tcp", address) }
+
+func listenUDP(address string) (io.Closer, error) { return net.ListenPacket("udp", address) }
