share: connections follow demand within the server's limit

Cause: idle instances kept connections that others waited for, and units that do not divide evenly stayed unused.

Change: whole units are handed back to the last one, those wanted back no longer count as the instance's, fading peaks do not hold a unit, and the remainder of a contested part goes to its holders one each.

--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -62,6 +62,14 @@
 	}
 }
 
+func TestTargetDividesAll(t *testing.T) {
+	l := Ledger{Entries: []Entry{{Holder: "a", Want: 9}, {Holder: "b", Want: 1}, {Holder: "c", Want: 9}}}
+	for holder, want := range map[string]int64{"a": 4, "b": 1, "c": 3, "unknown": 0} {
+		require.Equal(t, want, l.Target(holder, 8), holder)
+	}
+	require.EqualValues(t, 9, l.Target("c", 30))
+}
+
 func TestSettleRefusesWhatItCannotKnow(t *testing.T) {
 	limit := Limit{Units: 10}
 	l := Ledger{Units: 10, Free: Amount{Units: 10}}
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -182,16 +182,29 @@
 
 // Target returns how many of total units a holder should have for its want: all
 // of it while the wants together fit, else an equal level that nobody exceeds.
+// Units that are left over go to the holders that want more, one each, in the
+// order of the entries.
 func (l *Ledger) Target(holder string, total int64) int64 {
-	wants := make([]int64, 0, len(l.Entries))
-	var own int64
+	wants := make([]int64, len(l.Entries))
+	for i, e := range l.Entries {
+		wants[i] = e.Want
+	}
+	level := Level(total, wants)
+	left := total
+	for _, want := range wants {
+		left -= min(want, level)
+	}
 	for _, e := range l.Entries {
-		wants = append(wants, e.Want)
+		target := min(e.Want, level)
+		if e.Want > level && left > 0 {
+			target++
+			left--
+		}
 		if e.Holder == holder {
-			own = e.Want
+			return target
 		}
 	}
-	return min(own, Level(total, wants))
+	return 0
 }
 
 // Wanted sums the wants of all entries.
--- a/internal/share/account.go
+++ b/internal/share/account.go
@@ -102,12 +102,24 @@
 	return time.Duration((n - held.Tokens) / rate * float64(time.Second))
 }
 
-// Units implements blackboard.Spender.
+// Units implements blackboard.Spender. Units that the allocator wants back no
+// longer count, so that their user can do without them.
 func (a *Account) Units(_ time.Time) int {
 	now := a.clock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return int(a.held(now).Units)
+	var sum int64
+	for _, h := range a.holdings {
+		if !h.lease.Valid(now) {
+			continue
+		}
+		units := h.bucket.Amount(now).Units
+		if h.ceiling >= 0 {
+			units = min(units, h.ceiling)
+		}
+		sum += units
+	}
+	return int(sum)
 }
 
 // Rate returns the rate that the instance may use now, in tokens per second.
--- a/internal/share/ask.go
+++ b/internal/share/ask.go
@@ -172,7 +172,7 @@
 // keep decides how much of a holding is kept. The caller holds mu.
 func (a *Account) keep(h *holding, held, want int64) int64 {
 	keep := held
-	if want < held-held/slack || want == 0 {
+	if a.excess(held, want) {
 		keep = want
 	}
 	if h.ceiling >= 0 {
@@ -184,6 +184,15 @@
 	return min(held, max(keep, a.demand.used-a.heldElsewhere(h)))
 }
 
+// excess tells whether so much more is held than wanted that it is handed back:
+// any whole unit, but a rate only when it is worth a message. The caller holds mu.
+func (a *Account) excess(held, want int64) bool {
+	if a.limit.Rate <= 0 || want == 0 {
+		return want < held
+	}
+	return want < held-held/slack
+}
+
 // heldElsewhere sums the units of the other holdings. The caller holds mu.
 func (a *Account) heldElsewhere(except *holding) int64 {
 	now := a.clock()
--- a/internal/share/controller.go
+++ b/internal/share/controller.go
@@ -133,7 +133,7 @@
 	}
 	now := c.cfg.Clock()
 	a.mu.Lock()
-	a.demand.note(now, amount)
+	a.demand.note(now, amount, a.limit)
 	ask := !a.asking && now >= a.emptyUntil
 	a.mu.Unlock()
 	c.activate(a)
--- a/internal/share/demand.go
+++ b/internal/share/demand.go
@@ -12,6 +12,10 @@
 	demandSmooth = 500 * time.Millisecond
 	// demandFall is how fast the estimate follows shrinking demand.
 	demandFall = 5 * time.Second
+	// unitsFall is the same for whole units in use.
+	unitsFall = time.Second
+	// unitsSlack is the part of a unit that a fading peak no longer needs.
+	unitsSlack = 0.25
 	// demandIdle is how long a limit counts as in use after its last request.
 	demandIdle = 5 * time.Second
 	// headroom is by how much a part exceeds the demand that it is meant for.
@@ -42,9 +46,13 @@
 }
 
 // note records unmet demand.
-func (d *demand) note(now time.Duration, amount float64) {
+func (d *demand) note(now time.Duration, amount float64, l escrow.Limit) {
 	d.unmet += amount
 	d.missing += amount
+	if l.Rate <= 0 {
+		// Whoever waits for whole units may tell so again and again.
+		d.missing = min(d.missing, float64(l.Units))
+	}
 	d.lastUse = now
 }
 
@@ -60,7 +68,7 @@
 	sample := (d.admitted + d.unmet) / elapsed
 	d.smooth = follow(d.smooth, sample, elapsed, demandSmooth)
 	d.rate = max(d.smooth, follow(d.rate, d.smooth, elapsed, demandFall))
-	d.peak = max(float64(d.used)+d.missing, follow(d.peak, float64(d.used), elapsed, demandFall))
+	d.peak = max(float64(d.used)+d.missing, follow(d.peak, float64(d.used), elapsed, unitsFall))
 	d.admitted, d.unmet, d.updated = 0, 0, now
 }
 
@@ -88,5 +96,5 @@
 	if d.idle(now) {
 		return max(least, d.used)
 	}
-	return max(least, d.used, int64(math.Ceil(d.peak)))
+	return max(least, d.used, int64(math.Ceil(d.peak-unitsSlack)))
 }
--- a/internal/share/watch.go
+++ b/internal/share/watch.go
@@ -139,7 +139,7 @@
 	}
 	held := a.held(now).Units
 	switch {
-	case want > held+held/growStep && now >= a.emptyUntil, want < held-held/slack:
+	case want > held+held/growStep && now >= a.emptyUntil, a.excess(held, want):
 		return true, false
 	}
 	for _, h := range a.holdings {
