--- a/internal/share/controller.go
+++ b/internal/share/controller.go
@@ -26,8 +26,10 @@
 	directory atomic.Pointer[directory]
 	sequence  atomic.Uint64 // of requests to allocators
 	voided    atomic.Bool   // the session was found to be gone
-	kicked    chan struct{}
-	spawned   chan func(context.Context)
+	// tableAnswers is false while calls of the table fail.
+	tableAnswers atomic.Bool
+	kicked       chan struct{}
+	spawned      chan func(context.Context)
 
 	messages  *expvar.Int
 	conflicts *expvar.Int
@@ -131,7 +133,7 @@
 	}
 	now := c.cfg.Clock()
 	a.mu.Lock()
-	a.demand.note(now, amount)
+	a.demand.note(now, amount, a.limit)
 	ask := !a.asking && now >= a.emptyUntil
 	a.mu.Unlock()
 	c.activate(a)
