shared: read blackboard cells without a lock; share no lock among statements

Cause: the mutex profile of BenchmarkGatewayParallel showed the lock of the server's context, a parent of every statement's, beside the stand-in's own. Change: statements get contexts of their own, which cut ends; cells are atomic pointers; no spans without a tracer; fewer buffers per statement.

--- a/internal/blackboard/table.go
+++ b/internal/blackboard/table.go
@@ -7,6 +7,7 @@
 import (
 	"hash/maphash"
 	"sync"
+	"sync/atomic"
 )
 
 const shardCount = 64
@@ -118,28 +119,26 @@
 // it before reading, so that no change is missed.
 func (t *Table[K, V]) Changed() <-chan struct{} { return t.signal.changed() }
 
-// Cell is a single value under a lock, with the same watching as a Table.
+// Cell is a single value that is read without a lock, with the same watching as a
+// Table.
 type Cell[V any] struct {
-	mu     sync.RWMutex
-	value  V // guarded by mu
+	value  atomic.Pointer[V]
 	signal signal
 }
 
 // NewCell returns a cell that holds value.
-func NewCell[V any](value V) *Cell[V] { return &Cell[V]{value: value} }
+func NewCell[V any](value V) *Cell[V] {
+	c := &Cell[V]{}
+	c.value.Store(&value)
+	return c
+}
 
 // Get returns the value.
-func (c *Cell[V]) Get() V {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	return c.value
-}
+func (c *Cell[V]) Get() V { return *c.value.Load() }
 
 // Set replaces the value and wakes the watchers.
 func (c *Cell[V]) Set(value V) {
-	c.mu.Lock()
-	c.value = value
-	c.mu.Unlock()
+	c.value.Store(&value)
 	c.signal.raise()
 }
 
--- a/internal/endpoint/connect.go
+++ b/internal/endpoint/connect.go
@@ -24,7 +24,7 @@
 		return nil, connectError(err)
 	}
 	c := &Conn{
-		cfg: cfg, net: transport, wire: pgproto3.NewFrontend(transport, transport),
+		cfg: cfg, net: transport, wire: pgproto3.NewFrontend(transport, transport), peek: newPeeker(transport),
 		prepared: prepared{names: make(map[string]string)}, parameters: make(map[string]string),
 	}
 	stop := context.AfterFunc(ctx, c.Close)
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -83,6 +83,7 @@
 	cfg      Config
 	net      net.Conn
 	wire     *pgproto3.Frontend
+	peek     *peeker
 	pid      uint32
 	secret   []byte
 	openedAt time.Time
--- a/internal/endpoint/exchange.go
+++ b/internal/endpoint/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -98,24 +99,41 @@
 	if c.wire.ReadBufferLen() > 0 {
 		return true
 	}
-	holder, ok := c.net.(syscall.Conn)
+	return c.peek != nil && c.peek.readable()
+}
+
+// peeker looks whether a socket has something to read, without waiting.
+type peeker struct {
+	raw    syscall.RawConn
+	look   func(fd uintptr) bool // made once, to spare allocations
+	found  bool
+	buffer [1]byte
+}
+
+// newPeeker returns nil for a transport that is no socket.
+func newPeeker(transport net.Conn) *peeker {
+	holder, ok := transport.(syscall.Conn)
 	if !ok {
-		return false
+		return nil
 	}
 	raw, err := holder.SyscallConn()
-	return err != nil || readable(raw)
+	if err != nil {
+		return nil
+	}
+	p := &peeker{raw: raw}
+	p.look = func(fd uintptr) bool {
+		n, _, err := unix.Recvfrom(int(fd), p.buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		p.found = n > 0 || !errors.Is(err, unix.EAGAIN)
+		return true
+	}
+	return p
 }
 
-// readable peeks without waiting: data and end of file both count.
-func readable(raw syscall.RawConn) bool {
-	found := false
-	var buffer [1]byte
-	err := raw.Read(func(fd uintptr) bool {
-		n, _, err := unix.Recvfrom(int(fd), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		found = n > 0 || err == nil || !errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return found || err != nil
+// readable tells whether data or the end has come.
+func (p *peeker) readable() bool {
+	p.found = false
+	err := p.raw.Read(p.look)
+	return p.found || err != nil
 }
 
 // Stream writes more of a request that was begun by Send, such as COPY data.
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -44,6 +44,8 @@
 	state     *session.State
 	toldFloor string
 	batch     batch
+	// scratch is reused for encoding requests.
+	scratch []byte
 	// skipping drops extended messages until Sync, after an error.
 	skipping bool
 
@@ -57,6 +59,7 @@
 	interrupted atomic.Bool
 	mu          sync.Mutex
 	running     *running // guarded by mu; the statement under way
+	isCut       bool     // guarded by mu; no statement may start
 }
 
 func newCaller(s *Server, transport net.Conn) *caller {
@@ -217,6 +220,9 @@
 // cut closes the connection at once, from another goroutine.
 func (c *caller) cut() {
 	c.transport.Close()
+	c.mu.Lock()
+	c.isCut = true
+	c.mu.Unlock()
 	c.cancelStatement()
 }
 
--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -3,37 +3,41 @@
 import (
 	"context"
 	"crypto/subtle"
-	"errors"
+	"time"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/endpoint"
 )
 
-// errCancelled is the cause of a context that a cancel request ended.
-var errCancelled = errors.New("gateway: cancelled on request")
-
 // running is the statement under way.
 type running struct {
 	// stop ends its waiting.
-	stop context.CancelCauseFunc
+	stop context.CancelFunc
 	// conn is where it runs; nil while it waits.
 	conn *endpoint.Conn
 	// cancelled is true once a cancel request came; it is not repeated then.
 	cancelled bool
 }
 
-// start notes that a statement is under way, and returns its context and what
-// ends it.
-func (c *caller) start(ctx context.Context) (context.Context, func()) {
-	ctx, stop := context.WithCancelCause(ctx)
+// start notes that a statement is under way and returns its context. That is no
+// child of the server's, since its lock would be shared by all statements: cut
+// ends the statement instead.
+func (c *caller) start(ctx context.Context, deadline time.Time) context.Context {
+	ctx, stop := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.running = &running{stop: stop}
-	c.mu.Unlock()
-	return ctx, func() {
-		c.mu.Lock()
-		c.running = nil
-		c.mu.Unlock()
-		stop(nil)
+	if c.isCut {
+		stop()
 	}
+	return ctx
+}
+
+// finish notes that no statement is under way.
+func (c *caller) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running.stop()
+	c.running = nil
 }
 
 // attach notes where the statement runs. It reports false when the statement has
@@ -61,11 +65,17 @@
 	}
 }
 
-// wasCancelled tells whether a cancel request came for the statement.
-func (c *caller) wasCancelled() bool {
+// wasCancelled tells whether the statement was cancelled, and whether that was
+// because the instance cuts its callers.
+func (c *caller) wasCancelled() (cancelled, cut bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.running != nil && c.running.cancelled
+	return c.running != nil && c.running.cancelled, c.isCut
+}
+
+func (c *caller) isCancelled() bool {
+	cancelled, _ := c.wasCancelled()
+	return cancelled
 }
 
 // cancelStatement ends the statement under way: at the endpoint if it runs there,
@@ -80,7 +90,7 @@
 	r.cancelled = true
 	conn := r.conn
 	if conn == nil {
-		r.stop(errCancelled)
+		r.stop()
 		c.mu.Unlock()
 		return
 	}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -65,7 +65,8 @@
 	TLS     *tls.Config
 	Log     *zap.Logger
 	Metrics *metrics.Set
-	Tracer  oteltrace.Tracer
+	// Tracer makes the spans; nil makes none.
+	Tracer oteltrace.Tracer
 	// Clock measures the serving lease; default lease.BootClock.
 	Clock lease.Clock
 	// StatementTimeout bounds one statement, waiting included, when the caller
@@ -90,6 +91,8 @@
 	MaxRequestBytes int
 	// MaxCallers bounds the connected callers; default 20,000.
 	MaxCallers int
+
+	traced bool
 }
 
 // CheckAndSetDefaults validates the configuration.
@@ -103,9 +106,8 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
-	if c.Tracer == nil {
-		c.Tracer = noop.NewTracerProvider().Tracer("")
-	}
+	_, isNoop := c.Tracer.(noop.Tracer)
+	c.traced = c.Tracer != nil && !isNoop
 	if c.Clock == nil {
 		c.Clock = lease.BootClock
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -70,7 +70,10 @@
 	if x.rq.statement.TaintsSession {
 		x.conn.Taint()
 	}
-	encoded, answers := x.encode()
+	encoded, answers := x.encode(x.c.scratch[:0])
+	if len(encoded) <= maxScratch {
+		x.c.scratch = encoded
+	}
 	x.before = x.conn.Position()
 	x.conn.SetDeadline(x.deadline())
 	if started, err := x.conn.Send(encoded, answers); err != nil {
@@ -114,8 +117,12 @@
 	return outcome{err: final, verdict: verdict.NotRun}
 }
 
+// maxScratch is the largest buffer that is reused: a larger request may still be
+// on its way when the next one is encoded.
+const maxScratch = 4 * 1024 // bytes
+
 // encode builds the messages for this connection.
-func (x *exchange) encode() (encoded []byte, answers int) {
+func (x *exchange) encode(encoded []byte) (_ []byte, answers int) {
 	if x.rq.batch == nil {
 		encoded, _ = (&pgproto3.Query{String: x.rq.sql}).Encode(encoded)
 		return encoded, answers + 1
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -123,10 +123,8 @@
 	if timeout <= 0 {
 		timeout = c.server.cfg.StatementTimeout
 	}
-	ctx, end := c.start(ctx)
-	defer end()
-	ctx, cancel := context.WithDeadline(ctx, rq.arrived.Add(timeout))
-	defer cancel()
+	ctx = c.start(ctx, rq.arrived.Add(timeout))
+	defer c.finish()
 	ctx, span := c.startSpan(ctx, rq)
 	defer span.End()
 	c.server.cfg.Groups.Touch(c.identity.Load().service)
@@ -204,10 +202,11 @@
 // interruption says why a context has ended: by a cancel request, a deadline or
 // the end of the instance.
 func (c *caller) interruption(ctx context.Context) *verdict.Error {
-	if errors.Is(context.Cause(ctx), errCancelled) || c.wasCancelled() {
+	cancelled, cut := c.wasCancelled()
+	if cancelled && !cut {
 		return verdict.New(verdict.NotRun, verdict.CodeQueryCanceled, "cancelled on request")
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if cut {
 		return verdict.New(verdict.NotRun, verdict.CodeAdminShutdown, "this instance is shutting down")
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeQueryCanceled, "the statement could not run in time")
@@ -269,7 +268,7 @@
 func (c *caller) attempt(ctx context.Context, rq *request, placed placement) outcome {
 	if !c.attach(placed.lease.Conn) {
 		placed.lease.Release()
-		return outcome{err: errCancelled, verdict: verdict.NotRun}
+		return outcome{err: context.Canceled, verdict: verdict.NotRun}
 	}
 	result := c.newExchange(ctx, rq, placed).run()
 	if c.lease != placed.lease {
@@ -295,7 +294,7 @@
 	if errors.As(result.err, &final) {
 		return final
 	}
-	if timedOut(ctx, result.err) && !rq.hasTimeLeft(ctx) || c.wasCancelled() {
+	if timedOut(ctx, result.err) && !rq.hasTimeLeft(ctx) || c.isCancelled() {
 		reason := c.interruption(ctx)
 		reason.Verdict = result.verdict
 		return reason.WithCause(result.err)
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -11,10 +11,16 @@
 // propagator reads W3C trace contexts.
 var propagator propagation.TraceContext
 
+// noSpan records nothing.
+var noSpan = oteltrace.SpanFromContext(context.Background())
+
 // startSpan begins the span of a statement, below the caller's own if it gave a
 // trace context in a comment or as a setting. The statement's text and the key
 // are never recorded.
 func (c *caller) startSpan(ctx context.Context, rq *request) (context.Context, oteltrace.Span) {
+	if !c.server.cfg.traced {
+		return ctx, noSpan
+	}
 	parent := rq.statement.Traceparent
 	if parent == "" {
 		parent = c.state.Options.Traceparent
@@ -34,5 +40,8 @@
 
 // startHop begins the span of one hop of a statement.
 func (c *caller) startHop(ctx context.Context, name string) (context.Context, oteltrace.Span) {
+	if !c.server.cfg.traced {
+		return ctx, noSpan
+	}
 	return c.server.cfg.Tracer.Start(ctx, name)
 }
