Hold the pools' limits and the cleaning of connections by tests

Cause: a connection with an unsynchronised batch was taken for one that the server had closed, and was closed instead of cleaned. Measured: go test -run xxx -bench Arrivals -benchtime 5x ./internal/pool, 400 statements a second of 3 ms on connections that take 10 ms to set up, from an empty pool: p99 of the wait 11.08 ms with no connection opened ahead, 11.03 ms with one, 11.06 ms with two; p95 68, 58 and 65 us; connections open at the end 5.2, 5.4 and 6.0. Conclusion: opening ahead does not pay; only the first statements wait, and they come before anything can be foreseen.

--- a/internal/endpoint/exchange.go
+++ b/internal/endpoint/exchange.go
@@ -26,7 +26,7 @@
 	if err := c.joinWriter(); err != nil {
 		return true, c.fail(err)
 	}
-	if c.pending == 0 && c.gone() {
+	if c.pending == 0 && !c.unsynced && c.gone() {
 		return false, c.fail(trace.ConnectionProblem(nil, "the endpoint has closed the connection"))
 	}
 	c.pending += answers
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,301 @@
+package pool_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	configv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/config/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/fleetconfig"
+	"github.com/hornbeamlock/hornbeamlock/internal/metrics"
+	"github.com/hornbeamlock/hornbeamlock/internal/pool"
+	"github.com/hornbeamlock/hornbeamlock/internal/standin/database"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	id       = "planos-db/caxias"
+	patience = 20 * time.Second
+)
+
+// units is a share that tests change.
+type units struct{ atomic.Int64 }
+
+func (u *units) Take(time.Time, float64) (time.Duration, bool) { return 0, true }
+func (u *units) Units(time.Time) int                           { return int(u.Load()) }
+
+// countedConn counts how many transports are open.
+type countedConn struct {
+	*net.TCPConn
+	rig    *rig
+	once   sync.Once
+	silent atomic.Bool
+}
+
+// Close counts down once.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.rig.open.Add(-1) })
+	return c.TCPConn.Close()
+}
+
+// Read gives nothing while the connection is silent.
+func (c *countedConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+type rig struct {
+	board      *blackboard.Board
+	metrics    *metrics.Set
+	pools      *pool.Pools
+	units      units
+	open, peak atomic.Int64
+	mu         sync.Mutex
+	conns      []*countedConn
+	group      *database.Group
+	now        atomic.Int64
+}
+
+func (r *rig) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	open := r.open.Add(1)
+	for peak := r.peak.Load(); open > peak && !r.peak.CompareAndSwap(peak, open); peak = r.peak.Load() {
+	}
+	counted := &countedConn{TCPConn: conn.(*net.TCPConn), rig: r}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns = append(r.conns, counted)
+	return counted, nil
+}
+
+func newRig(t testing.TB, limit int64, stub database.Config, change func(*pool.Config)) *rig {
+	t.Helper()
+	stub.Servers = []database.ServerConfig{{Endpoint: id}}
+	group, err := database.StartGroup(stub)
+	require.NoError(t, err)
+	t.Cleanup(group.Close)
+	r := &rig{board: blackboard.NewBoard(), metrics: metrics.NewSet(), group: group}
+	r.units.Store(limit)
+	r.board.Shares.Put("conn/"+id, blackboard.Share{Spender: &r.units})
+	r.configure(false)
+	cfg := pool.Config{
+		Board: r.board, Metrics: r.metrics, Dial: r.dial, Sweep: 5 * time.Millisecond, ProbeTimeout: 100 * time.Millisecond,
+		Now: func() time.Time { return time.Now().Add(time.Duration(r.now.Load())) },
+	}
+	change(&cfg)
+	r.pools, err = pool.New(cfg)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.pools.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+		require.Zero(t, r.open.Load(), "connections were left open")
+	})
+	return r
+}
+
+func (r *rig) configure(leaving bool) {
+	r.board.Configuration.Set(fleetconfig.Compile(&configv1.Configuration{Services: []*configv1.Service{{
+		Name: "planos-db", Username: r.group.Username(), Password: r.group.Password(),
+		Endpoints: []*configv1.Endpoint{{Id: id, Address: r.group.Primary().Address(), Leaving: leaving}},
+	}}}))
+}
+
+func (r *rig) acquire(t testing.TB) *pool.Lease {
+	t.Helper()
+	lease, err := r.pools.Acquire(context.Background(), pool.Request{Endpoint: id, Organisation: "alpha"})
+	require.NoError(t, err)
+	return lease
+}
+
+func query(t testing.TB, lease *pool.Lease) {
+	t.Helper()
+	require.NoError(t, lease.Conn.Probe(patience))
+}
+
+// TestLimitHolds uses and abuses connections from many goroutines and holds that
+// there are never more transports than the share.
+func TestLimitHolds(t *testing.T) {
+	const limit = 3
+	for name, spare := range map[string]int{"on demand": 0, "ahead of need": 2} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, limit, database.Config{ConnectTime: time.Millisecond}, func(c *pool.Config) { c.Spare = spare })
+			var users sync.WaitGroup
+			for seed := range uint64(8) {
+				users.Go(func() {
+					random := rand.New(rand.NewPCG(1, seed))
+					for range 40 {
+						lease, err := r.pools.Acquire(context.Background(), pool.Request{Endpoint: id, Organisation: "alpha"})
+						if err != nil {
+							t.Error(err)
+							return
+						}
+						switch random.IntN(4) {
+						case 0:
+							lease.Conn.Close()
+						case 1:
+							lease.Conn.Taint()
+						case 2:
+							_, _ = lease.Conn.Send([]byte("Q\x00\x00\x00\x0aBEGIN\x00"), 1)
+						}
+						lease.Release()
+						lease.Release()
+					}
+				})
+			}
+			users.Wait()
+			require.LessOrEqual(t, r.peak.Load(), int64(limit))
+			require.Zero(t, r.pools.InFlight("other"))
+		})
+	}
+}
+
+func TestOneLeasePerConnection(t *testing.T) {
+	r := newRig(t, 4, database.Config{}, func(*pool.Config) {})
+	held := make(map[any]bool)
+	for range 4 {
+		lease := r.acquire(t)
+		defer lease.Release()
+		require.False(t, held[lease.Conn])
+		held[lease.Conn] = true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := r.pools.Acquire(ctx, pool.Request{Endpoint: id})
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+}
+
+func TestShrinkingShare(t *testing.T) {
+	r := newRig(t, 3, database.Config{}, func(*pool.Config) {})
+	leases := []*pool.Lease{r.acquire(t), r.acquire(t), r.acquire(t)}
+	leases[0].Release()
+	r.units.Store(1)
+	require.Eventually(t, func() bool { return r.open.Load() == 2 }, patience, time.Millisecond)
+	leases[1].Release()
+	require.EqualValues(t, 1, r.open.Load())
+	leases[2].Release()
+	require.EqualValues(t, 1, r.open.Load())
+	r.units.Store(0)
+	require.Eventually(t, func() bool { return r.open.Load() == 0 }, patience, time.Millisecond)
+	waiting := make(chan error, 1)
+	go func() {
+		lease, err := r.pools.Acquire(context.Background(), pool.Request{Endpoint: id})
+		if err == nil {
+			lease.Release()
+		}
+		waiting <- err
+	}()
+	require.Eventually(t, func() bool { return r.pools.InFlight(id) == 1 }, patience, time.Millisecond)
+	r.units.Store(1)
+	require.NoError(t, <-waiting)
+}
+
+func TestLeavingEndpoint(t *testing.T) {
+	r := newRig(t, 2, database.Config{}, func(*pool.Config) {})
+	idle, used := r.acquire(t), r.acquire(t)
+	idle.Release()
+	r.configure(true)
+	_, err := r.pools.Acquire(context.Background(), pool.Request{Endpoint: id})
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.Eventually(t, func() bool { return r.open.Load() == 1 }, patience, time.Millisecond)
+	query(t, used)
+	used.Release()
+	require.Zero(t, r.open.Load())
+}
+
+// TestSilentConnections holds that connections that went silent together are
+// found before they get work, while new ones to the same endpoint are used.
+func TestSilentConnections(t *testing.T) {
+	cases := map[string]func(t *testing.T, r *rig){
+		"idle for long": func(_ *testing.T, r *rig) { r.now.Store(int64(time.Minute)) },
+		"sibling found silent in use": func(t *testing.T, r *rig) {
+			lease := r.acquire(t)
+			require.Error(t, lease.Conn.Probe(50*time.Millisecond))
+			lease.Release()
+		},
+	}
+	for name, find := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 3, database.Config{}, func(*pool.Config) {})
+			for _, lease := range []*pool.Lease{r.acquire(t), r.acquire(t), r.acquire(t)} {
+				lease.Release()
+			}
+			r.mu.Lock()
+			for _, conn := range r.conns {
+				conn.silent.Store(true)
+			}
+			r.mu.Unlock()
+			find(t, r)
+			lease := r.acquire(t)
+			query(t, lease)
+			lease.Release()
+			require.EqualValues(t, 4, r.metrics.Counter("pool_connections_opened_total").Value())
+		})
+	}
+}
+
+// BenchmarkArrivals measures how long statements wait for a connection that takes
+// 10 ms to set up, when load begins at an empty pool, by how many connections are
+// opened ahead of need.
+func BenchmarkArrivals(b *testing.B) {
+	for _, spare := range []int{0, 1, 2} {
+		b.Run(strconv.Itoa(spare)+" ahead", func(b *testing.B) {
+			var waits []time.Duration
+			opened := int64(0)
+			for b.Loop() {
+				r := newRig(b, 6, database.Config{ConnectTime: 10 * time.Millisecond}, func(c *pool.Config) { c.Spare = spare })
+				waits = append(waits, arrivals(b, r)...)
+				opened += r.open.Load()
+			}
+			slices.Sort(waits)
+			b.ReportMetric(float64(waits[len(waits)/2].Microseconds()), "p50-us")
+			b.ReportMetric(float64(waits[len(waits)*95/100].Microseconds()), "p95-us")
+			b.ReportMetric(float64(waits[len(waits)*99/100].Microseconds()), "p99-us")
+			b.ReportMetric(float64(opened)/float64(b.N), "open")
+		})
+	}
+}
+
+// arrivals sends 300 statements of 3 ms at random instants, 400 a second.
+func arrivals(b *testing.B, r *rig) []time.Duration {
+	random := rand.New(rand.NewPCG(1, 1))
+	var mu sync.Mutex
+	var waits []time.Duration
+	var statements sync.WaitGroup
+	for range 300 {
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(time.Second) / 400))
+		statements.Go(func() {
+			began := time.Now()
+			lease := r.acquire(b)
+			wait := time.Since(began)
+			time.Sleep(3 * time.Millisecond)
+			lease.Release()
+			mu.Lock()
+			defer mu.Unlock()
+			waits = append(waits, wait)
+		})
+	}
+	statements.Wait()
+	return waits
+}
