--- a/internal/pool/endpointpool.go
+++ b/internal/pool/endpointpool.go
@@ -26,9 +26,6 @@
 	mu   sync.Mutex
 	idle []*endpoint.Conn // guarded by mu; the last used is the last
 	open int              // guarded by mu; idle, leased and being opened
-	// opening is closed once the connection that is being opened ahead of need
-	// is there; nil when there is none. Guarded by mu.
-	opening chan struct{}
 	// doubtedAt is when a connection was found silent: those used last before
 	// are probed before use. Guarded by mu.
 	doubtedAt time.Time
@@ -75,16 +72,7 @@
 	for {
 		conn, doubtful := p.popIdle(settings)
 		if conn == nil {
-			opening, err := p.reserve()
-			if opening == nil {
-				return p.connect(ctx, err)
-			}
-			select {
-			case <-opening:
-				continue
-			case <-ctx.Done():
-				return nil, verdict.New(verdict.NotRun, verdict.CodeTooManyConnections, "no connection in time")
-			}
+			return p.connect(ctx)
 		}
 		if !doubtful {
 			return conn, nil
@@ -98,22 +86,6 @@
 	}
 }
 
-// reserve counts a connection as open before it is. With no room left it returns
-// what to wait for, or errNoRoom.
-func (p *endpointPool) reserve() (opening <-chan struct{}, err error) {
-	limit := p.limit()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open < limit {
-		p.open++
-		return nil, nil
-	}
-	if p.opening != nil {
-		return p.opening, nil
-	}
-	return nil, errNoRoom
-}
-
 // popIdle takes the connection used last, one with the same settings first, and
 // tells whether it has to be probed.
 func (p *endpointPool) popIdle(settings string) (conn *endpoint.Conn, doubtful bool) {
@@ -135,11 +107,16 @@
 	return conn, idleFor > p.pools.cfg.ProbeAfter || conn.UsedAt().Before(p.doubtedAt)
 }
 
-// connect opens a connection that was reserved, unless reserving it failed.
-func (p *endpointPool) connect(ctx context.Context, reserveErr error) (*endpoint.Conn, error) {
-	if reserveErr != nil {
-		return nil, reserveErr
+// connect opens a connection, unless the share has no room left.
+func (p *endpointPool) connect(ctx context.Context) (*endpoint.Conn, error) {
+	limit := p.limit()
+	p.mu.Lock()
+	if p.open >= limit {
+		p.mu.Unlock()
+		return nil, errNoRoom
 	}
+	p.open++
+	p.mu.Unlock()
 	conn, err := p.dial(ctx)
 	if err != nil {
 		p.mu.Lock()
--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -69,5 +69,4 @@
 	}
 	l.pool.inFlight.Add(-1)
 	l.release()
-	l.pool.openAhead()
 }
--- a/internal/pool/maintain.go
+++ b/internal/pool/maintain.go
@@ -10,14 +10,13 @@
 
 // counters are the pools' metrics.
 type counters struct {
-	opened, openedAhead, closed, silent, probesFailed *expvar.Int
+	opened, closed, silent, probesFailed *expvar.Int
 }
 
 func newCounters(set *metrics.Set, p *Pools) counters {
 	set.Gauge("pool_connections_open", func() any { return p.OpenConnections() })
 	return counters{
 		opened:       set.Counter("pool_connections_opened_total"),
-		openedAhead:  set.Counter("pool_connections_opened_ahead_total"),
 		closed:       set.Counter("pool_connections_closed_total"),
 		silent:       set.Counter("pool_connections_silent_total"),
 		probesFailed: set.Counter("pool_probes_failed_total"),
@@ -75,7 +74,6 @@
 			pool.forget(conn)
 		}
 		pool.queue.Wake()
-		pool.openAhead()
 	}
 }
 
@@ -98,46 +96,6 @@
 	return surplus
 }
 
-// openAhead opens one connection in the background when the share has room and
-// there are fewer idle ones than wanted.
-func (p *endpointPool) openAhead() {
-	if p.pools.cfg.Spare <= 0 || !p.wanted() || !p.reserveAhead() {
-		return
-	}
-	p.pools.background(func() {
-		conn, err := p.dial(p.pools.ctx)
-		if err == nil {
-			p.pools.metrics.openedAhead.Add(1)
-			p.put(conn)
-		}
-		p.finishAhead(err != nil)
-	})
-}
-
-// reserveAhead counts a connection as open before it is, if there is room.
-func (p *endpointPool) reserveAhead() bool {
-	limit := p.limit()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle) >= p.pools.cfg.Spare || p.open >= limit || p.opening != nil {
-		return false
-	}
-	p.open++
-	p.opening = make(chan struct{})
-	return true
-}
-
-// finishAhead wakes those who wait for the connection.
-func (p *endpointPool) finishAhead(failed bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if failed {
-		p.open--
-	}
-	close(p.opening)
-	p.opening = nil
-}
-
 // closeAll closes the idle connections at the end.
 func (p *Pools) closeAll() {
 	for _, pool := range p.all() {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -50,9 +50,6 @@
 	IdleTimeout time.Duration
 	// CleanTimeout bounds the cleaning of a used connection; default 1 s.
 	CleanTimeout time.Duration
-	// Spare is how many idle connections are opened ahead of need while the
-	// share has room; default 0.
-	Spare int
 	// Sweep is how often idle connections are looked through; default 500 ms.
 	Sweep time.Duration
 }
