--- a/internal/group/announce.go
+++ b/internal/group/announce.go
@@ -119,7 +119,7 @@
 // failedLately tells whether this instance's own calls to the endpoint fail, by a
 // sample so recent that another call need not be waited for.
 func (w *watcher) failedLately(endpoint string, now time.Time) bool {
-	recent := w.c.cfg.SampleInterval + w.c.cfg.StatusTimeout
+	recent := w.c.observerPause() + w.c.cfg.StatusTimeout
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.sights[endpoint]
--- a/internal/group/attempt.go
+++ b/internal/group/attempt.go
@@ -163,11 +163,15 @@
 	return needy
 }
 
-// due tells whether the server has needed to be told for long enough.
+// due tells whether the server has needed to be told for long enough. It looks at
+// each sample of the server once.
 func (w *watcher) due(s, primary *sight, term uint64, now time.Time, rank int) bool {
+	if s.lookedAt.Equal(s.sampledAt) {
+		return false
+	}
 	misplaced := s.Status.Primary || s.Status.PromisedTerm < term
 	idle := s.Status.Durable == s.idleAt && s.Status.Durable.Less(primary.Status.Durable)
-	s.idleAt = s.Status.Durable
+	s.idleAt, s.lookedAt = s.Status.Durable, s.sampledAt
 	if !misplaced && !idle {
 		s.needsSince = time.Time{}
 		return false
--- a/internal/group/config.go
+++ b/internal/group/config.go
@@ -48,8 +48,13 @@
 
 	// Observers is how many instances watch each group steadily, 1 to 7.
 	Observers int
-	// SampleInterval is the pause between an observer's samples of a group.
+	// SampleInterval is the shortest pause between an observer's samples of a
+	// group.
 	SampleInterval time.Duration
+	// ObserverCallsPerSecond bounds those samples over all groups together, by
+	// longer pauses and fewer samples of replicas when the instance observes
+	// many.
+	ObserverCallsPerSecond float64
 	// TrafficSampleInterval is the shortest pause between the samples of a
 	// group that the instance serves but does not observe.
 	TrafficSampleInterval time.Duration
@@ -97,27 +102,28 @@
 // closed to its successor they add up to about a second; with a primary that is
 // silent, to about two.
 const (
-	defaultObservers             = 3
-	maxObservers                 = 7
-	defaultSampleInterval        = 300 * time.Millisecond
-	defaultTrafficSampleInterval = time.Second
-	defaultTrafficWindow         = 30 * time.Second
-	defaultTrafficCallsPerSecond = 20
-	defaultRecheckInterval       = 100 * time.Millisecond
-	defaultStatusTimeout         = 400 * time.Millisecond
-	defaultSilence               = 800 * time.Millisecond
-	defaultRefusals              = 2
-	defaultAgreeTimeout          = 600 * time.Millisecond
-	defaultRankDelay             = 200 * time.Millisecond
-	defaultFallbackDelay         = 2 * time.Second
-	defaultPrepareTimeout        = time.Second
-	defaultPromoteTimeout        = 1500 * time.Millisecond
-	defaultPrepareGrace          = 100 * time.Millisecond
-	defaultCallTimeout           = 500 * time.Millisecond
-	defaultFollowDelay           = time.Second
-	defaultStrandedDelay         = 2 * time.Second
-	defaultStallDelay            = 3 * time.Second
-	defaultMemberSilence         = 10 * time.Second
+	defaultObservers              = 3
+	maxObservers                  = 7
+	defaultSampleInterval         = 300 * time.Millisecond
+	defaultObserverCallsPerSecond = 12
+	defaultTrafficSampleInterval  = time.Second
+	defaultTrafficWindow          = 30 * time.Second
+	defaultTrafficCallsPerSecond  = 5
+	defaultRecheckInterval        = 100 * time.Millisecond
+	defaultStatusTimeout          = 400 * time.Millisecond
+	defaultSilence                = 800 * time.Millisecond
+	defaultRefusals               = 2
+	defaultAgreeTimeout           = 600 * time.Millisecond
+	defaultRankDelay              = 200 * time.Millisecond
+	defaultFallbackDelay          = 2 * time.Second
+	defaultPrepareTimeout         = time.Second
+	defaultPromoteTimeout         = 1500 * time.Millisecond
+	defaultPrepareGrace           = 100 * time.Millisecond
+	defaultCallTimeout            = 500 * time.Millisecond
+	defaultFollowDelay            = time.Second
+	defaultStrandedDelay          = 2 * time.Second
+	defaultStallDelay             = 3 * time.Second
+	defaultMemberSilence          = 10 * time.Second
 )
 
 // CheckAndSetDefaults returns a BadParameter error for a config that cannot work.
@@ -147,6 +153,7 @@
 func (c *Config) setDefaultBounds() {
 	setDefault(&c.Observers, defaultObservers)
 	setDefault(&c.SampleInterval, defaultSampleInterval)
+	setDefault(&c.ObserverCallsPerSecond, defaultObserverCallsPerSecond)
 	setDefault(&c.TrafficSampleInterval, defaultTrafficSampleInterval)
 	setDefault(&c.TrafficWindow, defaultTrafficWindow)
 	setDefault(&c.TrafficCallsPerSecond, defaultTrafficCallsPerSecond)
--- a/internal/group/controller.go
+++ b/internal/group/controller.go
@@ -28,7 +28,11 @@
 
 	// watchers is replaced as a whole, so that request goroutines share no lock.
 	watchers atomic.Pointer[map[string]*watcher]
-	view     *fleetconfig.View // belongs to the reconciling goroutine
+	// samplePause is the pause between an observer's samples, in nanoseconds.
+	samplePause atomic.Int64
+	// replicaRounds is how many of those samples take in the replicas once.
+	replicaRounds atomic.Int64
+	view          *fleetconfig.View // belongs to the reconciling goroutine
 
 	mu   sync.RWMutex
 	tomb *tomb.Tomb      // guarded by mu; nil while Run is not running
@@ -48,6 +52,8 @@
 		meters:  newMeters(cfg.Metrics),
 	}
 	c.watchers.Store(&map[string]*watcher{})
+	c.samplePause.Store(int64(cfg.SampleInterval))
+	c.replicaRounds.Store(1)
 	return c, nil
 }
 
@@ -104,13 +110,15 @@
 	for {
 		configured := c.cfg.Board.Configuration.Changed()
 		reassigned := c.watch.refresh(c.candidates(time.Now()))
-		if view := c.cfg.Board.Configuration.Get(); view != c.view {
+		view := c.cfg.Board.Configuration.Get()
+		if view != c.view {
 			c.reconcile(ctx, view)
-			c.view = view
 		}
-		if reassigned {
+		if reassigned || view != c.view {
+			c.spreadSamples()
 			c.nudgeAll()
 		}
+		c.view = view
 		select {
 		case <-ctx.Done():
 			return
@@ -147,6 +155,37 @@
 	c.dropRows(view)
 }
 
+// replicaRounds is how many rounds of samples a replica takes part in once, when
+// the samples of all groups do not fit into their bound otherwise.
+const replicaRounds = 4
+
+// spreadSamples sets the pause between an observer's samples, and how many take in
+// the replicas, so that all of them together stay within their bound.
+func (c *Controller) spreadSamples() {
+	servers, groups := 0, 0
+	for name, w := range *c.watchers.Load() {
+		if c.place(name).observes {
+			servers += len(w.members())
+			groups++
+		}
+	}
+	rounds := 1
+	if c.spread(float64(servers)) > c.cfg.SampleInterval {
+		rounds = replicaRounds
+	}
+	calls := float64(groups) + float64(servers-groups)/float64(rounds)
+	c.replicaRounds.Store(int64(rounds))
+	c.samplePause.Store(int64(max(c.cfg.SampleInterval, c.spread(calls))))
+}
+
+// spread returns the time over which an observer may make that many calls.
+func (c *Controller) spread(calls float64) time.Duration {
+	return time.Duration(calls / c.cfg.ObserverCallsPerSecond * float64(time.Second))
+}
+
+// observerPause returns the pause between an observer's samples of a group.
+func (c *Controller) observerPause() time.Duration { return time.Duration(c.samplePause.Load()) }
+
 // nudgeAll lets every watcher look at its part anew.
 func (c *Controller) nudgeAll() {
 	for _, w := range *c.watchers.Load() {
--- a/internal/group/controller_test.go
+++ b/internal/group/controller_test.go
@@ -98,3 +98,37 @@
 		require.Equal(t, verdict.MayHaveRun, verdict.Of(w.nodes["i1"].Confirm(t.Context(), "nowhere", position.Position{})))
 	})
 }
+
+// TestHealthyGroupIsLeftAlone writes for a while and looks for calls that only
+// broken groups need, with and without room for all samples.
+func TestHealthyGroupIsLeftAlone(t *testing.T) {
+	for name, callsPerSecond := range map[string]float64{"all samples fit": 100, "few samples fit": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, servers...)
+				w.adjust = func(cfg *Config) { cfg.ObserverCallsPerSecond = callsPerSecond }
+				defer w.start(instances...)()
+				group := w.settled("i1")
+				count := func() (calls, follows, elections int64) {
+					for _, node := range w.nodes {
+						calls += node.meters.statusCalls.Value()
+						follows += node.meters.follows.Value()
+						elections += node.meters.elections.Value()
+					}
+					return calls, follows, elections
+				}
+				callsBefore, follows, elections := count()
+				const seconds = 30
+				for range seconds * 100 {
+					_, ok := w.write(group.Primary)
+					require.True(t, ok)
+					time.Sleep(10 * time.Millisecond)
+				}
+				calls, followsAfter, electionsAfter := count()
+				require.Equal(t, follows, followsAfter)
+				require.Equal(t, elections, electionsAfter)
+				require.LessOrEqual(t, float64(calls-callsBefore), 1.15*callsPerSecond*seconds*float64(len(instances)))
+			})
+		})
+	}
+}
--- a/internal/group/fake_test.go
+++ b/internal/group/fake_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,7 +23,13 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	if groups, err := strconv.Atoi(os.Getenv(agentsEnv)); err == nil {
+		serveAgents(groups)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
 
 var (
 	errRefused = errors.New("connection refused")
@@ -53,6 +61,7 @@
 	peerCut func(from, to string) bool        // guarded by mu
 	latency time.Duration                     // of every call, one way
 	seen    []string                          // guarded by mu; granted promotions
+	adjust  func(cfg *Config)                 // before the instances start
 }
 
 type server struct {
@@ -73,6 +82,7 @@
 		t: t, servers: make(map[string]*server), nodes: make(map[string]*Controller), latency: time.Millisecond,
 		faults:  func(string, string, string) fault { return faultNone },
 		peerCut: func(string, string) bool { return false },
+		adjust:  func(*Config) {},
 	}
 	for _, id := range ids {
 		w.servers[id] = &server{w: w, id: id, up: true, serving: true}
@@ -271,10 +281,12 @@
 				board.Members.Put(other, blackboard.Member{ID: other, FailureDomain: "domain-" + other, PeerAddress: other})
 			}
 		}
-		c, err := New(Config{
+		cfg := Config{
 			InstanceID: name, FailureDomain: "domain-" + name, Board: board,
 			Groups: dialer{w: w, from: name}, Peers: peers{w: w, from: name},
-		})
+		}
+		w.adjust(&cfg)
+		c, err := New(cfg)
 		require.NoError(w.t, err)
 		w.nodes[name] = c
 	}
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -13,6 +14,8 @@
 // loopState belongs to the watcher's loop alone.
 type loopState struct {
 	condition election.Condition
+	// round counts the samples.
+	round int64
 	// headlessSince is since when no working primary has been seen.
 	headlessSince time.Time
 	// strandedSince is since when a server has held a higher term than the
@@ -39,6 +42,9 @@
 	attemptBackoffSpread  = 0.7
 	// overruledWindow is how long a disagreement holds.
 	overruledWindow = 2 * time.Second
+	// sampleSpread keeps the samples of different groups from falling together,
+	// as a part of the pause between them.
+	sampleSpread = 0.2
 )
 
 func newLoopState() loopState {
@@ -71,7 +77,7 @@
 	if !place.observes && !w.hasTraffic(now) {
 		return w.c.cfg.TrafficWindow
 	}
-	w.sample(w.ctx)
+	w.sampleTurn(place)
 	assessment := w.assess(time.Now())
 	w.note(assessment)
 	if assessment.Condition != election.Unsettled {
@@ -81,6 +87,23 @@
 	return w.nextPause(assessment.Condition, place)
 }
 
+// sampleTurn samples the whole group, or only its primary while that works and it
+// is not the replicas' turn.
+func (w *watcher) sampleTurn(place place) {
+	w.loop.round++
+	group, _ := w.c.cfg.Board.Groups.Get(w.service)
+	rounds := w.c.replicaRounds.Load()
+	if !place.observes || w.loop.condition != election.Healthy || w.loop.round%rounds == 0 {
+		w.sample(w.ctx)
+		return
+	}
+	for _, server := range w.members() {
+		if server.Endpoint == group.Primary {
+			_, _ = w.status(w.ctx, server, w.c.cfg.StatusTimeout)
+		}
+	}
+}
+
 func (w *watcher) hasTraffic(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -91,7 +114,7 @@
 // does not observe the group share one budget over all groups.
 func (w *watcher) nextPause(condition election.Condition, place place) time.Duration {
 	cfg := &w.c.cfg
-	pause := cfg.SampleInterval
+	pause := w.c.observerPause()
 	switch {
 	case w.loop.pause > 0:
 		pause = w.loop.pause
@@ -101,7 +124,7 @@
 		pause = cfg.TrafficSampleInterval
 	}
 	if place.observes {
-		return pause
+		return time.Duration(float64(pause) * (1 + sampleSpread*(rand.Float64()-0.5)))
 	}
 	calls := min(len(w.members()), w.c.limiter.Burst())
 	return max(pause, w.c.limiter.ReserveN(time.Now(), calls).Delay())
--- a/internal/group/watcher.go
+++ b/internal/group/watcher.go
@@ -47,8 +47,9 @@
 	failedAt time.Time
 	// needsSince is since when the server has needed to be told whom to follow.
 	needsSince time.Time
-	// idleAt is the durable position at the last look.
-	idleAt position.Position
+	// idleAt is the durable position at the last look, and lookedAt the sample.
+	idleAt   position.Position
+	lookedAt time.Time
 }
 
 func newWatcher(ctx context.Context, c *Controller, service string) *watcher {
