Estimate replica lag by dating the records that a replica lacks

Cause: the lag was counted from whole samples, so a replica that was caught up when nothing was written told a lag of 0, which routing takes for unknown, and one under load told the pause between samples, up to 1.2 s.

Change: package lag dates the first record that the replica lacks between two samples of the primary; nothing is learned while nothing is written.

Conclusion: routing can expect a replica to be there after its real lag.

--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -9,6 +9,7 @@
 
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/group/election"
+	"github.com/hornbeamlock/hornbeamlock/internal/group/lag"
 )
 
 // loopState belongs to the watcher's loop alone.
@@ -31,7 +32,7 @@
 	// pause is until the next step after an attempt that failed; else zero.
 	pause time.Duration
 	retry *backoff.ExponentialBackOff
-	marks []mark
+	lag   *lag.Estimator
 }
 
 // Pauses between the attempts of one instance, spread so that racing instances
@@ -52,7 +53,7 @@
 	retry.InitialInterval = attemptBackoffInitial
 	retry.MaxInterval = attemptBackoffMax
 	retry.RandomizationFactor = attemptBackoffSpread
-	return loopState{retry: retry}
+	return loopState{retry: retry, lag: lag.NewEstimator()}
 }
 
 // run samples and acts until the watcher stops.
@@ -97,11 +98,7 @@
 		w.sample(w.ctx)
 		return
 	}
-	for _, server := range w.members() {
-		if server.Endpoint == group.Primary {
-			_, _ = w.status(w.ctx, server, w.c.cfg.StatusTimeout)
-		}
-	}
+	w.samplePrimary(w.ctx, group.Primary)
 }
 
 func (w *watcher) hasTraffic(now time.Time) bool {
--- a/internal/group/sample.go
+++ b/internal/group/sample.go
@@ -9,21 +9,11 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
 	"github.com/hornbeamlock/hornbeamlock/internal/group/election"
 	"github.com/hornbeamlock/hornbeamlock/internal/platform"
-	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
 
 // LagUnknown is the lag of an endpoint that cannot be estimated.
 const LagUnknown = 365 * 24 * time.Hour
 
-// mark says that everything acknowledged before At lies at or below Position.
-type mark struct {
-	at       time.Time
-	position position.Position
-}
-
-// maxMarks bounds how far back lag can be estimated, in samples.
-const maxMarks = 256
-
 // sample asks every server of the group for its status, all at once, and records
 // the answers.
 func (w *watcher) sample(ctx context.Context) {
@@ -34,8 +24,19 @@
 		wait.Go(func() { _, _ = w.status(ctx, server, w.c.cfg.StatusTimeout) })
 	}
 	wait.Wait()
-	w.addMark(sentAt)
-	w.estimateLag(servers)
+	w.followProgress(sentAt)
+	w.estimateLag(sentAt)
+}
+
+// samplePrimary asks the known primary alone.
+func (w *watcher) samplePrimary(ctx context.Context, primary string) {
+	sentAt := time.Now()
+	for _, server := range w.members() {
+		if server.Endpoint == primary {
+			_, _ = w.status(ctx, server, w.c.cfg.StatusTimeout)
+		}
+	}
+	w.estimateLag(sentAt)
 }
 
 // status asks one server for its status and records the outcome, unless ctx ended
@@ -133,55 +134,52 @@
 	})
 }
 
-// addMark notes the primary's position if the statuses asked for since sentAt
-// prove its term current.
-func (w *watcher) addMark(sentAt time.Time) {
-	statuses, size := w.statusesSince(sentAt)
-	w.mu.Lock()
-	w.progress.Observe(statuses, size, time.Now())
-	w.mu.Unlock()
-	primary, current := election.Current(statuses, size)
-	if !current {
-		return
+// followProgress looks, by the statuses asked for since sentAt, whether a majority
+// takes the primary's log.
+func (w *watcher) followProgress(sentAt time.Time) {
+	statuses := make([]platform.ServerStatus, 0, len(w.servers))
+	for _, s := range w.sightsSince(sentAt) {
+		statuses = append(statuses, s.Status)
 	}
-	w.loop.marks = append(w.loop.marks, mark{at: sentAt, position: primary.Durable})
-	if len(w.loop.marks) > maxMarks {
-		w.loop.marks = slices.Delete(w.loop.marks, 0, len(w.loop.marks)-maxMarks)
-	}
-}
-
-// statusesSince returns the statuses that were asked for at sentAt or later, and
-// the size of the group.
-func (w *watcher) statusesSince(sentAt time.Time) ([]platform.ServerStatus, int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var statuses []platform.ServerStatus
-	for _, s := range w.sights {
-		if s.Live() && !s.sampledAt.Before(sentAt) {
-			statuses = append(statuses, s.Status)
-		}
-	}
-	return statuses, len(w.servers)
+	w.progress.Observe(statuses, len(w.servers), time.Now())
 }
 
-// estimateLag sets the age of what reads at each server see, never too low: it
-// counts from the latest mark that the server has replayed.
-func (w *watcher) estimateLag(servers []election.Server) {
-	for _, server := range servers {
-		w.c.cfg.Board.Endpoints.Update(server.Endpoint, func(row blackboard.Endpoint, exists bool) (blackboard.Endpoint, bool) {
-			lag := w.lagOf(row)
-			changed := exists && lag != row.Lag
-			row.Lag = lag
+// estimateLag takes over the statuses asked for since sentAt into the estimates.
+func (w *watcher) estimateLag(sentAt time.Time) {
+	fresh := w.sightsSince(sentAt)
+	for _, s := range fresh {
+		if s.Status.Primary {
+			w.loop.lag.Primary(s.sampledAt, s.Status.Durable)
+		}
+	}
+	for _, s := range fresh {
+		estimate, known := w.loop.lag.Replica(s.Server.Endpoint, s.sampledAt, s.Status.Replayed)
+		switch {
+		case s.Status.Primary:
+			estimate = 0
+		case !known:
+			estimate = LagUnknown
+		}
+		w.c.cfg.Board.Endpoints.Update(s.Server.Endpoint, func(row blackboard.Endpoint, exists bool) (blackboard.Endpoint, bool) {
+			changed := exists && estimate != row.Lag
+			row.Lag = estimate
 			return row, changed
 		})
 	}
 }
 
-func (w *watcher) lagOf(row blackboard.Endpoint) time.Duration {
-	for _, m := range slices.Backward(w.loop.marks) {
-		if !row.Replayed.Less(m.position) && row.History.Contains(m.position) {
-			return max(0, row.SampledAt.Sub(m.at))
+// sightsSince copies the sights of servers that answered a call sent at sentAt or
+// later.
+func (w *watcher) sightsSince(sentAt time.Time) []sight {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var fresh []sight
+	for _, s := range w.sights {
+		if s.Live() && !s.sampledAt.Before(sentAt) {
+			fresh = append(fresh, *s)
 		}
 	}
-	return LagUnknown
+	return fresh
 }
