shared: give up connections to agents that let a call time out

Cause: an open connection to an agent that has gone silent, while new ones work, was kept until the keepalive ended it: detection and confirmation stood still for 13.6 s (go test ./internal/group -run SilentAgent -v, all connections silent).

Change: grpcplatform uses a connection no more once a call on it timed out, and closes it when no call is in flight.

Conclusion: silent connections cost one call's timeout.

--- a/internal/group/cost_test.go
+++ b/internal/group/cost_test.go
@@ -193,6 +193,9 @@
 			}
 		}
 	}
+	for c.watcher(serviceName(len(addresses)-1)) == nil {
+		time.Sleep(time.Millisecond)
+	}
 	touch()
 	time.Sleep(costFor / 2) // connections and first samples
 	calls, cpu, sent, began := c.meters.statusCalls.Value(), cpuTime(b), w.bytes(b), time.Now()
@@ -204,7 +207,7 @@
 	b.ReportMetric(float64(c.meters.statusCalls.Value()-calls)/took, "calls/s")
 	b.ReportMetric(float64(w.bytes(b)-sent)/took, "wire-B/s")
 	b.ReportMetric(100*(cpuTime(b)-cpu).Seconds()/took, "core-%")
-	b.ReportMetric(float64(memory()-before)/(1<<20), "MB")
+	b.ReportMetric((float64(memory())-float64(before))/(1<<20), "MB")
 	b.ReportMetric(float64(len(w.conns)), "conns")
 	cancel()
 	running.Wait()
--- a/internal/group/standin_test.go
+++ b/internal/group/standin_test.go
@@ -203,6 +203,29 @@
 	}
 }
 
+// TestSilentAgentConnections makes every open connection silent for good, while new
+// ones work, and waits for acknowledgements to go on.
+func TestSilentAgentConnections(t *testing.T) {
+	f := startFleet(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s := &score{acked: make(map[int64]acknowledgement)}
+	var running sync.WaitGroup
+	for i, node := range f.nodes {
+		running.Go(func() { f.insert(ctx, node, int64(i), int64(len(f.nodes)), s) })
+	}
+	f.awaitWhole(s)
+	began := time.Now()
+	for _, server := range f.group.Servers() {
+		server.Silence()
+	}
+	f.awaitWhole(s)
+	t.Logf("acknowledgements went on after %v, in term %d", time.Since(began), f.group.Primary().Status().PromisedTerm)
+	cancel()
+	running.Wait()
+	f.checkRows(s)
+}
+
 // awaitWhole waits until rows are acknowledged and every server follows.
 func (f *fleet) awaitWhole(s *score) {
 	s.mu.Lock()
--- a/internal/grpcplatform/groups.go
+++ b/internal/grpcplatform/groups.go
@@ -7,6 +7,9 @@
 
 	"github.com/gravitational/trace"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/status"
 
 	platformv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/platform/v1"
 	"github.com/hornbeamlock/hornbeamlock/internal/platform"
@@ -30,6 +33,9 @@
 	used uint64
 	// calls is how many calls are in flight; guarded by the dialer's mu.
 	calls int
+	// silent is true once a call went unanswered; the connection is closed when
+	// no call is in flight. Guarded by the dialer's mu.
+	silent bool
 }
 
 func newGroupDialer(cfg *Config) *groupDialer {
@@ -41,8 +47,10 @@
 	return &groupServer{dialer: d, address: controlAddress}
 }
 
-// acquire returns the connection to an agent; done must be called after the call.
-func (d *groupDialer) acquire(address string) (client platformv1.GroupServerServiceClient, done func(), err error) {
+// acquire returns the connection to an agent; done must be called with the error
+// of the call. A connection that let a call time out is used no more: it may be
+// silent for good while a new one works.
+func (d *groupDialer) acquire(address string) (client platformv1.GroupServerServiceClient, done func(err error), err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
@@ -61,11 +69,22 @@
 	d.clock++
 	agent.used = d.clock
 	agent.calls++
-	return platformv1.NewGroupServerServiceClient(agent.conn), func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		agent.calls--
-	}, nil
+	return platformv1.NewGroupServerServiceClient(agent.conn), func(err error) { d.release(address, agent, err) }, nil
+}
+
+func (d *groupDialer) release(address string, agent *agentConn, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	agent.calls--
+	if status.Code(err) == codes.DeadlineExceeded && agent.conn.GetState() == connectivity.Ready {
+		agent.silent = true
+		if d.agents[address] == agent {
+			delete(d.agents, address)
+		}
+	}
+	if agent.silent && agent.calls == 0 {
+		_ = agent.conn.Close()
+	}
 }
 
 // makeRoom closes the idle connection unused for longest if the bound is
@@ -109,10 +128,10 @@
 	if err != nil {
 		return none, trace.Wrap(err)
 	}
-	defer done()
 	ctx, cancel := bounded(ctx, timeout)
 	defer cancel()
 	response, err := f(ctx, client)
+	done(err)
 	return response, convert(err)
 }
 
