--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -268,6 +268,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Clock()
+	if sender.GetRemoved() {
+		c.ended(sender, now)
+		return &peerv1.Response{Kind: &peerv1.Response_Heartbeat{Heartbeat: &peerv1.HeartbeatAck{Responder: c.self}}}
+	}
 	_, known := c.view.entries[sender.GetId()]
 	c.view.learn(sender, now)
 	if e, ok := c.view.entries[sender.GetId()]; ok {
@@ -285,6 +289,14 @@
 	return &peerv1.Response{Kind: &peerv1.Response_Heartbeat{Heartbeat: ack}}
 }
 
+// ended notes that a member has given up its leases. The caller holds mu.
+func (c *Controller) ended(member *peerv1.Member, now time.Duration) {
+	c.view.remove(member.GetId(), member.GetIncarnation(), now)
+	if g, ok := c.grants[member.GetId()]; ok && g.member.GetIncarnation() == member.GetIncarnation() {
+		delete(c.grants, member.GetId())
+	}
+}
+
 // grantTo decides on a lease for the sender and records it. The caller holds mu,
 // which makes the decision atomic against Vouching.
 func (c *Controller) grantTo(heartbeat *peerv1.Heartbeat, ack *peerv1.HeartbeatAck, now time.Duration) {
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -166,6 +167,7 @@
 	for {
 		done, err := c.tryGoodbye(ctx)
 		if done {
+			c.announceEnd(ctx)
 			event.MemberLeft.Emit(c.cfg.Log)
 			return nil
 		}
@@ -177,6 +179,28 @@
 	}
 }
 
+// announceEnd tells the peers that may have granted leases that this instance
+// has given them up, so that no change waits for the leases to lapse.
+func (c *Controller) announceEnd(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Limits.Lease/2)
+	defer cancel()
+	c.mu.Lock()
+	c.renewSelf(c.cfg.Clock(), func(m *peerv1.Member) { m.Removed, m.Registered = true, false })
+	req := &peerv1.Request{From: c.cfg.ID, Kind: &peerv1.Request_Heartbeat{Heartbeat: &peerv1.Heartbeat{Sender: c.self}}}
+	var addresses []string
+	for address, state := range c.calls {
+		if !state.failed {
+			addresses = append(addresses, address)
+		}
+	}
+	c.mu.Unlock()
+	var calls sync.WaitGroup
+	for _, address := range addresses {
+		calls.Go(func() { _, _ = c.cfg.Caller.Call(ctx, address, req) })
+	}
+	calls.Wait()
+}
+
 // waitForGrants stops granting, gives up the own lease, and waits until every
 // granted lease has lapsed.
 func (c *Controller) waitForGrants(ctx context.Context) error {
