--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,7 +114,7 @@
 	if found.own.Revision != 0 {
 		epoch.RemovedUnixMs = max(epoch.GetRemovedUnixMs(), found.now.UnixMilli())
 	}
-	if _, ok := epoch.DomainSinceUnixMs[self.GetFailureDomain()]; !ok {
+	if !found.peopled(self) {
 		epoch.DomainSinceUnixMs[self.GetFailureDomain()] = found.now.UnixMilli()
 	}
 	value, err = EncodeEpoch(epoch)
@@ -124,6 +125,13 @@
 	return conditions, append(writes, platform.Write{Key: EpochRow, Value: value}), true, nil
 }
 
+// peopled tells whether the failure domain of self has other members.
+func (r registration) peopled(self *peerv1.Member) bool {
+	return slices.ContainsFunc(r.members, func(m *peerv1.Member) bool {
+		return m.GetFailureDomain() == self.GetFailureDomain() && m.GetId() != self.GetId()
+	})
+}
+
 func (c *Controller) registered(found registration, self *peerv1.Member, joined bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -201,10 +209,21 @@
 	calls.Wait()
 }
 
-// waitForGrants stops granting, gives up the own lease, and waits until every
-// granted lease has lapsed.
+// waitForGrants ends the lease and waits until every granted lease has lapsed.
 func (c *Controller) waitForGrants(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	case <-time.After(c.endLease()):
+		return nil
+	}
+}
+
+// endLease stops granting, gives up the own lease, and returns after how long
+// every granted lease has lapsed.
+func (c *Controller) endLease() time.Duration {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := c.cfg.Clock()
 	c.holding.leaving, c.holding.ended = true, true
 	c.holding.drop()
@@ -213,13 +232,7 @@
 	for _, g := range c.grants {
 		wait = max(wait, g.at+c.cfg.Limits.Lease+c.cfg.Limits.Margin-now)
 	}
-	c.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return trace.Wrap(ctx.Err())
-	case <-time.After(wait):
-		return nil
-	}
+	return wait
 }
 
 func (c *Controller) tryGoodbye(ctx context.Context) (bool, error) {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -34,9 +34,12 @@
 type view struct {
 	entries map[string]*entry
 	digest  uint64
+	// rows tells the failure domain of each id that has a row in the table, of
+	// whatever incarnation: a restarted instance replaces its row only later.
+	rows map[string]string
 }
 
-func newView() *view { return &view{entries: make(map[string]*entry)} }
+func newView() *view { return &view{entries: make(map[string]*entry), rows: make(map[string]string)} }
 
 // hashOf digests what two views have to agree on.
 func hashOf(m *peerv1.Member) uint64 {
@@ -87,6 +90,7 @@
 	if !ok {
 		v.entries[told.GetId()] = &entry{member: told, changed: now, heard: now}
 		v.digest ^= hashOf(told)
+		v.noteRow(told)
 		return true
 	}
 	merged := merge(known.member, told)
@@ -100,6 +104,16 @@
 func (v *view) set(e *entry, m *peerv1.Member, now time.Duration) {
 	v.digest ^= hashOf(e.member) ^ hashOf(m)
 	e.member, e.changed = m, now
+	v.noteRow(m)
+}
+
+func (v *view) noteRow(m *peerv1.Member) {
+	switch {
+	case m.GetRegistered():
+		v.rows[m.GetId()] = m.GetFailureDomain()
+	case m.GetRemoved():
+		delete(v.rows, m.GetId())
+	}
 }
 
 // remove marks a member as removed, if that incarnation is the one known.
@@ -129,16 +143,17 @@
 
 // reconcile makes the registered members exactly those of the table's rows.
 func (v *view) reconcile(rows []*peerv1.Member, now time.Duration) {
-	listed := make(map[string]bool, len(rows))
+	listed := make(map[string]string, len(rows))
 	for _, m := range rows {
-		listed[m.GetId()] = true
+		listed[m.GetId()] = m.GetFailureDomain()
 		v.learn(m, now)
 	}
 	for id, e := range v.entries {
-		if e.member.GetRegistered() && !listed[id] {
+		if _, ok := listed[id]; !ok && e.member.GetRegistered() {
 			v.remove(id, e.member.GetIncarnation(), now)
 		}
 	}
+	v.rows = listed
 }
 
 // news returns what to send to a peer whose digest differs: the entries that
@@ -160,18 +175,16 @@
 // domains returns the failure domains of the registered members.
 func (v *view) domains() map[string]bool {
 	found := make(map[string]bool)
-	for _, e := range v.entries {
-		if e.member.GetRegistered() {
-			found[e.member.GetFailureDomain()] = true
-		}
+	for _, domain := range v.rows {
+		found[domain] = true
 	}
 	return found
 }
 
 // alone tells whether no other registered member of the domain is known.
 func (v *view) alone(self, domain string) bool {
-	for id, e := range v.entries {
-		if id != self && e.member.GetRegistered() && e.member.GetFailureDomain() == domain {
+	for id, of := range v.rows {
+		if id != self && of == domain {
 			return false
 		}
 	}
