--- a/internal/instance/operations.go
+++ b/internal/instance/operations.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -25,7 +26,7 @@
 	Version uint64   `json:"configuration_version"`
 }
 
-// operationsServer serves /metrics, /live and /ready.
+// operationsServer serves /metrics, /live, /ready and /debug/pprof/.
 type operationsServer struct {
 	board   *blackboard.Board
 	clock   lease.Clock
@@ -39,6 +40,9 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	mux.HandleFunc("GET /ready", o.serveReady)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	return mux
 }
 
