Try replicas that are expected to show the floor, and learn when they do

Cause: whether a replica was past a floor was known only from samples, 300 ms apart at best, so that reads went to the primary although a replica would have shown the floor. Change: a replica is tried once the floor is as old as its learnt catch-up time; the answer is kept back until the replica has told a position at the floor or later.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/endpoint"
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/routing"
 	"github.com/hornbeamlock/hornbeamlock/internal/statement"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
@@ -289,10 +290,14 @@
 	if !x.placed.replica || x.c.lease != nil || x.c.answers.sent || !x.rq.synced {
 		return false
 	}
+	behind := x.conn.Position().Less(x.placed.lowest)
 	if x.placed.verify {
 		x.c.server.metrics.readsVerified.Add(1)
+		x.c.server.catchUps.Update(x.placed.endpoint, func(c routing.CatchUp, _ bool) (routing.CatchUp, bool) {
+			return c.Observe(x.placed.age, !behind), true
+		})
 	}
-	return x.conn.Position().Less(x.placed.lowest)
+	return behind
 }
 
 // behindOutcome is the outcome of a read at a replica that is not there yet.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -24,9 +24,11 @@
 	replica  bool
 	// term is the term of the primary, 0 at a replica.
 	term uint64
-	// verify is true at a replica that is only expected to be at lowest.
+	// verify is true at a replica that is only expected to be at lowest, a
+	// position at least as old as age.
 	verify bool
 	lowest position.Position
+	age    time.Duration
 }
 
 // place decides where a request runs and acquires a connection there. Errors are
@@ -108,8 +110,9 @@
 		if !ok {
 			continue
 		}
+		catchUp, _ := c.server.catchUps.Get(e.GetId())
 		list = append(list, routing.Candidate{
-			Endpoint: row, FailureDomain: e.GetFailureDomain(), Leaving: e.GetLeaving(),
+			Endpoint: row, CatchUp: catchUp, FailureDomain: e.GetFailureDomain(), Leaving: e.GetLeaving(),
 			InFlight: cfg.Pools.InFlight(e.GetId()), Failed: slices.Contains(rq.failed, e.GetId()),
 		})
 	}
@@ -133,7 +136,7 @@
 		if err == nil {
 			return placement{
 				lease: lease, endpoint: id, replica: decision.Action == routing.UseReplica,
-				term: decision.Term, verify: decision.Verify, lowest: decision.Lowest,
+				term: decision.Term, verify: decision.Verify, lowest: decision.Lowest, age: decision.Age,
 			}, nil
 		}
 		rq.failed = append(rq.failed, id)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -13,6 +13,8 @@
 	"github.com/gravitational/trace"
 	"gopkg.in/tomb.v2"
 
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/routing"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
@@ -21,9 +23,11 @@
 
 // Server serves callers.
 type Server struct {
-	cfg      Config
-	callers  registry
-	indexes  indexes
+	cfg     Config
+	callers registry
+	indexes indexes
+	// catchUps are what attempts have taught of each endpoint.
+	catchUps *blackboard.Table[string, routing.CatchUp]
 	waiting  atomic.Int64 // statements that wait for a primary
 	draining atomic.Bool
 	metrics  counters
@@ -34,7 +38,7 @@
 	if err := cfg.CheckAndSetDefaults(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, catchUps: blackboard.NewTable[string, routing.CatchUp]()}
 	s.callers.init()
 	s.indexes.init()
 	s.metrics = newCounters(cfg.Metrics, s)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -51,6 +51,8 @@
 	InFlight int
 	// Failed is true when this very statement has failed there.
 	Failed bool
+	// CatchUp tells when the endpoint is expected to show a position.
+	CatchUp CatchUp
 }
 
 // Input is what a decision rests on.
@@ -82,6 +84,8 @@
 	Wait time.Duration
 	// Lowest is the position that the answer must reflect.
 	Lowest position.Position
+	// Age is how old Lowest is at least.
+	Age time.Duration
 	// Verify is true when the replicas are expected but not known to be there: the
 	// answer counts only if the replica then tells a position at Lowest or later.
 	Verify bool
@@ -158,10 +162,10 @@
 			there = append(there, c)
 			continue
 		}
-		if c.Lag <= 0 || c.History.Superseded(lowest) {
+		if c.History.Superseded(lowest) {
 			continue
 		}
-		left := c.Lag - in.Now.Sub(in.Floor.RaisedAt)
+		left := c.CatchUp.After() - in.age(lowest)
 		if left <= 0 {
 			expected = append(expected, c)
 		} else if left <= in.WaitBudget && (wait < 0 || left < wait) {
@@ -172,7 +176,7 @@
 	case len(there) > 0:
 		return Decision{Action: UseReplica, Endpoints: in.order(there), Lowest: lowest}, true
 	case len(expected) > 0:
-		return Decision{Action: UseReplica, Endpoints: in.order(expected), Lowest: lowest, Verify: true}, true
+		return Decision{Action: UseReplica, Endpoints: in.order(expected), Lowest: lowest, Age: in.age(lowest), Verify: true}, true
 	case wait >= 0:
 		return Decision{Action: WaitReplica, Wait: wait, Lowest: lowest}, true
 	default:
@@ -180,6 +184,19 @@
 	}
 }
 
+// age is how old the position is at least: as old as the session knows it, or as
+// a sample of the primary that was past it. A bounded read's index counts as new.
+func (in Input) age(lowest position.Position) time.Duration {
+	if in.Bounded {
+		return 0
+	}
+	known := in.Floor.RaisedAt
+	if in.Group.SampledAt.Before(known) && !in.Group.PrimaryPosition.Less(lowest) {
+		known = in.Group.SampledAt
+	}
+	return in.Now.Sub(known)
+}
+
 func (in Input) usable(c Candidate) bool {
 	return c.Role == blackboard.RoleReplica && c.ID != in.Group.Primary && c.Serving && c.Reachable &&
 		!c.Leaving && !c.Failed && !in.Now.Before(c.SuspectUntil)
