Leave a replaced primary at once, also while waiting for it

Cause: statements that waited for a connection to, or an answer of, a primary that had gone silent waited for their own deadlines although the group already had another primary. Change: statements at a primary are noted by service; when a higher term gets a primary, those that wait for a connection are placed anew, those that wait for an answer get 250 ms and then their verdict, and a transaction of the lower term is rolled back at its next statement.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -52,6 +52,10 @@
 	// lease is the connection of the running transaction, or nil.
 	lease     *pool.Lease
 	atReplica bool
+	// term is the term of the primary that runs the transaction.
+	term uint64
+	// usesPrimary is true while the statement stands in the server's uses.
+	usesPrimary bool
 	// failed is true when the proxy has ended the transaction and the caller has
 	// not yet done so.
 	failed bool
--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -14,6 +14,8 @@
 	stop context.CancelFunc
 	// conn is where it runs; nil while it waits.
 	conn *endpoint.Conn
+	// rerouted ends the waiting for a connection to the primary; may be nil.
+	rerouted context.CancelFunc
 	// cancelled is true once a cancel request came; it is not repeated then.
 	cancelled bool
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -358,7 +358,7 @@
 func (x *exchange) keepOrRelease(status byte) {
 	x.c.countPlacement(x.rq, x.placed.replica)
 	if status != endpoint.StatusIdle {
-		x.c.lease, x.c.atReplica = x.placed.lease, x.placed.replica
+		x.c.lease, x.c.atReplica, x.c.term = x.placed.lease, x.placed.replica, x.placed.term
 		return
 	}
 	x.c.detach()
@@ -418,7 +418,7 @@
 
 // endUnsynced ends the answer to a batch that a Flush has cut off from its Sync.
 func (x *exchange) endUnsynced() outcome {
-	x.c.lease, x.c.atReplica = x.placed.lease, x.placed.replica
+	x.c.lease, x.c.atReplica, x.c.term = x.placed.lease, x.placed.replica, x.placed.term
 	if x.failed {
 		x.c.skipping = true
 	}
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -73,8 +73,8 @@
 	}
 }
 
-func newFaultRig(t *testing.T) *rig {
-	r := newRig(t, options{})
+func newFaultRig(t *testing.T, o options) *rig {
+	r := newRig(t, o)
 	r.dials.mu.Lock()
 	defer r.dials.mu.Unlock()
 	r.dials.wrap = func(conn net.Conn) net.Conn { return &faultConn{TCPConn: conn.(*net.TCPConn)} }
@@ -132,7 +132,7 @@
 		for i, s := range statements {
 			t.Run(s.name, func(t *testing.T) {
 				t.Parallel()
-				r := newFaultRig(t)
+				r := newFaultRig(t, options{})
 				// The statement is the first on its connection after the fault: logins
 				// of the proxy at the endpoints come before.
 				conn := r.connect("hornbeamlock.timeout=2500ms default_query_exec_mode=simple_protocol")
@@ -273,7 +273,7 @@
 // TestRepeatedThenTimedOut holds that a statement whose first attempt may have
 // run is never told as not run, although its second attempt surely did not.
 func TestRepeatedThenTimedOut(t *testing.T) {
-	r := newFaultRig(t)
+	r := newFaultRig(t, options{})
 	conn := r.connect("hornbeamlock.timeout=1s hornbeamlock.idempotent=on default_query_exec_mode=simple_protocol")
 	exec(t, conn, "DELETE FROM passes")
 	r.strike(lost)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -144,6 +144,8 @@
 	address   string
 	now       atomic.Int64 // lease clock
 	dials     *dialer
+	// pausedServers is how many servers, from the first, answer nothing.
+	pausedServers int
 }
 
 // dialer keeps the transports to the endpoints, so that tests can break them.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -42,14 +42,11 @@
 		switch decision.Action {
 		case routing.UseReplica, routing.UsePrimary:
 			placed, err := c.acquire(ctx, rq, decision)
-			if err != nil && ctx.Err() != nil {
-				return placement{}, c.interruption(ctx).WithCause(err)
-			}
-			if err == nil || decision.Action == routing.UsePrimary && !isUnreachable(err) {
+			if err == nil || c.isFinal(ctx, decision, err) {
 				return placed, err
 			}
-			if decision.Action == routing.UsePrimary && !sleep(ctx, firstPause) {
-				return placement{}, err
+			if decision.Action == routing.UsePrimary {
+				sleep(ctx, firstPause)
 			}
 		case routing.NeedIndex:
 			if err := c.readIndex(ctx); err != nil {
@@ -69,6 +66,16 @@
 	return placement{}, c.interruption(ctx)
 }
 
+// errRerouted means that the primary was replaced while a statement waited for a
+// connection to it.
+var errRerouted = errors.New("gateway: the primary was replaced")
+
+// isFinal tells whether another decision would not help: the primary itself has
+// refused, for want of room.
+func (c *caller) isFinal(ctx context.Context, decision routing.Decision, err error) bool {
+	return ctx.Err() == nil && decision.Action == routing.UsePrimary && !errors.Is(err, errRerouted) && !isUnreachable(err)
+}
+
 // isUnreachable tells an endpoint that cannot be reached from a refusal.
 func isUnreachable(err error) bool {
 	var known *verdict.Error
@@ -126,10 +133,16 @@
 	weight := c.server.cfg.Board.Configuration.Get().Organisations[identity.organisation].GetWeight()
 	ctx, span := c.startHop(ctx, "pool")
 	defer span.End()
+	waiting := ctx
+	if decision.Action == routing.UsePrimary {
+		var cancel context.CancelFunc
+		waiting, cancel = c.enterPrimary(ctx, decision.Term)
+		defer cancel()
+	}
 	var err error
 	for _, id := range decision.Endpoints {
 		var lease *pool.Lease
-		lease, err = c.server.cfg.Pools.Acquire(ctx, pool.Request{
+		lease, err = c.server.cfg.Pools.Acquire(waiting, pool.Request{
 			Endpoint: id, Organisation: identity.organisation, Weight: weight,
 			Bytes: rq.size(), Settings: c.state.EndpointSettings(),
 		})
@@ -141,6 +154,9 @@
 		}
 		rq.failed = append(rq.failed, id)
 	}
+	if waiting.Err() != nil && ctx.Err() == nil {
+		err = errRerouted
+	}
 	return placement{}, err
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -125,6 +125,7 @@
 	}
 	ctx = c.start(ctx, rq.arrived.Add(timeout))
 	defer c.finish()
+	defer c.leavePrimary()
 	ctx, span := c.startSpan(ctx, rq)
 	defer span.End()
 	c.server.cfg.Groups.Touch(c.identity.Load().service)
@@ -160,7 +161,13 @@
 		return c.reject(rq, c.interruption(ctx))
 	}
 	defer c.detach()
-	result := c.newExchange(ctx, rq, placement{lease: c.lease, replica: c.atReplica}).run()
+	if !c.atReplica {
+		if c.server.termOf(c.identity.Load().service) > c.term {
+			return c.transactionLost(ctx, rq, outcome{err: errRerouted})
+		}
+		c.usePrimary(c.term)
+	}
+	result := c.newExchange(ctx, rq, placement{lease: c.lease, replica: c.atReplica, term: c.term}).run()
 	if result.callerGone != nil {
 		return result.callerGone
 	}
@@ -183,6 +190,9 @@
 		return c.answerError(rq, rolledBack(result.err))
 	}
 	c.failed = !implicit
+	if rq.statement.Class == statement.Rollback {
+		return c.answerLocally(rq)
+	}
 	if timedOut(ctx, result.err) {
 		return c.answerError(rq, c.interruption(ctx).WithCause(result.err))
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -24,6 +24,7 @@
 // Server serves callers.
 type Server struct {
 	cfg     Config
+	uses    uses
 	callers registry
 	indexes indexes
 	// catchUps are what attempts have taught of each endpoint.
@@ -41,6 +42,7 @@
 	s := &Server{cfg: cfg, catchUps: blackboard.NewTable[string, routing.CatchUp]()}
 	s.callers.init()
 	s.indexes.init()
+	s.uses.init()
 	s.metrics = newCounters(cfg.Metrics, s)
 	return s, nil
 }
@@ -50,6 +52,7 @@
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	t, ctx := tomb.WithContext(ctx)
 	t.Go(func() error { return s.watch(ctx) })
+	t.Go(func() error { return s.followGroups(ctx) })
 	t.Go(func() error { return s.accept(ctx, t, listener) })
 	t.Go(func() error {
 		<-ctx.Done()
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -132,7 +132,7 @@
 	require.NoError(r.t, err)
 	require.True(r.t, granted)
 	require.Eventually(r.t, func() bool {
-		for _, s := range servers {
+		for _, s := range servers[r.pausedServers:] {
 			if status := s.Status(); status.PromisedTerm != 2 || status.Primary != (s == servers[1]) || !status.Serving {
 				return false
 			}
@@ -214,3 +214,39 @@
 	require.NoError(t, <-waiting)
 	require.Equal(t, 1, count(t, second))
 }
+
+// TestReplacedPrimaryIsLeft holds that nobody waits for a primary that does not
+// answer once another is known: neither for a connection nor for an answer.
+func TestReplacedPrimaryIsLeft(t *testing.T) {
+	r := newRig(t, options{units: 2})
+	old := r.group.Servers()[0]
+	simple := "default_query_exec_mode=simple_protocol hornbeamlock.timeout=1h"
+	inside, asking, waiting, reading := r.connect(simple), r.connect(simple), r.connect(simple), r.connect(simple)
+	exec(t, inside, "BEGIN")
+	exec(t, inside, "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
+	exec(t, asking, "DELETE FROM passes")
+	exec(t, reading, "DELETE FROM passes")
+	old.Pause()
+	defer old.Resume()
+	r.pausedServers = 1
+	r.failOver(func() {})
+	answers := make(chan error, 2)
+	go func() {
+		_, err := asking.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (2, 'Bert')")
+		answers <- err
+	}()
+	r.awaitInFlight(2)
+	written := make(chan error, 1)
+	go func() {
+		_, err := waiting.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (3, 'Cleo')")
+		written <- err
+	}()
+	r.awaitInFlight(3)
+	r.sample()
+	require.NoError(t, <-written)
+	refused(t, <-answers, verdict.CodeCompletionUnknown, verdict.MayHaveRun)
+	_, err := inside.Exec(context.Background(), "UPDATE passes SET holder = 'Dora'")
+	refused(t, err, verdict.CodeSerializationFailure, verdict.NotRun)
+	exec(t, inside, "ROLLBACK")
+	require.Equal(t, 1, count(t, reading))
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -39,7 +39,7 @@
 	ReportFailure func(endpointID string, err error)
 	// Now is the clock; default time.Now.
 	Now func() time.Time
-	// ConnectTimeout bounds the opening of a connection; default 2 s.
+	// ConnectTimeout bounds the opening of a connection; default 1 s.
 	ConnectTimeout time.Duration
 	// ProbeAfter is the idle time after which a connection is probed before use;
 	// default 5 s.
@@ -74,7 +74,7 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	setDefault(&c.ConnectTimeout, 2*time.Second)
+	setDefault(&c.ConnectTimeout, time.Second)
 	setDefault(&c.ProbeAfter, 5*time.Second)
 	setDefault(&c.ProbeTimeout, 250*time.Millisecond)
 	setDefault(&c.IdleTimeout, 5*time.Minute)
