--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -11,7 +14,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -54,7 +56,6 @@
 	defer log.Close() //nolint:errcheck // the process has its own descriptor
 	command := exec.Command(p.binary, "-settings", p.file)
 	command.Stdout, command.Stderr = log, log
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		return trace.ConvertSystemError(err)
 	}
@@ -177,7 +178,7 @@
 	directory := filepath.Join("/proc", strconv.Itoa(p.Pid()))
 	stat, err := os.ReadFile(filepath.Join(directory, "stat"))
 	if err != nil {
-		return Usage{}, trace.ConvertSystemError(err)
+		return Usage{}, trace.Wrap(err, "instance %s has ended, see %s", p.ID, p.logFile)
 	}
 	// The fields after the name, which stands in parentheses, begin with number 3.
 	_, rest, _ := strings.Cut(string(stat), ") ")
@@ -195,21 +196,32 @@
 	}, nil
 }
 
-// freeTCP and freeUDP return addresses that were free a moment ago.
-func freeTCP() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", trace.ConvertSystemError(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
+// Ports for processes lie below those that the system hands out by itself, so
+// that no other socket takes one before its process has started.
+const (
+	firstPort = 20_000
+	lastPort  = 30_000
+	portTries = 1000
+)
 
-func freeUDP() (string, error) {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return "", trace.ConvertSystemError(err)
+// freePort returns an address whose port was free a moment ago, by trying to
+// listen there.
+func (f *Fleet) freePort(listen func(address string) (io.Closer, error)) (string, error) {
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if f.ports[address] {
+			continue
+		}
+		socket, err := listen(address)
+		if err != nil {
+			continue
+		}
+		f.ports[address] = true
+		return address, trace.Wrap(socket.Close())
 	}
-	defer conn.Close() //nolint:errcheck // nothing was sent
-	return conn.LocalAddr().String(), nil
+	return "", trace.LimitExceeded("no port is free between %d and %d", firstPort, lastPort)
 }
+
+func listenTCP(address string) (io.Closer, error) { return net.Listen("tcp", address) }
+
+func listenUDP(address string) (io.Closer, error) { return net.ListenPacket("udp", address) }
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -112,7 +114,7 @@
 	if found.own.Revision != 0 {
 		epoch.RemovedUnixMs = max(epoch.GetRemovedUnixMs(), found.now.UnixMilli())
 	}
-	if _, ok := epoch.DomainSinceUnixMs[self.GetFailureDomain()]; !ok {
+	if !found.peopled(self) {
 		epoch.DomainSinceUnixMs[self.GetFailureDomain()] = found.now.UnixMilli()
 	}
 	value, err = EncodeEpoch(epoch)
@@ -123,6 +125,13 @@
 	return conditions, append(writes, platform.Write{Key: EpochRow, Value: value}), true, nil
 }
 
+// peopled tells whether the failure domain of self has other members.
+func (r registration) peopled(self *peerv1.Member) bool {
+	return slices.ContainsFunc(r.members, func(m *peerv1.Member) bool {
+		return m.GetFailureDomain() == self.GetFailureDomain() && m.GetId() != self.GetId()
+	})
+}
+
 func (c *Controller) registered(found registration, self *peerv1.Member, joined bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -166,6 +175,7 @@
 	for {
 		done, err := c.tryGoodbye(ctx)
 		if done {
+			c.announceEnd(ctx)
 			event.MemberLeft.Emit(c.cfg.Log)
 			return nil
 		}
@@ -177,10 +187,43 @@
 	}
 }
 
-// waitForGrants stops granting, gives up the own lease, and waits until every
-// granted lease has lapsed.
+// announceEnd tells the peers that may have granted leases that this instance
+// has given them up, so that no change waits for the leases to lapse.
+func (c *Controller) announceEnd(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Limits.Lease/2)
+	defer cancel()
+	c.mu.Lock()
+	c.renewSelf(c.cfg.Clock(), func(m *peerv1.Member) { m.Removed, m.Registered = true, false })
+	req := &peerv1.Request{From: c.cfg.ID, Kind: &peerv1.Request_Heartbeat{Heartbeat: &peerv1.Heartbeat{Sender: c.self}}}
+	var addresses []string
+	for address, state := range c.calls {
+		if !state.failed {
+			addresses = append(addresses, address)
+		}
+	}
+	c.mu.Unlock()
+	var calls sync.WaitGroup
+	for _, address := range addresses {
+		calls.Go(func() { _, _ = c.cfg.Caller.Call(ctx, address, req) })
+	}
+	calls.Wait()
+}
+
+// waitForGrants ends the lease and waits until every granted lease has lapsed.
 func (c *Controller) waitForGrants(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	case <-time.After(c.endLease()):
+		return nil
+	}
+}
+
+// endLease stops granting, gives up the own lease, and returns after how long
+// every granted lease has lapsed.
+func (c *Controller) endLease() time.Duration {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := c.cfg.Clock()
 	c.holding.leaving, c.holding.ended = true, true
 	c.holding.drop()
@@ -189,13 +232,7 @@
 	for _, g := range c.grants {
 		wait = max(wait, g.at+c.cfg.Limits.Lease+c.cfg.Limits.Margin-now)
 	}
-	c.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return trace.Wrap(ctx.Err())
-	case <-time.After(wait):
-		return nil
-	}
+	return wait
 }
 
 func (c *Controller) tryGoodbye(ctx context.Context) (bool, error) {
--- a/internal/share/ask.go
+++ b/internal/share/ask.go
@@ -37,7 +37,12 @@
 		if c.suspected(other) {
 			continue
 		}
-		_ = c.ask(ctx, a, other, a.rest(want, other))
+		rest := int64(0)
+		if err != nil || !c.tableAnswers.Load() {
+			// The allocator in charge could not get what the other one gave back.
+			rest = a.rest(want, other)
+		}
+		_ = c.ask(ctx, a, other, rest)
 	}
 	a.conclude(c.cfg.Clock(), want, err, c.cfg.Random())
 }
@@ -51,6 +56,7 @@
 	}
 	grant, err := c.call(ctx, allocator, r)
 	if err != nil {
+		a.unanswered(allocator)
 		return trace.Wrap(err)
 	}
 	a.settle(c.cfg.Clock(), sent, allocator, r, grant)
@@ -149,7 +155,7 @@
 		h.bucket.SetLimit(now, a.limit)
 		a.holdings = append(a.holdings, h)
 	}
-	h.sequence = sequence
+	h.sequence, h.asking = sequence, true
 	held := h.bucket.Amount(now)
 	keep := a.keep(h, held.Units, want)
 	r := &peerv1.ShareRequest{Resource: a.resource, Sequence: sequence, Held: message(held), Need: want}
@@ -166,7 +172,7 @@
 // keep decides how much of a holding is kept. The caller holds mu.
 func (a *Account) keep(h *holding, held, want int64) int64 {
 	keep := held
-	if want < held-held/slack || want == 0 {
+	if a.excess(held, want) {
 		keep = want
 	}
 	if h.ceiling >= 0 {
@@ -178,6 +184,15 @@
 	return min(held, max(keep, a.demand.used-a.heldElsewhere(h)))
 }
 
+// excess tells whether so much more is held than wanted that it is handed back:
+// any whole unit, but a rate only when it is worth a message. The caller holds mu.
+func (a *Account) excess(held, want int64) bool {
+	if a.limit.Rate <= 0 || want == 0 {
+		return want < held
+	}
+	return want < held-held/slack
+}
+
 // heldElsewhere sums the units of the other holdings. The caller holds mu.
 func (a *Account) heldElsewhere(except *holding) int64 {
 	now := a.clock()
@@ -207,6 +222,7 @@
 	if h == nil || h.sequence != r.GetSequence() || g.GetSequence() != h.sequence {
 		return
 	}
+	h.asking = false
 	if g.GetUnknown() {
 		h.orphaned = true
 		return
@@ -228,6 +244,15 @@
 	a.notify()
 }
 
+// unanswered notes that a request got no answer.
+func (a *Account) unanswered(allocator string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h := a.holding(allocator); h != nil {
+		h.asking = false
+	}
+}
+
 // conclude ends a renewal: it sets when to ask next, and for how long requests
 // that find too little are refused at once.
 func (a *Account) conclude(now time.Duration, want int64, err error, random float64) {
