--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -131,8 +131,6 @@
 func (c *caller) acquire(ctx context.Context, rq *request, decision routing.Decision) (placement, error) {
 	identity := c.identity.Load()
 	weight := c.server.cfg.Board.Configuration.Get().Organisations[identity.organisation].GetWeight()
-	ctx, span := c.startHop(ctx, "pool")
-	defer span.End()
 	waiting := ctx
 	if decision.Action == routing.UsePrimary {
 		var cancel context.CancelFunc
--- a/internal/pool/endpointpool.go
+++ b/internal/pool/endpointpool.go
@@ -52,11 +52,15 @@
 // acquire waits for a place in the queue and takes a connection.
 func (p *endpointPool) acquire(ctx context.Context, r Request) (*Lease, error) {
 	for {
-		release, err := p.queue.Acquire(ctx, fairqueue.Request{Organisation: r.Organisation, Weight: r.Weight, Bytes: r.Bytes})
+		queueCtx, end := p.pools.startWait(ctx, "queue wait")
+		release, err := p.queue.Acquire(queueCtx, fairqueue.Request{Organisation: r.Organisation, Weight: r.Weight, Bytes: r.Bytes})
+		end()
 		if err != nil {
 			return nil, err
 		}
-		conn, err := p.take(ctx, r.Settings)
+		poolCtx, end := p.pools.startWait(ctx, "pool wait")
+		conn, err := p.take(poolCtx, r.Settings)
+		end()
 		if err == nil {
 			return &Lease{Conn: conn, pool: p, release: release}, nil
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
@@ -31,6 +32,8 @@
 	Board   *blackboard.Board
 	Log     *zap.Logger
 	Metrics *metrics.Set
+	// Tracer makes the spans of the two waits; nil makes none.
+	Tracer oteltrace.Tracer
 	// Dial opens the transport; default is TCP with keep-alive.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Demand tells the share controller about unmet demand; may be nil.
@@ -177,6 +180,15 @@
 	return lease, nil
 }
 
+// startWait begins the span of one wait.
+func (p *Pools) startWait(ctx context.Context, name string) (context.Context, func()) {
+	if p.cfg.Tracer == nil {
+		return ctx, func() {}
+	}
+	ctx, span := p.cfg.Tracer.Start(ctx, name)
+	return ctx, func() { span.End() }
+}
+
 // InFlight returns how many leases of the endpoint are held or waited for.
 func (p *Pools) InFlight(endpointID string) int {
 	s := p.shardOf(endpointID)
