--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -80,6 +80,9 @@
 
 func (g *groups) ReadIndex(context.Context, string) (position.Position, error) {
 	g.indexes.Add(1)
+	if g.group == nil {
+		return position.Position{}, verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow, "no group")
+	}
 	return g.group.Primary().Status().Durable, nil
 }
 
