--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/endpoint"
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/routing"
 	"github.com/hornbeamlock/hornbeamlock/internal/statement"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
@@ -289,10 +290,14 @@
 	if !x.placed.replica || x.c.lease != nil || x.c.answers.sent || !x.rq.synced {
 		return false
 	}
+	behind := x.conn.Position().Less(x.placed.lowest)
 	if x.placed.verify {
 		x.c.server.metrics.readsVerified.Add(1)
+		x.c.server.catchUps.Update(x.placed.endpoint, func(c routing.CatchUp, _ bool) (routing.CatchUp, bool) {
+			return c.Observe(x.placed.age, !behind), true
+		})
 	}
-	return x.conn.Position().Less(x.placed.lowest)
+	return behind
 }
 
 // behindOutcome is the outcome of a read at a replica that is not there yet.
@@ -353,7 +358,7 @@
 func (x *exchange) keepOrRelease(status byte) {
 	x.c.countPlacement(x.rq, x.placed.replica)
 	if status != endpoint.StatusIdle {
-		x.c.lease, x.c.atReplica = x.placed.lease, x.placed.replica
+		x.c.lease, x.c.atReplica, x.c.term = x.placed.lease, x.placed.replica, x.placed.term
 		return
 	}
 	x.c.detach()
@@ -413,7 +418,7 @@
 
 // endUnsynced ends the answer to a batch that a Flush has cut off from its Sync.
 func (x *exchange) endUnsynced() outcome {
-	x.c.lease, x.c.atReplica = x.placed.lease, x.placed.replica
+	x.c.lease, x.c.atReplica, x.c.term = x.placed.lease, x.placed.replica, x.placed.term
 	if x.failed {
 		x.c.skipping = true
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -13,6 +13,8 @@
 	"github.com/gravitational/trace"
 	"gopkg.in/tomb.v2"
 
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/routing"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
@@ -21,9 +23,12 @@
 
 // Server serves callers.
 type Server struct {
-	cfg      Config
-	callers  registry
-	indexes  indexes
+	cfg     Config
+	uses    uses
+	callers registry
+	indexes indexes
+	// catchUps are what attempts have taught of each endpoint.
+	catchUps *blackboard.Table[string, routing.CatchUp]
 	waiting  atomic.Int64 // statements that wait for a primary
 	draining atomic.Bool
 	metrics  counters
@@ -34,9 +39,10 @@
 	if err := cfg.CheckAndSetDefaults(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, catchUps: blackboard.NewTable[string, routing.CatchUp]()}
 	s.callers.init()
 	s.indexes.init()
+	s.uses.init()
 	s.metrics = newCounters(cfg.Metrics, s)
 	return s, nil
 }
@@ -46,6 +52,7 @@
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	t, ctx := tomb.WithContext(ctx)
 	t.Go(func() error { return s.watch(ctx) })
+	t.Go(func() error { return s.followGroups(ctx) })
 	t.Go(func() error { return s.accept(ctx, t, listener) })
 	t.Go(func() error {
 		<-ctx.Done()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
@@ -31,6 +32,8 @@
 	Board   *blackboard.Board
 	Log     *zap.Logger
 	Metrics *metrics.Set
+	// Tracer makes the spans of the two waits; nil makes none.
+	Tracer oteltrace.Tracer
 	// Dial opens the transport; default is TCP with keep-alive.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Demand tells the share controller about unmet demand; may be nil.
@@ -39,7 +42,7 @@
 	ReportFailure func(endpointID string, err error)
 	// Now is the clock; default time.Now.
 	Now func() time.Time
-	// ConnectTimeout bounds the opening of a connection; default 2 s.
+	// ConnectTimeout bounds the opening of a connection; default 1 s.
 	ConnectTimeout time.Duration
 	// ProbeAfter is the idle time after which a connection is probed before use;
 	// default 5 s.
@@ -74,7 +77,7 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
-	setDefault(&c.ConnectTimeout, 2*time.Second)
+	setDefault(&c.ConnectTimeout, time.Second)
 	setDefault(&c.ProbeAfter, 5*time.Second)
 	setDefault(&c.ProbeTimeout, 250*time.Millisecond)
 	setDefault(&c.IdleTimeout, 5*time.Minute)
@@ -177,6 +180,15 @@
 	return lease, nil
 }
 
+// startWait begins the span of one wait.
+func (p *Pools) startWait(ctx context.Context, name string) (context.Context, func()) {
+	if p.cfg.Tracer == nil {
+		return ctx, func() {}
+	}
+	ctx, span := p.cfg.Tracer.Start(ctx, name)
+	return ctx, func() { span.End() }
+}
+
 // InFlight returns how many leases of the endpoint are held or waited for.
 func (p *Pools) InFlight(endpointID string) int {
 	s := p.shardOf(endpointID)
