--- a/internal/load/score.go
+++ b/internal/load/score.go
@@ -133,6 +133,13 @@
 	return 0, false
 }
 
+// Acknowledged returns how many writes of the service were acknowledged.
+func (s *Score) Acknowledged(service string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.acknowledged[service])
+}
+
 // LongestSilence returns the longest time between from and to in which no write
 // of the service was acknowledged.
 func (s *Score) LongestSilence(service string, from, to time.Time) time.Duration {
