--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -11,9 +11,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -56,15 +58,23 @@
 	defer log.Close() //nolint:errcheck // the process has its own descriptor
 	command := exec.Command(p.binary, "-settings", p.file)
 	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	ended := make(chan struct{})
-	p.command, p.ended = command, ended
+	// The process dies with the thread that started it, so that none is left
+	// behind; the goroutine keeps that thread until the process has ended.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started, ended := make(chan error, 1), make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = command.Wait()
+		runtime.LockOSThread()
+		err := command.Start()
+		started <- err
+		if err == nil {
+			_ = command.Wait()
+		}
 	}()
+	if err := <-started; err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	p.command, p.ended = command, ended
 	return nil
 }
 
