Mend what preparing, read-only transactions and drivers' checks met

Cause and change: a statement whose preparation failed could not be prepared again under its name; any error of an extended statement reset its connection, now only errors of outdated plans do; a read-only transaction left a replica whose told position was an earlier one; drivers that look for a server that takes writes were told of a replica's settings; callers that are not logged in may send 10,000 bytes at most.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -25,6 +25,9 @@
 // codeLimitExceeded refuses a request that is too large.
 const codeLimitExceeded = "54000"
 
+// maxLoginBytes bounds the messages of a caller that is not logged in.
+const maxLoginBytes = 10_000
+
 // caller is one connection from an application. Its goroutine owns all fields
 // but those that say otherwise.
 type caller struct {
@@ -75,7 +78,7 @@
 func (c *caller) setTransport(conn net.Conn) {
 	c.conn = conn
 	c.wire = pgproto3.NewBackend(conn, conn)
-	c.wire.SetMaxBodyLen(c.server.cfg.MaxRequestBytes)
+	c.wire.SetMaxBodyLen(maxLoginBytes)
 	c.answers = answers{conn: conn, timeout: c.server.cfg.WriteTimeout, held: noHold}
 }
 
--- a/internal/gateway/encode.go
+++ b/internal/gateway/encode.go
@@ -140,6 +140,19 @@
 	x.c.notePrepared(s.item)
 }
 
+// forgetParsed takes back the statements of an attempt whose answer the caller
+// does not get.
+func (c *caller) forgetParsed(rq *request) {
+	if rq.batch == nil {
+		return
+	}
+	for i := range rq.batch.items {
+		if it := &rq.batch.items[i]; it.kind == messageParse {
+			delete(c.state.Prepared, it.name)
+		}
+	}
+}
+
 // notePrepared changes the session's statements after a Parse or Close.
 func (c *caller) notePrepared(it *item) {
 	switch {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -229,14 +229,21 @@
 		return nil
 	}
 	x.failed = true
-	if x.rq.batch != nil {
-		// What was prepared may be outdated; the next user starts afresh.
+	if x.rq.batch != nil && isStalePlan(m.Code) {
+		// The connection's prepared statements are outdated; the next user starts
+		// afresh.
 		x.conn.Taint()
 	}
 	x.c.answers.add(m)
 	return nil
 }
 
+// isStalePlan tells the errors that come from what a connection has prepared for
+// earlier sessions.
+func isStalePlan(code string) bool {
+	return code == verdict.CodeFeatureNotSupported || code == verdict.CodeUndefinedPreparedStmt || code == verdict.CodeDuplicatePreparedStmt
+}
+
 // errEndpointEnded means that the endpoint announced the end of the connection.
 var errEndpointEnded = errors.New("gateway: the endpoint ended the connection")
 
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -285,3 +285,34 @@
 	_, err := conn.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (7, 'Anna') ON CONFLICT DO NOTHING")
 	refused(t, err, verdict.CodeQueryCanceled, verdict.MayHaveRun)
 }
+
+// TestPreparingSurvivesAFailure holds that a statement whose preparation failed
+// can be prepared again under the same name.
+func TestPreparingSurvivesAFailure(t *testing.T) {
+	r := newFaultRig(t, options{})
+	conn := r.connect("hornbeamlock.timeout=300ms")
+	exec(t, conn, "DELETE FROM passes")
+	const insert = "INSERT INTO passes (id, holder) VALUES ($1, 'Anna')"
+	r.strike(silent)
+	_, err := conn.PgConn().Prepare(context.Background(), "add", insert, nil)
+	require.Error(t, err)
+	_, err = conn.PgConn().Prepare(context.Background(), "add", insert, nil)
+	require.NoError(t, err)
+}
+
+// TestReadOnlyTransactionAtAReplica holds that a replica known to be at the floor
+// serves a whole read-only transaction.
+func TestReadOnlyTransactionAtAReplica(t *testing.T) {
+	r := newRig(t, options{})
+	conn := r.connect("")
+	exec(t, conn, "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
+	require.NoError(t, r.group.AwaitReplicated(patience))
+	r.sample()
+	exec(t, conn, "BEGIN READ ONLY")
+	require.Equal(t, 1, count(t, conn))
+	_, err := conn.Exec(context.Background(), "DELETE FROM passes")
+	require.Error(t, err)
+	exec(t, conn, "ROLLBACK")
+	require.Zero(t, r.pools.InFlight(r.primary()))
+	require.Zero(t, r.counter("gateway_primary_reads_total"))
+}
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -51,6 +51,10 @@
 	if !x.placed.replica || x.c.lease != nil || x.c.answers.sent || !x.rq.synced {
 		return false
 	}
+	if x.rq.admitted == 0 && !x.placed.verify {
+		// It has read nothing, so that the position told may be an earlier one.
+		return false
+	}
 	behind := x.conn.Position().Less(x.placed.lowest)
 	if x.placed.verify {
 		x.c.server.metrics.readsVerified.Add(1)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -37,6 +37,13 @@
 	require.Equal(t, 1, count(t, conn))
 }
 
+func TestDriversSeeAServerThatTakesWrites(t *testing.T) {
+	r := newRig(t, options{})
+	for _, attributes := range []string{"read-write", "primary"} {
+		exec(t, r.connect("target_session_attrs="+attributes), "DELETE FROM passes")
+	}
+}
+
 func TestLogin(t *testing.T) {
 	r := newRig(t, options{})
 	cases := []struct{ name, change, code string }{
--- a/internal/gateway/repeat.go
+++ b/internal/gateway/repeat.go
@@ -72,6 +72,7 @@
 	if result.err != nil {
 		rq.mayHaveRun = rq.mayHaveRun || result.verdict == verdict.MayHaveRun
 		rq.failed = append(rq.failed, placed.endpoint)
+		c.forgetParsed(rq)
 	}
 	return result
 }
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -38,6 +38,7 @@
 		return err
 	}
 	c.identity.Store(identity)
+	c.wire.SetMaxBodyLen(c.server.cfg.MaxRequestBytes)
 	c.greet()
 	_ = c.conn.SetDeadline(time.Time{})
 	return c.answers.flush()
@@ -197,6 +198,8 @@
 		{"TimeZone", "UTC"},
 		{"integer_datetimes", "on"},
 		{"standard_conforming_strings", "on"},
+		{"in_hot_standby", "off"},
+		{"default_transaction_read_only", "off"},
 	} {
 		c.answers.add(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
--- a/internal/statement/classify.go
+++ b/internal/statement/classify.go
@@ -70,12 +70,20 @@
 
 func classifyShow(tokens []token) Statement {
 	name, _ := settingName(tokens[1:])
-	if strings.HasPrefix(name, ProxyPrefix) {
+	switch {
+	case strings.HasPrefix(name, ProxyPrefix):
 		return Statement{Class: ProxyShow, Name: name}
+	case toldByPrimary[name]:
+		return Statement{Class: Write}
+	default:
+		return Statement{Class: Read}
 	}
-	return Statement{Class: Read}
 }
 
+// toldByPrimary are the settings by which drivers find out whether they may
+// write; a replica would say no.
+var toldByPrimary = setOf("transaction_read_only", "default_transaction_read_only", "in_hot_standby")
+
 func classifyExplain(tokens []token) Statement {
 	for _, t := range tokens {
 		if t.is("analyze") || t.is("analyse") { //nolint:misspell // a keyword of SQL
--- a/internal/statement/function.go
+++ b/internal/statement/function.go
@@ -28,7 +28,7 @@
 make_date make_interval make_time make_timestamp make_timestamptz max md5 min mod mode
 now ntile nth_value nullif num_nonnulls num_nulls obj_description octet_length overlay
 percent_rank percentile_cont percentile_disc pg_get_constraintdef pg_get_expr
-pg_get_indexdef pg_get_userbyid pg_is_in_recovery pg_table_is_visible pg_typeof
+pg_get_indexdef pg_get_userbyid pg_table_is_visible pg_typeof
 phraseto_tsquery plainto_tsquery position power quote_ident quote_literal quote_nullable
 random rank regexp_count regexp_like regexp_match regexp_matches regexp_replace
 regexp_split_to_array regexp_split_to_table repeat replace reverse right round row
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -40,6 +40,8 @@
 		{"(select 1) union (select 2)", Read},
 		{"show server_version", Read},
 		{"show hornbeamlock.floor", ProxyShow},
+		{"show transaction_read_only", Write},
+		{"select pg_is_in_recovery()", Write},
 		{"explain select charge_card(1)", Read},
 		{"explain (analyze) select 1", Write}, //nolint:misspell // a keyword of SQL
 		{"insert into t (a) values (1)", Write},
