--- a/internal/group/cost_test.go
+++ b/internal/group/cost_test.go
@@ -97,8 +97,15 @@
 
 // wire counts what TCP sent and received, headers included.
 type wire struct {
-	mu    sync.Mutex
-	conns []*net.TCPConn // guarded by mu
+	mu     sync.Mutex
+	conns  map[*countedConn]bool // guarded by mu; those that are open
+	closed uint64                // guarded by mu; bytes of closed connections
+}
+
+// countedConn leaves its count behind when it is closed.
+type countedConn struct {
+	*net.TCPConn
+	w *wire
 }
 
 // segmentHeader is the length of the IP and TCP headers with time stamps, in bytes.
@@ -109,25 +116,46 @@
 	if err != nil {
 		return nil, err
 	}
+	counted := &countedConn{TCPConn: conn.(*net.TCPConn), w: w}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.conns = append(w.conns, conn.(*net.TCPConn))
-	return conn, nil
+	w.conns[counted] = true
+	return counted, nil
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.w.mu.Lock()
+	if c.w.conns[c] {
+		c.w.closed += c.bytes()
+		delete(c.w.conns, c)
+	}
+	c.w.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+func (c *countedConn) bytes() (n uint64) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = info.Bytes_acked + info.Bytes_received + segmentHeader*uint64(info.Segs_in+info.Segs_out)
+		}
+	})
+	return n
 }
 
-func (w *wire) bytes(b *testing.B) (total uint64) {
+// bytes returns the count and the number of open connections.
+func (w *wire) bytes() (total uint64, open int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, conn := range w.conns {
-		raw, err := conn.SyscallConn()
-		require.NoError(b, err)
-		require.NoError(b, raw.Control(func(fd uintptr) {
-			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-			require.NoError(b, err)
-			total += info.Bytes_acked + info.Bytes_received + segmentHeader*uint64(info.Segs_in+info.Segs_out)
-		}))
+	total = w.closed
+	for conn := range w.conns {
+		total += conn.bytes()
 	}
-	return total
+	return total, len(w.conns)
 }
 
 func cpuTime(b *testing.B) time.Duration {
@@ -170,7 +198,7 @@
 
 // measureDetection runs one instance of a fleet; with traffic it serves all groups.
 func measureDetection(b *testing.B, instances int, addresses [][]string, traffic bool) {
-	var w wire
+	w := wire{conns: make(map[*countedConn]bool)}
 	adapter, err := grpcplatform.New(grpcplatform.Config{Address: "127.0.0.1:1", Dial: w.dial})
 	require.NoError(b, err)
 	defer adapter.Close()
@@ -198,17 +226,19 @@
 	}
 	touch()
 	time.Sleep(costFor / 2) // connections and first samples
-	calls, cpu, sent, began := c.meters.statusCalls.Value(), cpuTime(b), w.bytes(b), time.Now()
+	calls, cpu, began := c.meters.statusCalls.Value(), cpuTime(b), time.Now()
+	sent, _ := w.bytes()
 	for time.Since(began) < costFor {
 		time.Sleep(time.Second)
 		touch()
 	}
 	took := time.Since(began).Seconds()
 	b.ReportMetric(float64(c.meters.statusCalls.Value()-calls)/took, "calls/s")
-	b.ReportMetric(float64(w.bytes(b)-sent)/took, "wire-B/s")
+	total, open := w.bytes()
+	b.ReportMetric(float64(total-sent)/took, "wire-B/s")
 	b.ReportMetric(100*(cpuTime(b)-cpu).Seconds()/took, "core-%")
 	b.ReportMetric((float64(memory())-float64(before))/(1<<20), "MB")
-	b.ReportMetric(float64(len(w.conns)), "conns")
+	b.ReportMetric(float64(open), "conns")
 	cancel()
 	running.Wait()
 }
