--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -44,12 +44,18 @@
 	state     *session.State
 	toldFloor string
 	batch     batch
+	// scratch is reused for encoding requests.
+	scratch []byte
 	// skipping drops extended messages until Sync, after an error.
 	skipping bool
 
 	// lease is the connection of the running transaction, or nil.
 	lease     *pool.Lease
 	atReplica bool
+	// term is the term of the primary that runs the transaction.
+	term uint64
+	// usesPrimary is true while the statement stands in the server's uses.
+	usesPrimary bool
 	// failed is true when the proxy has ended the transaction and the caller has
 	// not yet done so.
 	failed bool
@@ -57,6 +63,7 @@
 	interrupted atomic.Bool
 	mu          sync.Mutex
 	running     *running // guarded by mu; the statement under way
+	isCut       bool     // guarded by mu; no statement may start
 }
 
 func newCaller(s *Server, transport net.Conn) *caller {
@@ -217,6 +224,9 @@
 // cut closes the connection at once, from another goroutine.
 func (c *caller) cut() {
 	c.transport.Close()
+	c.mu.Lock()
+	c.isCut = true
+	c.mu.Unlock()
 	c.cancelStatement()
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/endpoint"
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/routing"
 	"github.com/hornbeamlock/hornbeamlock/internal/statement"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
@@ -70,7 +71,10 @@
 	if x.rq.statement.TaintsSession {
 		x.conn.Taint()
 	}
-	encoded, answers := x.encode()
+	encoded, answers := x.encode(x.c.scratch[:0])
+	if len(encoded) <= maxScratch {
+		x.c.scratch = encoded
+	}
 	x.before = x.conn.Position()
 	x.conn.SetDeadline(x.deadline())
 	if started, err := x.conn.Send(encoded, answers); err != nil {
@@ -114,8 +118,12 @@
 	return outcome{err: final, verdict: verdict.NotRun}
 }
 
+// maxScratch is the largest buffer that is reused: a larger request may still be
+// on its way when the next one is encoded.
+const maxScratch = 4 * 1024 // bytes
+
 // encode builds the messages for this connection.
-func (x *exchange) encode() (encoded []byte, answers int) {
+func (x *exchange) encode(encoded []byte) (_ []byte, answers int) {
 	if x.rq.batch == nil {
 		encoded, _ = (&pgproto3.Query{String: x.rq.sql}).Encode(encoded)
 		return encoded, answers + 1
@@ -282,10 +290,14 @@
 	if !x.placed.replica || x.c.lease != nil || x.c.answers.sent || !x.rq.synced {
 		return false
 	}
+	behind := x.conn.Position().Less(x.placed.lowest)
 	if x.placed.verify {
 		x.c.server.metrics.readsVerified.Add(1)
+		x.c.server.catchUps.Update(x.placed.endpoint, func(c routing.CatchUp, _ bool) (routing.CatchUp, bool) {
+			return c.Observe(x.placed.age, !behind), true
+		})
 	}
-	return x.conn.Position().Less(x.placed.lowest)
+	return behind
 }
 
 // behindOutcome is the outcome of a read at a replica that is not there yet.
@@ -346,7 +358,7 @@
 func (x *exchange) keepOrRelease(status byte) {
 	x.c.countPlacement(x.rq, x.placed.replica)
 	if status != endpoint.StatusIdle {
-		x.c.lease, x.c.atReplica = x.placed.lease, x.placed.replica
+		x.c.lease, x.c.atReplica, x.c.term = x.placed.lease, x.placed.replica, x.placed.term
 		return
 	}
 	x.c.detach()
@@ -359,8 +371,8 @@
 	after := x.conn.Position()
 	service := x.c.identity.Load().service
 	if !x.mayHaveCommitted(status) || after == x.before {
-		if status == endpoint.StatusIdle && !x.rq.needsNoFloor() {
-			x.c.state.Floor.See(after, x.placed.replica, time.Now())
+		if x.placed.replica && status == endpoint.StatusIdle && !x.rq.needsNoFloor() {
+			x.c.state.Floor.See(after, time.Now())
 		}
 		return nil
 	}
@@ -406,7 +418,7 @@
 
 // endUnsynced ends the answer to a batch that a Flush has cut off from its Sync.
 func (x *exchange) endUnsynced() outcome {
-	x.c.lease, x.c.atReplica = x.placed.lease, x.placed.replica
+	x.c.lease, x.c.atReplica, x.c.term = x.placed.lease, x.placed.replica, x.placed.term
 	if x.failed {
 		x.c.skipping = true
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -123,10 +123,9 @@
 	if timeout <= 0 {
 		timeout = c.server.cfg.StatementTimeout
 	}
-	ctx, end := c.start(ctx)
-	defer end()
-	ctx, cancel := context.WithDeadline(ctx, rq.arrived.Add(timeout))
-	defer cancel()
+	ctx = c.start(ctx, rq.arrived.Add(timeout))
+	defer c.finish()
+	defer c.leavePrimary()
 	ctx, span := c.startSpan(ctx, rq)
 	defer span.End()
 	c.server.cfg.Groups.Touch(c.identity.Load().service)
@@ -162,7 +161,13 @@
 		return c.reject(rq, c.interruption(ctx))
 	}
 	defer c.detach()
-	result := c.newExchange(ctx, rq, placement{lease: c.lease, replica: c.atReplica}).run()
+	if !c.atReplica {
+		if c.server.termOf(c.identity.Load().service) > c.term {
+			return c.transactionLost(ctx, rq, outcome{err: errRerouted})
+		}
+		c.usePrimary(c.term)
+	}
+	result := c.newExchange(ctx, rq, placement{lease: c.lease, replica: c.atReplica, term: c.term}).run()
 	if result.callerGone != nil {
 		return result.callerGone
 	}
@@ -185,6 +190,9 @@
 		return c.answerError(rq, rolledBack(result.err))
 	}
 	c.failed = !implicit
+	if rq.statement.Class == statement.Rollback {
+		return c.answerLocally(rq)
+	}
 	if timedOut(ctx, result.err) {
 		return c.answerError(rq, c.interruption(ctx).WithCause(result.err))
 	}
@@ -204,10 +212,11 @@
 // interruption says why a context has ended: by a cancel request, a deadline or
 // the end of the instance.
 func (c *caller) interruption(ctx context.Context) *verdict.Error {
-	if errors.Is(context.Cause(ctx), errCancelled) || c.wasCancelled() {
+	cancelled, cut := c.wasCancelled()
+	if cancelled && !cut {
 		return verdict.New(verdict.NotRun, verdict.CodeQueryCanceled, "cancelled on request")
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if cut {
 		return verdict.New(verdict.NotRun, verdict.CodeAdminShutdown, "this instance is shutting down")
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeQueryCanceled, "the statement could not run in time")
@@ -269,7 +278,7 @@
 func (c *caller) attempt(ctx context.Context, rq *request, placed placement) outcome {
 	if !c.attach(placed.lease.Conn) {
 		placed.lease.Release()
-		return outcome{err: errCancelled, verdict: verdict.NotRun}
+		return outcome{err: context.Canceled, verdict: verdict.NotRun}
 	}
 	result := c.newExchange(ctx, rq, placed).run()
 	if c.lease != placed.lease {
@@ -295,7 +304,7 @@
 	if errors.As(result.err, &final) {
 		return final
 	}
-	if timedOut(ctx, result.err) && !rq.hasTimeLeft(ctx) || c.wasCancelled() {
+	if timedOut(ctx, result.err) && !rq.hasTimeLeft(ctx) || c.isCancelled() {
 		reason := c.interruption(ctx)
 		reason.Verdict = result.verdict
 		return reason.WithCause(result.err)
--- a/internal/share/account.go
+++ b/internal/share/account.go
@@ -39,6 +39,9 @@
 	// orphaned is true when the allocator no longer knows the holding, which then
 	// only lapses.
 	orphaned bool
+	// asking is true while a request is under way; the holding is then kept even
+	// without a valid lease.
+	asking bool
 }
 
 func newAccount(resource string, limit escrow.Limit, clock lease.Clock) *Account {
@@ -99,12 +102,24 @@
 	return time.Duration((n - held.Tokens) / rate * float64(time.Second))
 }
 
-// Units implements blackboard.Spender.
+// Units implements blackboard.Spender. Units that the allocator wants back no
+// longer count, so that their user can do without them.
 func (a *Account) Units(_ time.Time) int {
 	now := a.clock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return int(a.held(now).Units)
+	var sum int64
+	for _, h := range a.holdings {
+		if !h.lease.Valid(now) {
+			continue
+		}
+		units := h.bucket.Amount(now).Units
+		if h.ceiling >= 0 {
+			units = min(units, h.ceiling)
+		}
+		sum += units
+	}
+	return int(sum)
 }
 
 // Rate returns the rate that the instance may use now, in tokens per second.
@@ -157,11 +172,11 @@
 	return sum
 }
 
-// expire drops holdings whose lease has lapsed. The caller holds mu.
+// expire drops holdings whose lease has lapsed, but for those being renewed. The caller holds mu.
 func (a *Account) expire(now time.Duration) {
 	kept := a.holdings[:0]
 	for _, h := range a.holdings {
-		if h.lease.Valid(now) {
+		if h.lease.Valid(now) || h.asking {
 			kept = append(kept, h)
 		}
 	}
