Give another instance's attempt time before starting one in a higher term

Cause: an instance that saw servers promised to another promoter started an attempt of its own at once and could take the term from under it.

Change: a promise without a primary is left alone for 0.3 s.

--- a/internal/event/group.go
+++ b/internal/event/group.go
@@ -13,7 +13,7 @@
 	GroupDisagreed = Event{
 		Number: 4002, Name: "group.disagreed", Level: zapcore.WarnLevel,
 		Text:   "another observer reaches the primary, so no promotion is started",
-		Fields: []string{"service", "term", "primary", "observer"},
+		Fields: []string{"service", "term", "primary", "observers"},
 		Action: "Look at the link between this instance and the primary.",
 	}
 	GroupMinority = Event{
--- a/internal/group/elect.go
+++ b/internal/group/elect.go
@@ -20,6 +20,10 @@
 // elect starts a promotion unless other observers see a working primary or one
 // appears while this instance waits for its turn.
 func (w *watcher) elect(a election.Assessment, rank int) {
+	if w.contested(a.Term, time.Now()) {
+		w.loop.pause = w.c.cfg.RecheckInterval
+		return
+	}
 	if !w.agreed(a) {
 		w.loop.overruledUntil = time.Now().Add(overruledWindow)
 		w.loop.pause = w.c.cfg.TrafficSampleInterval
@@ -45,6 +49,26 @@
 	return servers
 }
 
+// contestDelay is how long another instance's attempt is given before this one
+// starts its own in a higher term.
+const contestDelay = 300 * time.Millisecond
+
+// contested tells whether servers have promised a term above the known one so
+// lately that its proposer may be about to promote one of them.
+func (w *watcher) contested(known uint64, now time.Time) bool {
+	highest := known
+	for _, status := range w.knownStatuses() {
+		highest = max(highest, status.PromisedTerm)
+	}
+	if highest == known {
+		return false
+	}
+	if highest != w.loop.contestedTerm {
+		w.loop.contestedTerm, w.loop.contestedSince = highest, now
+	}
+	return now.Sub(w.loop.contestedSince) < contestDelay
+}
+
 // awaitTurn lets observers before this one go first, and reports whether the
 // group is still without a primary afterwards.
 func (w *watcher) awaitTurn(rank int) bool {
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -27,6 +27,10 @@
 	overruledUntil time.Time
 	// leavingSince is since when the primary has been leaving.
 	leavingSince time.Time
+	// contestedTerm is the highest term promised without a primary, since
+	// contestedSince.
+	contestedTerm  uint64
+	contestedSince time.Time
 	// switchAfter is when the next planned change of primary may be tried.
 	switchAfter time.Time
 	// pause is until the next step after an attempt that failed; else zero.
