Wire every setting, and drop the one that nothing read

Cause: suspect_after and the bounds of the queues were checked but not passed on; silence_timeout had no reader, since a statement's deadline bounds silence. Change: they reach the group controller and the pools; silence_timeout is gone. Conclusion: a value in the file is a value in force.

--- a/internal/instance/build.go
+++ b/internal/instance/build.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/configuration"
 	"github.com/hornbeamlock/hornbeamlock/internal/gateway"
 	"github.com/hornbeamlock/hornbeamlock/internal/group"
+	"github.com/hornbeamlock/hornbeamlock/internal/group/election"
 	"github.com/hornbeamlock/hornbeamlock/internal/grpcplatform"
 	"github.com/hornbeamlock/hornbeamlock/internal/membership"
 	"github.com/hornbeamlock/hornbeamlock/internal/operator"
@@ -149,6 +150,7 @@
 		Tracer:         p.telemetry.Tracer("group"),
 		Observers:      s.Groups.Observers,
 		SampleInterval: s.Groups.SampleInterval,
+		Suspicion:      election.Limits{Silence: s.Groups.SuspectAfter},
 	})
 	return trace.Wrap(err, "groups")
 }
@@ -193,13 +195,16 @@
 		return trace.Wrap(err, "callers.tls")
 	}
 	p.pools, err = pool.New(pool.Config{
-		Board:          i.board,
-		Log:            i.cfg.Log,
-		Metrics:        i.metrics,
-		Demand:         p.shares.Demand,
-		ReportFailure:  p.groups.ReportFailure,
-		ConnectTimeout: s.Endpoints.ConnectTimeout,
-		ProbeAfter:     s.Endpoints.IdleProbeAfter,
+		Board:                     i.board,
+		Log:                       i.cfg.Log,
+		Metrics:                   i.metrics,
+		Demand:                    p.shares.Demand,
+		ReportFailure:             p.groups.ReportFailure,
+		ConnectTimeout:            s.Endpoints.ConnectTimeout,
+		ProbeAfter:                s.Endpoints.IdleProbeAfter,
+		MaxWaiting:                s.Endpoints.MaxQueued,
+		MaxWaitingPerOrganisation: s.Endpoints.MaxQueuedOrganisation,
+		Tracer:                    p.telemetry.Tracer("pool"),
 	})
 	if err != nil {
 		return trace.Wrap(err, "endpoints")
--- a/internal/pool/endpointpool.go
+++ b/internal/pool/endpointpool.go
@@ -33,7 +33,12 @@
 
 func newEndpointPool(p *Pools, id string) *endpointPool {
 	pool := &endpointPool{pools: p, id: id}
-	pool.queue = fairqueue.New(fairqueue.Config{Capacity: pool.limit, Metrics: p.cfg.Metrics})
+	pool.queue = fairqueue.New(fairqueue.Config{
+		Capacity:                  pool.limit,
+		MaxWaiting:                p.cfg.MaxWaiting,
+		MaxWaitingPerOrganisation: p.cfg.MaxWaitingPerOrganisation,
+		Metrics:                   p.cfg.Metrics,
+	})
 	return pool
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,6 +53,10 @@
 	IdleTimeout time.Duration
 	// CleanTimeout bounds the cleaning of a used connection; default 1 s.
 	CleanTimeout time.Duration
+	// MaxWaiting and MaxWaitingPerOrganisation bound the requests that wait for
+	// one endpoint; 0 means the defaults of package fairqueue.
+	MaxWaiting                int
+	MaxWaitingPerOrganisation int
 	// Sweep is how often idle connections are looked through; default 500 ms.
 	Sweep time.Duration
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,12 +79,11 @@
 
 // Endpoints bounds the connections to database servers.
 type Endpoints struct {
-	ConnectTimeout  time.Duration `json:"connect_timeout" validate:"min=10ms,max=1m" doc:"Time to open and authenticate a connection."`
-	SilenceTimeout  time.Duration `json:"silence_timeout" validate:"min=100ms,max=1h" doc:"Time without any byte, with a statement in flight, after which a connection is given up."`
-	IdleProbeAfter  time.Duration `json:"idle_probe_after" validate:"min=100ms,max=1h" doc:"Idle time after which a connection is probed before use."`
-	ReplicaWait     time.Duration `json:"replica_wait" validate:"min=0s,max=10s" doc:"Longest wait for a replica that is nearly up to a session's floor."`
-	MaxQueued       int           `json:"max_queued" validate:"min=1,max=1000000" doc:"Most statements that wait for one endpoint."`
-	MaxQueuedShared int           `json:"max_queued_organisation" validate:"min=1,max=1000000" doc:"Most statements of one organisation that wait for one endpoint."`
+	ConnectTimeout        time.Duration `json:"connect_timeout" validate:"min=10ms,max=1m" doc:"Time to open and authenticate a connection."`
+	IdleProbeAfter        time.Duration `json:"idle_probe_after" validate:"min=100ms,max=1h" doc:"Idle time after which a connection is probed before use."`
+	ReplicaWait           time.Duration `json:"replica_wait" validate:"min=0s,max=10s" doc:"Longest wait for a replica that is nearly up to a session's floor."`
+	MaxQueued             int           `json:"max_queued" validate:"min=1,max=1000000" doc:"Most statements that wait for one endpoint."`
+	MaxQueuedOrganisation int           `json:"max_queued_organisation" validate:"min=1,max=1000000" doc:"Most statements of one organisation that wait for one endpoint."`
 }
 
 // Groups bounds detection and promotion.
@@ -132,12 +131,11 @@
 		},
 		Platform: Platform{Timeout: 2 * time.Second},
 		Endpoints: Endpoints{
-			ConnectTimeout:  2 * time.Second,
-			SilenceTimeout:  10 * time.Second,
-			IdleProbeAfter:  15 * time.Second,
-			ReplicaWait:     20 * time.Millisecond,
-			MaxQueued:       1000,
-			MaxQueuedShared: 500,
+			ConnectTimeout:        2 * time.Second,
+			IdleProbeAfter:        15 * time.Second,
+			ReplicaWait:           20 * time.Millisecond,
+			MaxQueued:             1000,
+			MaxQueuedOrganisation: 500,
 		},
 		Groups: Groups{
 			SampleInterval: 250 * time.Millisecond,
