Make the floor unknown after a write with an unknown outcome

Cause: a session could see its own unconfirmed write at the primary and then read a replica that had not come to it. Change: such an outcome makes the floor unknown, so that the next read begins with a read index; until the next acknowledged commit, what the primary shows raises the floor as well.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -136,8 +136,8 @@
 	after := x.conn.Position()
 	service := x.c.identity.Load().service
 	if !x.mayHaveCommitted(status) || after == x.before {
-		if x.placed.replica && status == endpoint.StatusIdle && !x.rq.needsNoFloor() {
-			x.c.state.Floor.See(after, time.Now())
+		if status == endpoint.StatusIdle && !x.rq.needsNoFloor() {
+			x.c.state.Floor.See(after, x.placed.replica, time.Now())
 		}
 		return nil
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -102,8 +102,13 @@
 	return c.answerError(rq, reason)
 }
 
-// answerError ends the answer to a request with an error.
+// answerError ends the answer to a request with an error. What a write that may
+// have run has written may yet turn up: the floor is unknown from here on.
 func (c *caller) answerError(rq *request, reason *verdict.Error) error {
+	if reason.Verdict == verdict.MayHaveRun && !rq.read() {
+		c.state.Floor.Doubt()
+		c.tellFloor()
+	}
 	c.server.metrics.refused.Add(reason.Verdict.String(), 1)
 	c.answers.add(errorResponse(reason, severityError))
 	if rq.synced {
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -250,3 +250,21 @@
 	exec(t, inside, "ROLLBACK")
 	require.Equal(t, 1, count(t, reading))
 }
+
+// TestUnknownOutcomeMakesTheFloorUnknown holds that a session whose write may have
+// run looks at the primary's position before it reads, so that it does not see
+// the write come and go.
+func TestUnknownOutcomeMakesTheFloorUnknown(t *testing.T) {
+	r := newFaultRig(t, options{})
+	r.lag(time.Hour)
+	conn := r.connect("default_query_exec_mode=simple_protocol")
+	exec(t, conn, "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
+	r.strike(lost)
+	_, err := conn.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (2, 'Bert')")
+	refused(t, err, verdict.CodeCompletionUnknown, verdict.MayHaveRun)
+	for range 3 {
+		require.Equal(t, 2, count(t, conn))
+	}
+	require.EqualValues(t, 1, r.groups.indexes.Load())
+	require.NotEmpty(t, floorOf(conn))
+}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -85,7 +85,7 @@
 		{"floor superseded", func(in *Input) { in.Floor = floorAt(at(1, 58)) }, RefuseSuperseded, nil, false},
 		{"what was only seen is superseded", func(in *Input) {
 			in.Floor = floorAt(at(1, 50))
-			in.Floor.See(at(1, 58), now)
+			in.Floor.See(at(1, 58), true, now)
 		}, NeedIndex, nil, false},
 		{"floor of a term not yet known here", func(in *Input) { in.Floor = floorAt(at(3, 71)) }, AwaitPrimary, nil, false},
 		{"write while electing", func(in *Input) { in.Read = false; in.Group.Electing = true }, AwaitPrimary, nil, false},
--- a/internal/session/floor.go
+++ b/internal/session/floor.go
@@ -12,7 +12,7 @@
 // value is an unknown floor. Its positions never fall, except by Forget.
 type Floor struct {
 	// Known is false until the session has written, shown a token, or asked for
-	// a read index.
+	// a read index, and again after a write with an unknown outcome.
 	Known bool
 	// Written is the latest of the session's acknowledged commits and of the
 	// tokens it handed in. Losing it is an error that the caller must see.
@@ -24,6 +24,8 @@
 	Seen position.Position
 	// RaisedAt is when Lowest last rose.
 	RaisedAt time.Time
+	// doubtful is true while a write of the session's own may turn up or not.
+	doubtful bool
 }
 
 // Lowest is the position that the next read must reach.
@@ -43,11 +45,19 @@
 	f.raise(p, now)
 	f.Written = f.Written.Max(p)
 	f.Known = true
+	f.doubtful = false
 }
 
-// See raises the floor to what a read at a replica has shown, once it is known.
-func (f *Floor) See(p position.Position, now time.Time) {
-	if !f.Known {
+// Doubt makes the floor unknown after a write whose outcome is. Until the next
+// commit, what the primary shows counts as well: it may be that write.
+func (f *Floor) Doubt() {
+	f.Known = false
+	f.doubtful = true
+}
+
+// See raises the floor to what a read has shown, once it is known.
+func (f *Floor) See(p position.Position, atReplica bool, now time.Time) {
+	if !f.Known || !atReplica && !f.doubtful {
 		return
 	}
 	f.raise(p, now)
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -81,11 +81,17 @@
 			},
 			"see": func(t *rapid.T) {
 				before := floor
-				floor.See(draw(), time.Time{})
+				floor.See(draw(), rapid.Bool().Draw(t, "at a replica"), time.Time{})
 				require.Equal(t, before.Known, floor.Known)
 				require.False(t, floor.Lowest().Less(before.Lowest()))
 				require.Equal(t, before.Written, floor.Written)
 			},
+			"doubt": func(*rapid.T) {
+				before := floor.Lowest()
+				floor.Doubt()
+				require.Empty(t, floor.Token())
+				require.Equal(t, before, floor.Lowest())
+			},
 			"index": func(t *rapid.T) {
 				written := floor.Written
 				floor.Index(draw(), time.Time{})
