Tell statements that waited for a primary so, and unknown outcomes always by 40003

Cause: a write that waited for a primary until its deadline was told 57014 like a cancelled one, without a time to come back; an idempotent write whose repetition ran out of time had 57014 with the verdict may have run. Change: 57P03 with a time to retry after for the first, 40003 for the second; the tables of faults expect these codes now, with the same verdicts as before.

--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -109,7 +109,7 @@
 		silent: {
 			ok,
 			{verdict.CodeCompletionUnknown, mayHaveRun},
-			{verdict.CodeQueryCanceled, mayHaveRun},
+			{verdict.CodeCompletionUnknown, mayHaveRun},
 			{verdict.CodeQueryCanceled, notRun},
 			{verdict.CodeCompletionUnknown, mayHaveRun},
 		},
@@ -283,7 +283,7 @@
 		r.board.Groups.Put(service, row)
 	}
 	_, err := conn.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (7, 'Anna') ON CONFLICT DO NOTHING")
-	refused(t, err, verdict.CodeQueryCanceled, verdict.MayHaveRun)
+	refused(t, err, verdict.CodeCompletionUnknown, verdict.MayHaveRun)
 }
 
 // TestPreparingSurvivesAFailure holds that a statement whose preparation failed
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -37,8 +37,9 @@
 	if c.state.Options.Bounded && rq.read() {
 		c.refreshIndex(ctx)
 	}
+	var decision routing.Decision
 	for ctx.Err() == nil {
-		decision := routing.Decide(c.routingInput(rq))
+		decision = routing.Decide(c.routingInput(rq))
 		switch decision.Action {
 		case routing.UseReplica, routing.UsePrimary:
 			placed, err := c.acquire(ctx, rq, decision)
@@ -63,6 +64,9 @@
 			}
 		}
 	}
+	if decision.Action == routing.AwaitPrimary {
+		return placement{}, c.noPrimary(ctx)
+	}
 	return placement{}, c.interruption(ctx)
 }
 
@@ -202,10 +206,7 @@
 	ctx, span := c.startHop(ctx, "await primary")
 	defer span.End()
 	if _, err := s.cfg.Groups.AwaitPrimary(ctx, c.identity.Load().service, rq.notTerm); err != nil {
-		if ctx.Err() != nil {
-			return c.interruption(ctx).WithCause(err)
-		}
-		return err
+		return c.noPrimary(ctx).WithCause(err)
 	}
 	// The known primary may still be unfit, for example of a term below the
 	// floor's: look again after a while.
@@ -213,6 +214,15 @@
 	return nil
 }
 
+// noPrimary is the error for a statement that waited for a primary.
+func (c *caller) noPrimary(ctx context.Context) *verdict.Error {
+	if cancelled, cut := c.wasCancelled(); cancelled || cut {
+		return c.interruption(ctx)
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow,
+		"there was no primary in time").WithRetryAfter(time.Second)
+}
+
 // superseded is the error for a session whose own writes or token lie in a
 // history that was replaced.
 func (c *caller) superseded() *verdict.Error {
--- a/internal/gateway/repeat.go
+++ b/internal/gateway/repeat.go
@@ -50,9 +50,12 @@
 
 // truthful corrects the verdict of an error by the attempts before it.
 func (rq *request) truthful(reason *verdict.Error) *verdict.Error {
-	if !rq.mayHaveRun || reason.Verdict != verdict.NotRun {
+	if !rq.mayHaveRun {
 		return reason
 	}
+	if !rq.read() {
+		return completionUnknown(reason)
+	}
 	corrected := *reason
 	corrected.Verdict = verdict.MayHaveRun
 	return &corrected
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -192,7 +192,7 @@
 	_, _ = conn.Exec(context.Background(), "SELECT count(*) FROM passes")
 	require.Zero(t, r.counter("gateway_primary_reads_total"))
 	_, err := conn.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
-	refused(t, err, verdict.CodeQueryCanceled, verdict.NotRun)
+	refused(t, err, verdict.CodeCannotConnectNow, verdict.NotRun)
 	r.sample()
 	require.Zero(t, count(t, conn))
 }
