--- a/internal/group/standin_test.go
+++ b/internal/group/standin_test.go
@@ -186,18 +186,19 @@
 	for i, node := range f.nodes {
 		running.Go(func() { f.insert(ctx, node, int64(i), int64(len(f.nodes)), s) })
 	}
-	var gaps []time.Duration
+	gaps := make(map[bool][]time.Duration) // by whether the primary was killed
 	for i := range *failovers {
 		f.awaitWhole(s)
-		gaps = append(gaps, f.failOver(s, i%2 == 0))
+		kill := i%2 == 0
+		gaps[kill] = append(gaps[kill], f.failOver(s, kill))
 	}
 	f.awaitWhole(s)
 	cancel()
 	running.Wait()
 	f.checkRows(s)
-	slices.Sort(gaps)
-	t.Logf("%d failovers, %d rows acknowledged, gap median %v, worst %v, all %v",
-		len(gaps), len(s.acked), gaps[len(gaps)/2], gaps[len(gaps)-1], gaps)
+	all := slices.Sorted(slices.Values(slices.Concat(gaps[true], gaps[false])))
+	t.Logf("%d failovers, %d rows acknowledged, gap median %v, worst %v; killed %v; paused %v",
+		len(all), len(s.acked), all[len(all)/2], all[len(all)-1], gaps[true], gaps[false])
 	for _, node := range f.nodes {
 		t.Logf("phases: microseconds %v, entries %v", node.meters.phaseMicroseconds, node.meters.phaseEntries)
 	}
