Let watchers without work sleep until they are woken

Cause: 860 watchers looked every 30 s at groups without traffic, and the members were looked through twice a second.

Change: such watchers sleep for 10 minutes unless traffic or a change of their part wakes them; members are looked through once a second.

Conclusion: kept for the fewer wake-ups; the cost is that of the calls.

--- a/internal/group/controller.go
+++ b/internal/group/controller.go
@@ -59,7 +59,7 @@
 
 // reconcileInterval is the shortest pause between two looks at the configuration
 // and the members.
-const reconcileInterval = 500 * time.Millisecond
+const reconcileInterval = time.Second
 
 // Run watches until ctx ends and returns nil then.
 func (c *Controller) Run(ctx context.Context) error {
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -47,6 +47,9 @@
 	attemptBackoffSpread  = 0.7
 	// overruledWindow is how long a disagreement holds.
 	overruledWindow = 2 * time.Second
+	// idlePause is how long a watcher sleeps that has nothing to do; traffic and
+	// changes of its part wake it.
+	idlePause = 10 * time.Minute
 	// sampleSpread keeps the samples of different groups from falling together,
 	// as a part of the pause between them.
 	sampleSpread = 0.2
@@ -80,7 +83,7 @@
 func (w *watcher) step(now time.Time) time.Duration {
 	rank := w.c.rank(w.service)
 	if rank < 0 && !w.hasTraffic(now) {
-		return w.c.cfg.TrafficWindow
+		return idlePause
 	}
 	w.sampleTurn(rank >= 0)
 	assessment := w.assess(time.Now())
