--- /dev/null
+++ b/internal/configuration/cost_test.go
@@ -0,0 +1,68 @@
+package configuration
+
+import (
+	"flag"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var costSizes = flag.String("cost.sizes", "9,27", "sizes of the fleets whose cost is measured")
+
+var sevenDomains = []string{"garmisch", "oberstdorf", "berchtesgaden", "tegernsee", "caxias", "bento", "farroupilha"}
+
+// cost is what a fleet spent during some time.
+type cost struct {
+	reads, writes, calls, bytes int
+}
+
+func (f *fleet) spent() cost {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return cost{f.table.reads, f.table.writes, f.calls, f.bytes}
+}
+
+func (c cost) minus(d cost) cost {
+	return cost{c.reads - d.reads, c.writes - d.writes, c.calls - d.calls, c.bytes - d.bytes}
+}
+
+// TestCostOfControl measures the table's load and the messages at rest, and of
+// one change. Messages are counted in bytes of protobuf, without QUIC's own.
+func TestCostOfControl(t *testing.T) {
+	for _, text := range strings.Split(*costSizes, ",") {
+		n, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		t.Run(fmt.Sprint(n, " instances"), func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fleet) {
+				domains := fourDomains
+				if n > 60 {
+					domains = sevenDomains
+				}
+				began := time.Now()
+				all := f.startMany(n, domains...)
+				t.Logf("all serve and know each other %v after a cold start, %+v", time.Since(began), f.spent())
+				time.Sleep(30 * time.Second)
+				const rest = 60
+				before := f.spent()
+				time.Sleep(rest * time.Second)
+				c := f.spent().minus(before)
+				t.Logf("at rest, for each second: %.2f table reads, %.2f table writes; for each instance and second: %.1f calls sent, %.0f bytes sent and received",
+					float64(c.reads)/rest, float64(c.writes)/rest, float64(c.calls)/rest/float64(n), 2*float64(c.bytes)/rest/float64(n))
+				require.LessOrEqual(t, float64(c.reads)/rest, float64(n)/7.5)
+				require.Zero(t, c.writes)
+				before, began = f.spent(), time.Now()
+				require.NoError(t, f.accept(all[0], "c1"))
+				took := time.Since(began)
+				c = f.spent().minus(before)
+				t.Logf("one change: %v, %d table reads, %d table writes, %d calls", took, c.reads, c.writes, c.calls)
+				require.Equal(t, 2, c.writes)
+			})
+		})
+	}
+}
