Keep a peer connection when only one handler is slow

Cause: any timed-out call closed the connection that all calls to the peer share, so one slow staging could cut the heartbeats beside it. Change: a connection is given up after two failures in a row, or when nothing at all came back during a call. Conclusion: silent connections are still replaced, slow peers keep theirs.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -33,6 +33,7 @@
 	retryAt  time.Time                   // guarded by mu
 	backoff  *backoff.ExponentialBackOff // guarded by mu
 	failure  error                       // guarded by mu
+	failures int                         // guarded by mu; calls that failed since one succeeded
 }
 
 func (l *links) get(address string, maxBackoff time.Duration) (*link, error) {
@@ -99,26 +100,47 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	before := conn.ConnectionStats().PacketsReceived
 	res, err := exchange(ctx, conn, stamped)
 	if err != nil {
-		n.dropSilent(ctx, k, conn)
+		if k.failed() >= maxFailures || conn.ConnectionStats().PacketsReceived == before {
+			n.drop(k, conn)
+		}
 		return nil, trace.Wrap(err)
 	}
+	k.succeeded()
 	if res.GetError() != "" {
 		return nil, trace.Errorf("the peer refused: %s", res.GetError())
 	}
 	return res, nil
 }
 
-// dropSilent closes a connection on which a call timed out, so that the next
-// call dials anew: an old connection can be silent while new ones work.
-func (n *Node) dropSilent(ctx context.Context, k *link, conn *quic.Conn) {
-	if ctx.Err() == context.Canceled && conn.Context().Err() == nil {
-		return
-	}
+// maxFailures is the number of calls that fail one after another before their
+// connection is given up.
+const maxFailures = 2
+
+// failed counts a failed call and returns the number since the last success.
+func (k *link) failed() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.failures++
+	return k.failures
+}
+
+func (k *link) succeeded() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.failures = 0
+}
+
+// drop closes a connection that seems silent, so that the next call dials anew:
+// an old connection can be silent while new ones work. A peer of which only one
+// handler is slow keeps its connection, since other calls succeed in between.
+func (n *Node) drop(k *link, conn *quic.Conn) {
+	n.cfg.Metrics.Counter("peer_silent_connections_total").Add(1)
 	k.mu.Lock()
 	if k.conn == conn {
-		k.conn = nil
+		k.conn, k.failures = nil, 0
 	}
 	k.mu.Unlock()
 	_ = conn.CloseWithError(0, "")
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -113,8 +113,8 @@
 		<-ctx.Done()
 		return n.Close()
 	})
-	err := t.Wait()
-	if errors.Is(err, context.Canceled) || errors.Is(err, tomb.ErrDying) {
+	err := ignoreClosed(t.Wait())
+	if errors.Is(err, context.Canceled) {
 		return nil
 	}
 	return trace.Wrap(err)
@@ -139,9 +139,6 @@
 func (n *Node) accept(ctx context.Context, t *tomb.Tomb) error {
 	for {
 		conn, err := n.listener.Accept(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
 		if err != nil {
 			return trace.Wrap(err)
 		}
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -93,6 +95,68 @@
 	}, waitLimit, waitStep)
 }
 
+// gateConn loses every packet while shut, as a link does that forgot about a
+// connection.
+type gateConn struct {
+	net.PacketConn
+	shut atomic.Bool
+}
+
+func (c *gateConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	if c.shut.Load() {
+		return len(p), nil
+	}
+	return c.PacketConn.WriteTo(p, to)
+}
+
+func TestTimedOutCalls(t *testing.T) {
+	cases := []struct {
+		name    string
+		silent  bool // nothing comes back; else the handler is slow
+		dropped string
+	}{{"a silent connection is given up", true, "1"}, {"a slow handler keeps its connection", false, "0"}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := bundle(t, "a", "b")
+			release := make(chan struct{})
+			server := startNode(t, b, "a", "127.0.0.1:0", func(ctx context.Context, req *peerv1.Request) *peerv1.Response {
+				if req.GetHeartbeat().GetStagedVersion() == 1 {
+					<-release
+				}
+				return echo(ctx, req)
+			})
+			udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+			require.NoError(t, err)
+			gate := &gateConn{PacketConn: udp}
+			config, err := b.TLS("b")
+			require.NoError(t, err)
+			client, err := New(Config{InstanceID: "b", PacketConn: gate, TLS: config})
+			require.NoError(t, err)
+			defer client.Close()
+			_, err = client.Call(t.Context(), server.Address(), heartbeat())
+			require.NoError(t, err)
+			slow := heartbeat()
+			slow.GetHeartbeat().StagedVersion = 1
+			gate.shut.Store(c.silent)
+			for range maxFailures {
+				ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+				_, err = client.Call(ctx, server.Address(), slow)
+				cancel()
+				require.Error(t, err)
+				if !c.silent {
+					_, err = client.Call(t.Context(), server.Address(), heartbeat())
+					require.NoError(t, err)
+				}
+			}
+			gate.shut.Store(false)
+			close(release)
+			require.Equal(t, c.dropped, client.cfg.Metrics.Counter("peer_silent_connections_total").String())
+			_, err = client.Call(t.Context(), server.Address(), heartbeat())
+			require.NoError(t, err)
+		})
+	}
+}
+
 func TestHandlersAreBounded(t *testing.T) {
 	b := bundle(t, "a", "b")
 	release, entered := make(chan struct{}), make(chan struct{})
