--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -25,6 +25,9 @@
 // codeLimitExceeded refuses a request that is too large.
 const codeLimitExceeded = "54000"
 
+// maxLoginBytes bounds the messages of a caller that is not logged in.
+const maxLoginBytes = 10_000
+
 // caller is one connection from an application. Its goroutine owns all fields
 // but those that say otherwise.
 type caller struct {
@@ -44,12 +47,18 @@
 	state     *session.State
 	toldFloor string
 	batch     batch
+	// scratch is reused for encoding requests.
+	scratch []byte
 	// skipping drops extended messages until Sync, after an error.
 	skipping bool
 
 	// lease is the connection of the running transaction, or nil.
 	lease     *pool.Lease
 	atReplica bool
+	// term is the term of the primary that runs the transaction.
+	term uint64
+	// usesPrimary is true while the statement stands in the server's uses.
+	usesPrimary bool
 	// failed is true when the proxy has ended the transaction and the caller has
 	// not yet done so.
 	failed bool
@@ -57,6 +66,7 @@
 	interrupted atomic.Bool
 	mu          sync.Mutex
 	running     *running // guarded by mu; the statement under way
+	isCut       bool     // guarded by mu; no statement may start
 }
 
 func newCaller(s *Server, transport net.Conn) *caller {
@@ -68,7 +78,7 @@
 func (c *caller) setTransport(conn net.Conn) {
 	c.conn = conn
 	c.wire = pgproto3.NewBackend(conn, conn)
-	c.wire.SetMaxBodyLen(c.server.cfg.MaxRequestBytes)
+	c.wire.SetMaxBodyLen(maxLoginBytes)
 	c.answers = answers{conn: conn, timeout: c.server.cfg.WriteTimeout, held: noHold}
 }
 
@@ -217,6 +227,9 @@
 // cut closes the connection at once, from another goroutine.
 func (c *caller) cut() {
 	c.transport.Close()
+	c.mu.Lock()
+	c.isCut = true
+	c.mu.Unlock()
 	c.cancelStatement()
 }
 
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -73,8 +73,8 @@
 	}
 }
 
-func newFaultRig(t *testing.T) *rig {
-	r := newRig(t, options{})
+func newFaultRig(t *testing.T, o options) *rig {
+	r := newRig(t, o)
 	r.dials.mu.Lock()
 	defer r.dials.mu.Unlock()
 	r.dials.wrap = func(conn net.Conn) net.Conn { return &faultConn{TCPConn: conn.(*net.TCPConn)} }
@@ -132,7 +132,7 @@
 		for i, s := range statements {
 			t.Run(s.name, func(t *testing.T) {
 				t.Parallel()
-				r := newFaultRig(t)
+				r := newFaultRig(t, options{})
 				// The statement is the first on its connection after the fault: logins
 				// of the proxy at the endpoints come before.
 				conn := r.connect("hornbeamlock.timeout=2500ms default_query_exec_mode=simple_protocol")
@@ -273,7 +273,7 @@
 // TestRepeatedThenTimedOut holds that a statement whose first attempt may have
 // run is never told as not run, although its second attempt surely did not.
 func TestRepeatedThenTimedOut(t *testing.T) {
-	r := newFaultRig(t)
+	r := newFaultRig(t, options{})
 	conn := r.connect("hornbeamlock.timeout=1s hornbeamlock.idempotent=on default_query_exec_mode=simple_protocol")
 	exec(t, conn, "DELETE FROM passes")
 	r.strike(lost)
@@ -285,3 +285,34 @@
 	_, err := conn.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (7, 'Anna') ON CONFLICT DO NOTHING")
 	refused(t, err, verdict.CodeQueryCanceled, verdict.MayHaveRun)
 }
+
+// TestPreparingSurvivesAFailure holds that a statement whose preparation failed
+// can be prepared again under the same name.
+func TestPreparingSurvivesAFailure(t *testing.T) {
+	r := newFaultRig(t, options{})
+	conn := r.connect("hornbeamlock.timeout=300ms")
+	exec(t, conn, "DELETE FROM passes")
+	const insert = "INSERT INTO passes (id, holder) VALUES ($1, 'Anna')"
+	r.strike(silent)
+	_, err := conn.PgConn().Prepare(context.Background(), "add", insert, nil)
+	require.Error(t, err)
+	_, err = conn.PgConn().Prepare(context.Background(), "add", insert, nil)
+	require.NoError(t, err)
+}
+
+// TestReadOnlyTransactionAtAReplica holds that a replica known to be at the floor
+// serves a whole read-only transaction.
+func TestReadOnlyTransactionAtAReplica(t *testing.T) {
+	r := newRig(t, options{})
+	conn := r.connect("")
+	exec(t, conn, "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
+	require.NoError(t, r.group.AwaitReplicated(patience))
+	r.sample()
+	exec(t, conn, "BEGIN READ ONLY")
+	require.Equal(t, 1, count(t, conn))
+	_, err := conn.Exec(context.Background(), "DELETE FROM passes")
+	require.Error(t, err)
+	exec(t, conn, "ROLLBACK")
+	require.Zero(t, r.pools.InFlight(r.primary()))
+	require.Zero(t, r.counter("gateway_primary_reads_total"))
+}
--- a/internal/group/loop.go
+++ b/internal/group/loop.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -8,11 +9,14 @@
 
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/group/election"
+	"github.com/hornbeamlock/hornbeamlock/internal/group/lag"
 )
 
 // loopState belongs to the watcher's loop alone.
 type loopState struct {
 	condition election.Condition
+	// round counts the samples.
+	round int64
 	// headlessSince is since when no working primary has been seen.
 	headlessSince time.Time
 	// strandedSince is since when a server has held a higher term than the
@@ -23,12 +27,16 @@
 	overruledUntil time.Time
 	// leavingSince is since when the primary has been leaving.
 	leavingSince time.Time
+	// contestedTerm is the highest term promised without a primary, since
+	// contestedSince.
+	contestedTerm  uint64
+	contestedSince time.Time
 	// switchAfter is when the next planned change of primary may be tried.
 	switchAfter time.Time
 	// pause is until the next step after an attempt that failed; else zero.
 	pause time.Duration
 	retry *backoff.ExponentialBackOff
-	marks []mark
+	lag   *lag.Estimator
 }
 
 // Pauses between the attempts of one instance, spread so that racing instances
@@ -39,6 +47,9 @@
 	attemptBackoffSpread  = 0.7
 	// overruledWindow is how long a disagreement holds.
 	overruledWindow = 2 * time.Second
+	// sampleSpread keeps the samples of different groups from falling together,
+	// as a part of the pause between them.
+	sampleSpread = 0.2
 )
 
 func newLoopState() loopState {
@@ -46,7 +57,7 @@
 	retry.InitialInterval = attemptBackoffInitial
 	retry.MaxInterval = attemptBackoffMax
 	retry.RandomizationFactor = attemptBackoffSpread
-	return loopState{retry: retry}
+	return loopState{retry: retry, lag: lag.NewEstimator()}
 }
 
 // run samples and acts until the watcher stops.
@@ -67,18 +78,31 @@
 // step samples once if it is this instance's turn, acts on the outcome, and
 // returns the pause until the next step.
 func (w *watcher) step(now time.Time) time.Duration {
-	place := w.c.place(w.service)
-	if !place.observes && !w.hasTraffic(now) {
+	rank := w.c.rank(w.service)
+	if rank < 0 && !w.hasTraffic(now) {
 		return w.c.cfg.TrafficWindow
 	}
-	w.sample(w.ctx)
+	w.sampleTurn(rank >= 0)
 	assessment := w.assess(time.Now())
 	w.note(assessment)
 	if assessment.Condition != election.Unsettled {
 		w.settle(now)
 	}
-	w.act(assessment, place)
-	return w.nextPause(assessment.Condition, place)
+	w.act(assessment, rank)
+	return w.nextPause(assessment.Condition, rank >= 0)
+}
+
+// sampleTurn samples the whole group, or only its primary while that works and it
+// is not the replicas' turn.
+func (w *watcher) sampleTurn(observes bool) {
+	w.loop.round++
+	group, _ := w.c.cfg.Board.Groups.Get(w.service)
+	rounds := w.c.replicaRounds.Load()
+	if !observes || w.loop.condition != election.Healthy || w.loop.round%rounds == 0 {
+		w.sample(w.ctx)
+		return
+	}
+	w.samplePrimary(w.ctx, group.Primary)
 }
 
 func (w *watcher) hasTraffic(now time.Time) bool {
@@ -89,19 +113,19 @@
 
 // nextPause returns the time until the next step. The samples of an instance that
 // does not observe the group share one budget over all groups.
-func (w *watcher) nextPause(condition election.Condition, place place) time.Duration {
+func (w *watcher) nextPause(condition election.Condition, observes bool) time.Duration {
 	cfg := &w.c.cfg
-	pause := cfg.SampleInterval
+	pause := w.c.observerPause()
 	switch {
 	case w.loop.pause > 0:
 		pause = w.loop.pause
 	case condition == election.Unsettled:
 		pause = cfg.RecheckInterval
-	case condition == election.Healthy && !place.observes:
+	case condition == election.Healthy && !observes:
 		pause = cfg.TrafficSampleInterval
 	}
-	if place.observes {
-		return pause
+	if observes {
+		return time.Duration(float64(pause) * (1 + sampleSpread*(rand.Float64()-0.5)))
 	}
 	calls := min(len(w.members()), w.c.limiter.Burst())
 	return max(pause, w.c.limiter.ReserveN(time.Now(), calls).Delay())
@@ -166,21 +190,24 @@
 	return 0
 }
 
-// act does what the assessment calls for.
-func (w *watcher) act(a election.Assessment, place place) {
+// act does what the assessment calls for. An instance that does not observe the
+// group acts only as a deputy, when the observers have had their time.
+func (w *watcher) act(a election.Assessment, rank int) {
 	w.loop.pause = 0
 	switch a.Condition {
 	case election.Healthy:
 		w.loop.retry.Reset()
-		if place.observes {
-			w.attach(a, place.rank)
-			w.rescueStranded(a, place.rank)
-			w.switchOver(a, place.rank, time.Now())
+		if rank >= 0 {
+			w.attach(a, rank)
+			w.rescueStranded(a, rank)
+			w.switchOver(a, rank, time.Now())
 		}
 	case election.Headless:
-		waited := place.observes || time.Since(w.loop.headlessSince) >= w.c.cfg.FallbackDelay
-		if place.rank >= 0 && waited {
-			w.elect(a, place.rank)
+		if rank < 0 && time.Since(w.loop.headlessSince) >= w.c.cfg.FallbackDelay {
+			rank = w.c.deputyRank(w.service)
+		}
+		if rank >= 0 {
+			w.elect(a, rank)
 		}
 	default:
 	}
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,16 +58,23 @@
 	defer log.Close() //nolint:errcheck // the process has its own descriptor
 	command := exec.Command(p.binary, "-settings", p.file)
 	command.Stdout, command.Stderr = log, log
+	// The process dies with the thread that started it, so that none is left
+	// behind; the goroutine keeps that thread until the process has ended.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := command.Start(); err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	ended := make(chan struct{})
-	p.command, p.ended = command, ended
+	started, ended := make(chan error, 1), make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = command.Wait()
+		runtime.LockOSThread()
+		err := command.Start()
+		started <- err
+		if err == nil {
+			_ = command.Wait()
+		}
 	}()
+	if err := <-started; err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	p.command, p.ended = command, ended
 	return nil
 }
 
@@ -177,7 +188,7 @@
 	directory := filepath.Join("/proc", strconv.Itoa(p.Pid()))
 	stat, err := os.ReadFile(filepath.Join(directory, "stat"))
 	if err != nil {
-		return Usage{}, trace.ConvertSystemError(err)
+		return Usage{}, trace.Wrap(err, "instance %s has ended, see %s", p.ID, p.logFile)
 	}
 	// The fields after the name, which stands in parentheses, begin with number 3.
 	_, rest, _ := strings.Cut(string(stat), ") ")
@@ -195,21 +206,32 @@
 	}, nil
 }
 
-// freeTCP and freeUDP return addresses that were free a moment ago.
-func freeTCP() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", trace.ConvertSystemError(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
+// Ports for processes lie below those that the system hands out by itself, so
+// that no other socket takes one before its process has started.
+const (
+	firstPort = 20_000
+	lastPort  = 30_000
+	portTries = 1000
+)
 
-func freeUDP() (string, error) {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		return "", trace.ConvertSystemError(err)
+// freePort returns an address whose port was free a moment ago, by trying to
+// listen there.
+func (f *Fleet) freePort(listen func(address string) (io.Closer, error)) (string, error) {
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if f.ports[address] {
+			continue
+		}
+		socket, err := listen(address)
+		if err != nil {
+			continue
+		}
+		f.ports[address] = true
+		return address, trace.Wrap(socket.Close())
 	}
-	defer conn.Close() //nolint:errcheck // nothing was sent
-	return conn.LocalAddr().String(), nil
+	return "", trace.LimitExceeded("no port is free between %d and %d", firstPort, lastPort)
 }
+
+func listenTCP(address string) (io.Closer, error) { return net.Listen("tcp", address) }
+
+func listenUDP(address string) (io.Closer, error) { return net.ListenPacket("udp", address) }
--- a/internal/pool/endpointpool.go
+++ b/internal/pool/endpointpool.go
@@ -26,9 +26,6 @@
 	mu   sync.Mutex
 	idle []*endpoint.Conn // guarded by mu; the last used is the last
 	open int              // guarded by mu; idle, leased and being opened
-	// opening is closed once the connection that is being opened ahead of need
-	// is there; nil when there is none. Guarded by mu.
-	opening chan struct{}
 	// doubtedAt is when a connection was found silent: those used last before
 	// are probed before use. Guarded by mu.
 	doubtedAt time.Time
@@ -36,7 +33,12 @@
 
 func newEndpointPool(p *Pools, id string) *endpointPool {
 	pool := &endpointPool{pools: p, id: id}
-	pool.queue = fairqueue.New(fairqueue.Config{Capacity: pool.limit, Metrics: p.cfg.Metrics})
+	pool.queue = fairqueue.New(fairqueue.Config{
+		Capacity:                  pool.limit,
+		MaxWaiting:                p.cfg.MaxWaiting,
+		MaxWaitingPerOrganisation: p.cfg.MaxWaitingPerOrganisation,
+		Metrics:                   p.cfg.Metrics,
+	})
 	return pool
 }
 
@@ -55,11 +57,15 @@
 // acquire waits for a place in the queue and takes a connection.
 func (p *endpointPool) acquire(ctx context.Context, r Request) (*Lease, error) {
 	for {
-		release, err := p.queue.Acquire(ctx, fairqueue.Request{Organisation: r.Organisation, Weight: r.Weight, Bytes: r.Bytes})
+		queueCtx, end := p.pools.startWait(ctx, "queue wait")
+		release, err := p.queue.Acquire(queueCtx, fairqueue.Request{Organisation: r.Organisation, Weight: r.Weight, Bytes: r.Bytes})
+		end()
 		if err != nil {
 			return nil, err
 		}
-		conn, err := p.take(ctx, r.Settings)
+		poolCtx, end := p.pools.startWait(ctx, "pool wait")
+		conn, err := p.take(poolCtx, r.Settings)
+		end()
 		if err == nil {
 			return &Lease{Conn: conn, pool: p, release: release}, nil
 		}
@@ -75,16 +81,7 @@
 	for {
 		conn, doubtful := p.popIdle(settings)
 		if conn == nil {
-			opening, err := p.reserve()
-			if opening == nil {
-				return p.connect(ctx, err)
-			}
-			select {
-			case <-opening:
-				continue
-			case <-ctx.Done():
-				return nil, verdict.New(verdict.NotRun, verdict.CodeTooManyConnections, "no connection in time")
-			}
+			return p.connect(ctx)
 		}
 		if !doubtful {
 			return conn, nil
@@ -98,22 +95,6 @@
 	}
 }
 
-// reserve counts a connection as open before it is. With no room left it returns
-// what to wait for, or errNoRoom.
-func (p *endpointPool) reserve() (opening <-chan struct{}, err error) {
-	limit := p.limit()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open < limit {
-		p.open++
-		return nil, nil
-	}
-	if p.opening != nil {
-		return p.opening, nil
-	}
-	return nil, errNoRoom
-}
-
 // popIdle takes the connection used last, one with the same settings first, and
 // tells whether it has to be probed.
 func (p *endpointPool) popIdle(settings string) (conn *endpoint.Conn, doubtful bool) {
@@ -135,11 +116,16 @@
 	return conn, idleFor > p.pools.cfg.ProbeAfter || conn.UsedAt().Before(p.doubtedAt)
 }
 
-// connect opens a connection that was reserved, unless reserving it failed.
-func (p *endpointPool) connect(ctx context.Context, reserveErr error) (*endpoint.Conn, error) {
-	if reserveErr != nil {
-		return nil, reserveErr
+// connect opens a connection, unless the share has no room left.
+func (p *endpointPool) connect(ctx context.Context) (*endpoint.Conn, error) {
+	limit := p.limit()
+	p.mu.Lock()
+	if p.open >= limit {
+		p.mu.Unlock()
+		return nil, errNoRoom
 	}
+	p.open++
+	p.mu.Unlock()
 	conn, err := p.dial(ctx)
 	if err != nil {
 		p.mu.Lock()
