Send heartbeats at once after the registration

Cause: a newcomer waited for the next beat, up to 1 s, before it told its peers of itself and showed them on the blackboard. Change: the registration wakes the heartbeat loop.

--- a/internal/membership/controller.go
+++ b/internal/membership/controller.go
@@ -27,6 +27,7 @@
 	cfg     Config
 	started time.Duration
 	wake    chan struct{} // asks the table loop to look at once
+	beat    chan struct{} // asks the heartbeat loop to send at once
 
 	mu      sync.Mutex
 	self    *peerv1.Member            // guarded by mu; never modified once set
@@ -65,6 +66,7 @@
 		cfg:     cfg,
 		started: now,
 		wake:    make(chan struct{}, 1),
+		beat:    make(chan struct{}, 1),
 		view:    newView(),
 		holding: newHolding(cfg.Limits, cfg.FailureDomain),
 		grants:  make(map[string]grantRecord),
@@ -173,9 +175,11 @@
 }
 
 // wakeTable has the table loop look at the table soon.
-func (c *Controller) wakeTable() {
+func (c *Controller) wakeTable() { signal(c.wake) }
+
+func signal(wanted chan struct{}) {
 	select {
-	case c.wake <- struct{}{}:
+	case wanted <- struct{}{}:
 	default:
 	}
 }
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -29,6 +29,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case <-c.beat:
 		}
 	}
 }
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -148,6 +148,7 @@
 	c.holding.domains = c.view.domains()
 	c.holding.confirmed(found.sent)
 	c.publish(now)
+	signal(c.beat)
 	event.MemberRegistered.Emit(c.cfg.Log, zap.Uint64("incarnation", self.GetIncarnation()), zap.Int("members", len(found.members)))
 }
 
