Print each capacity point as soon as it is measured

Cause: a fleet that did not start lost the points before it. Change: one line of JSON a point; fleet sizes are measured without groups, so that heartbeats and sampling have slopes of their own.

--- a/bench/capacity/measure.go
+++ b/bench/capacity/measure.go
@@ -42,18 +42,19 @@
 	TableWrites float64 `json:"table_writes_per_s"`
 }
 
-func measure(ctx context.Context, o options) ([]Point, error) {
-	var points []Point
+// measure passes each fleet's point to emit as soon as it is known.
+func measure(ctx context.Context, o options, emit func(Point) error) error {
 	for _, p := range plans(o) {
-		fmt.Fprintf(os.Stderr, "instances %d, groups %d, organisations %d, connections %d\n",
-			p.Instances, p.Groups, p.Organisations, p.Connections)
 		measured, err := measureOne(ctx, o, p)
 		if err != nil {
-			return nil, trace.Wrap(err)
+			return trace.Wrap(err, "instances %d, groups %d, organisations %d, connections %d",
+				p.Instances, p.Groups, p.Organisations, p.Connections)
+		}
+		if err := emit(measured); err != nil {
+			return trace.Wrap(err)
 		}
-		points = append(points, measured)
 	}
-	return points, nil
+	return nil
 }
 
 // plans lists the fleets to measure, with only the sizes set.
@@ -61,7 +62,7 @@
 	organisations := len(deployment.Alpenpass().Organisations)
 	var all []Point
 	for _, n := range o.fleets {
-		all = append(all, Point{Instances: n, Groups: standardGroups, Organisations: organisations})
+		all = append(all, Point{Instances: n, Organisations: organisations})
 	}
 	for _, n := range o.groups {
 		all = append(all, Point{Instances: standardInstances, Groups: n, Organisations: organisations})
