Let relays find the fleet's processes under a lock

Cause: go test -race ./internal/harness reported a race: a relay read the list of instances without a lock that the start had written.

Change: relays read a list that is set under the lock before any process starts.

Measured: go test -race -count=5 ./internal/harness passes.

Conclusion: the harness may be used under the race detector.

--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -68,6 +68,7 @@
 	controlRelays   map[string]string // relay address by control address
 
 	mu       sync.Mutex
+	origins  []*Process             // guarded by mu; the processes that relays look for
 	kinds    map[string]trafficKind // guarded by mu; by relay address
 	secrets  [][]byte               // guarded by mu; what no endpoint may see
 	leaks    atomic.Int64
@@ -266,6 +267,9 @@
 		}
 		f.Instances = append(f.Instances, process)
 	}
+	f.mu.Lock()
+	f.origins = f.Instances
+	f.mu.Unlock()
 	f.ListInstances()
 	for _, process := range f.Instances {
 		if err := process.Start(); err != nil {
--- a/internal/harness/origin.go
+++ b/internal/harness/origin.go
@@ -36,7 +36,7 @@
 	if inode == "" {
 		return ""
 	}
-	for _, process := range f.Instances {
+	for _, process := range f.listening() {
 		if holdsSocket(process.Pid(), inode) {
 			return process.FailureDomain
 		}
@@ -47,7 +47,7 @@
 // originOfPacket returns the failure domain of the instance that listens for its
 // peers at the address.
 func (f *Fleet) originOfPacket(sender netip.AddrPort) string {
-	for _, process := range f.Instances {
+	for _, process := range f.listening() {
 		if process.Settings.Peers.Listen == sender.String() {
 			return process.FailureDomain
 		}
@@ -55,6 +55,13 @@
 	return ""
 }
 
+// listening returns the processes of the fleet.
+func (f *Fleet) listening() []*Process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.origins
+}
+
 // socketInode finds the socket with that local address in /proc/net/tcp.
 func socketInode(local netip.AddrPort) string {
 	file, err := os.Open("/proc/net/tcp")
