Report connections in use to the share, and wake the queue when it grows

Change: the pool reports its connections before it reads the limit, so that a shrinking share either sees them or has shrunk already.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -102,10 +102,9 @@
 	prepared   prepared
 	parameters map[string]string
 
-	mu         sync.Mutex
 	cancelling sync.WaitGroup // cancel requests under way
 	cancelled  atomic.Bool    // one was sent since the last Restore
-	closed     bool           // guarded by mu
+	closed     atomic.Bool
 }
 
 // Endpoint returns the id of the server.
@@ -133,25 +132,26 @@
 func (c *Conn) OpenedAt() time.Time { return c.openedAt }
 
 // Err is why the connection can no longer be used; nil while it can.
-func (c *Conn) Err() error { return c.broken }
+func (c *Conn) Err() error {
+	if c.broken == nil && c.closed.Load() {
+		return net.ErrClosed
+	}
+	return c.broken
+}
 
 // Taint marks the session at the server as possibly changed by the statement.
 func (c *Conn) Taint() { c.tainted = true }
 
 // Clean tells whether another session may use the connection as it is.
 func (c *Conn) Clean() bool {
-	return c.broken == nil && c.pending == 0 && !c.unsynced && !c.cancelled.Load() && c.status == StatusIdle && !c.tainted && c.writing == nil
+	return c.Err() == nil && c.pending == 0 && !c.unsynced && !c.cancelled.Load() && c.status == StatusIdle && !c.tainted && c.writing == nil
 }
 
 // Close closes the connection at once. It may be called more than once.
 func (c *Conn) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return
+	if !c.closed.Swap(true) {
+		c.net.Close()
 	}
-	c.closed = true
-	c.net.Close()
 }
 
 // Abort closes the connection and says why it can no longer be used.
--- a/internal/pool/endpointpool.go
+++ b/internal/pool/endpointpool.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
 	"github.com/hornbeamlock/hornbeamlock/internal/endpoint"
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/fairqueue"
@@ -22,6 +23,7 @@
 	id       string
 	queue    *fairqueue.Queue
 	inFlight atomic.Int64
+	waking   atomic.Bool // wakeOnGrowth is at work
 
 	mu   sync.Mutex
 	idle []*endpoint.Conn // guarded by mu; the last used is the last
@@ -42,13 +44,31 @@
 	return pool
 }
 
+// share is the instance's part of the endpoint's connections; nil without one.
+func (p *endpointPool) share() blackboard.Spender {
+	share, _ := p.pools.cfg.Board.Shares.Get(sharePrefix + p.id)
+	return share.Spender
+}
+
 // limit is how many connections this instance may have to the endpoint.
 func (p *endpointPool) limit() int {
-	share, ok := p.pools.cfg.Board.Shares.Get(sharePrefix + p.id)
-	if !ok || share.Spender == nil {
+	share := p.share()
+	if share == nil {
 		return 1
 	}
-	return share.Spender.Units(p.pools.cfg.Now())
+	return share.Units(p.pools.cfg.Now())
+}
+
+// count changes the number of open connections and reports it, so that the share
+// gives away only what is not in use. It returns the new number.
+func (p *endpointPool) count(change int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open += change
+	if reporter, ok := p.share().(blackboard.UseReporter); ok {
+		reporter.SetUsed(p.open)
+	}
+	return p.open
 }
 
 // errNoRoom means that the share has shrunk since a place was granted.
@@ -116,21 +136,17 @@
 	return conn, idleFor > p.pools.cfg.ProbeAfter || conn.UsedAt().Before(p.doubtedAt)
 }
 
-// connect opens a connection, unless the share has no room left.
+// connect opens a connection, unless the share has no room left. The connection
+// is reported before the limit is read: a share that shrinks in between either
+// sees it in use or has shrunk already.
 func (p *endpointPool) connect(ctx context.Context) (*endpoint.Conn, error) {
-	limit := p.limit()
-	p.mu.Lock()
-	if p.open >= limit {
-		p.mu.Unlock()
+	if p.count(1) > p.limit() {
+		p.count(-1)
 		return nil, errNoRoom
 	}
-	p.open++
-	p.mu.Unlock()
 	conn, err := p.dial(ctx)
 	if err != nil {
-		p.mu.Lock()
-		p.open--
-		p.mu.Unlock()
+		p.count(-1)
 		return nil, err
 	}
 	p.pools.metrics.opened.Add(1)
@@ -181,9 +197,7 @@
 // forget closes a connection that was taken out of the pool.
 func (p *endpointPool) forget(conn *endpoint.Conn) {
 	conn.Close()
-	p.mu.Lock()
-	p.open--
-	p.mu.Unlock()
+	p.count(-1)
 	p.pools.metrics.closed.Add(1)
 }
 
--- a/internal/pool/maintain.go
+++ b/internal/pool/maintain.go
@@ -36,18 +36,24 @@
 
 // background runs work under the tomb, or at once when the pools do not run.
 func (p *Pools) background(work func()) {
+	if !p.startBackground(work) {
+		work()
+	}
+}
+
+// startBackground runs work under the tomb. It reports false when the pools do
+// not run.
+func (p *Pools) startBackground(work func()) bool {
 	p.mu.Lock()
-	running := p.running
-	if running {
-		p.tomb.Go(func() error {
-			work()
-			return nil
-		})
+	defer p.mu.Unlock()
+	if !p.running {
+		return false
 	}
-	p.mu.Unlock()
-	if !running {
+	p.tomb.Go(func() error {
 		work()
-	}
+		return nil
+	})
+	return true
 }
 
 // maintain follows changes of the configuration, and sweeps.
@@ -104,3 +110,38 @@
 		}
 	}
 }
+
+// grower is implemented by shares that tell when they have grown.
+type grower interface {
+	// Changed is closed at the next change; it is called before Units.
+	Changed() <-chan struct{}
+}
+
+// wakeOnGrowth has the queue look at the share as soon as that has grown, for as
+// long as there are more requests than connections.
+func (p *endpointPool) wakeOnGrowth() {
+	growing, ok := p.share().(grower)
+	if !ok || !p.waking.CompareAndSwap(false, true) {
+		return
+	}
+	started := p.pools.startBackground(func() {
+		defer p.waking.Store(false)
+		for int(p.inFlight.Load()) > p.limit() {
+			changed := growing.Changed()
+			p.queue.Wake()
+			timer := time.NewTimer(p.pools.cfg.Sweep)
+			select {
+			case <-changed:
+			case <-timer.C:
+			case <-p.pools.tomb.Dying():
+				timer.Stop()
+				return
+			}
+			timer.Stop()
+		}
+		p.queue.Wake()
+	})
+	if !started {
+		p.waking.Store(false)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -175,6 +175,7 @@
 	pool := p.poolOf(r.Endpoint)
 	if int(pool.inFlight.Add(1)) > pool.limit() {
 		p.cfg.Demand(sharePrefix+r.Endpoint, 1)
+		pool.wakeOnGrowth()
 	}
 	lease, err := pool.acquire(ctx, r)
 	if err != nil {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -28,8 +28,17 @@
 	patience = 20 * time.Second
 )
 
-// units is a share that tests change.
-type units struct{ atomic.Int64 }
+// units is a share that tests change. It hands back only what is out of use.
+type units struct {
+	atomic.Int64
+	used    atomic.Int64
+	changed chan struct{}
+}
+
+// SetUsed notes the connections in use.
+func (u *units) SetUsed(n int) { u.used.Store(int64(n)) }
+
+func (u *units) Changed() <-chan struct{} { return u.changed }
 
 func (u *units) Take(time.Time, float64) (time.Duration, bool) { return 0, true }
 func (u *units) Units(time.Time) int                           { return int(u.Load()) }
@@ -93,6 +102,7 @@
 	t.Cleanup(group.Close)
 	r := &rig{board: blackboard.NewBoard(), metrics: metrics.NewSet(), group: group}
 	r.units.Store(limit)
+	r.units.changed = make(chan struct{})
 	r.board.Shares.Put("conn/"+id, blackboard.Share{Spender: &r.units})
 	r.configure(false)
 	cfg := pool.Config{
@@ -162,6 +172,7 @@
 	}
 	users.Wait()
 	require.LessOrEqual(t, r.peak.Load(), int64(limit))
+	require.Eventually(t, func() bool { return r.units.used.Load() == r.open.Load() }, patience, time.Millisecond)
 }
 
 func TestOneLeasePerConnection(t *testing.T) {
@@ -179,6 +190,24 @@
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
 }
 
+func TestGrowingShareWakesTheQueue(t *testing.T) {
+	r := newRig(t, 1, database.Config{}, func(c *pool.Config) { c.Sweep = time.Hour })
+	lease := r.acquire(t)
+	defer lease.Release()
+	waiting := make(chan error, 1)
+	go func() {
+		second, err := r.pools.Acquire(context.Background(), pool.Request{Endpoint: id})
+		if err == nil {
+			second.Release()
+		}
+		waiting <- err
+	}()
+	require.Eventually(t, func() bool { return r.pools.InFlight(id) == 2 }, patience, time.Millisecond)
+	r.units.Store(2)
+	close(r.units.changed)
+	require.NoError(t, <-waiting)
+}
+
 func TestShrinkingShare(t *testing.T) {
 	r := newRig(t, 3, database.Config{}, func(*pool.Config) {})
 	leases := []*pool.Lease{r.acquire(t), r.acquire(t), r.acquire(t)}
@@ -189,6 +218,7 @@
 	require.EqualValues(t, 1, r.open.Load())
 	leases[2].Release()
 	require.EqualValues(t, 1, r.open.Load())
+	require.EqualValues(t, 1, r.units.used.Load())
 	r.units.Store(0)
 	require.Eventually(t, func() bool { return r.open.Load() == 0 }, patience, time.Millisecond)
 	waiting := make(chan error, 1)
@@ -201,6 +231,7 @@
 	}()
 	require.Eventually(t, func() bool { return r.pools.InFlight(id) == 1 }, patience, time.Millisecond)
 	r.units.Store(1)
+	close(r.units.changed)
 	require.NoError(t, <-waiting)
 }
 
