Refuse answers that do not match, and take back the tag of an unknown outcome

Cause: a connection that failed between command tag and ReadyForQuery had the tag told before the error; a stray ReadyForQuery ended an answer that had not come. Change: each answer of a batch is matched with its message, an answer ends only when everything asked for is answered, and what is held back is dropped before an error. Two more rows in the table of faults.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -12,7 +12,6 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"go.uber.org/zap"
 
-	"github.com/hornbeamlock/hornbeamlock/internal/endpoint"
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/pool"
 	"github.com/hornbeamlock/hornbeamlock/internal/session"
@@ -55,6 +54,8 @@
 	// lease is the connection of the running transaction, or nil.
 	lease     *pool.Lease
 	atReplica bool
+	// unsynced is true while lease is held only until the Sync of a batch.
+	unsynced bool
 	// term is the term of the primary that runs the transaction.
 	term uint64
 	// usesPrimary is true while the statement stands in the server's uses.
@@ -257,5 +258,5 @@
 // implicit tells whether the connection is held only because a batch has not
 // come to its Sync.
 func (c *caller) implicit() bool {
-	return c.lease != nil && c.lease.Conn.Status() == endpoint.StatusIdle
+	return c.lease != nil && c.unsynced
 }
--- a/internal/gateway/encode.go
+++ b/internal/gateway/encode.go
@@ -114,14 +114,49 @@
 		return false
 	}
 	s := &x.steps[x.at]
-	switch message.(type) {
-	case *pgproto3.ParseComplete, *pgproto3.BindComplete, *pgproto3.CloseComplete, *pgproto3.NoData,
-		*pgproto3.RowDescription, *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
-		x.complete(s)
+	kind := answeredKind(message)
+	if kind == 0 {
+		return s.swallow
 	}
+	if kind != s.kind() {
+		// It answers something else that was asked on this connection.
+		x.crossed = true
+	}
+	x.complete(s)
 	return s.swallow
 }
 
+// answeredKind is the kind of extended message that a message ends the answer of,
+// or 0.
+func answeredKind(message pgproto3.BackendMessage) byte {
+	switch message.(type) {
+	case *pgproto3.ParseComplete:
+		return messageParse
+	case *pgproto3.BindComplete:
+		return messageBind
+	case *pgproto3.CloseComplete:
+		return messageClose
+	case *pgproto3.NoData, *pgproto3.RowDescription:
+		return messageDescribe
+	case *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
+		return messageExecute
+	default:
+		return 0
+	}
+}
+
+// kind is the kind of message that the step answers.
+func (s *step) kind() byte {
+	switch {
+	case s.key != "":
+		return messageParse
+	case s.item == nil:
+		return messageClose
+	default:
+		return s.item.kind
+	}
+}
+
 // answerKnownSteps gives the answers that need no endpoint.
 func (x *exchange) answerKnownSteps() {
 	for x.at < len(x.steps) && x.steps[x.at].known != 0 && !x.failed {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -42,8 +42,12 @@
 	failed bool
 	// declined is the error of an endpoint that did not run the request.
 	declined *verdict.Error
+	// crossed is true once the endpoint has sent what does not answer the request.
+	crossed bool
 	// ended is true once the endpoint has announced the connection's end.
 	ended bool
+	// completed is true once a statement of a query string has been answered.
+	completed bool
 	// tag is the last command tag.
 	tag string
 }
@@ -153,11 +157,17 @@
 			return x.cut(err)
 		}
 		if ready, ok := message.(*pgproto3.ReadyForQuery); ok {
-			return x.end(ready.TxStatus)
-		}
-		if err := x.message(message); err != nil {
+			if x.isWhole() {
+				return x.end(ready.TxStatus)
+			}
+			x.crossed = true
+		} else if err := x.message(message); err != nil {
 			return outcome{callerGone: err, started: true}
 		}
+		if x.crossed {
+			x.conn.Abort(errCrossed)
+			return x.lost(errCrossed, true)
+		}
 		if x.ended {
 			x.conn.Abort(errEndpointEnded)
 			return x.cut(errEndpointEnded)
@@ -168,6 +178,21 @@
 	}
 }
 
+// errCrossed means that a connection carried an answer to something else.
+var errCrossed = errors.New("gateway: the endpoint's answer does not match the request")
+
+// isWhole tells whether the answer may end: with an error, or with all that was
+// asked for answered.
+func (x *exchange) isWhole() bool {
+	if x.failed || x.isDeclined() {
+		return true
+	}
+	if x.rq.batch == nil {
+		return x.completed
+	}
+	return x.at == len(x.steps)
+}
+
 // cut is the outcome of an answer that broke off. One whose error response has
 // come is settled, unless it is the connection's own end.
 func (x *exchange) cut(err error) outcome {
@@ -192,7 +217,10 @@
 		return x.copyIn()
 	case *pgproto3.NotificationResponse:
 		return nil
+	case *pgproto3.EmptyQueryResponse:
+		x.completed = true
 	case *pgproto3.CommandComplete:
+		x.completed = true
 		x.tag = string(m.CommandTag)
 		if !x.placed.replica && !x.rq.read() {
 			answers.hold()
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -32,6 +33,10 @@
 	lost
 	// halved answers: the connection ends within the answer.
 	halved
+	// crossed answers: the end of another answer comes first.
+	crossed
+	// tagged answers: the connection ends after the command tag.
+	tagged
 )
 
 type faultConn struct {
@@ -55,6 +60,13 @@
 		case halved:
 			c.Close()
 			return min(n, 10), nil
+		case tagged:
+			c.Close()
+			return bytes.Index(p[:n], []byte("Z\x00\x00\x00\x05")), nil
+		case crossed:
+			c.fault.Store(0)
+			stray := []byte("Z\x00\x00\x00\x05I")
+			n = copy(p, append(stray, p[:n]...))
 		}
 		return n, nil
 	}
@@ -120,6 +132,20 @@
 			{verdict.CodeSerializationFailure, notRun},
 			{verdict.CodeCompletionUnknown, mayHaveRun},
 		},
+		crossed: {
+			ok,
+			{verdict.CodeCompletionUnknown, mayHaveRun},
+			ok,
+			{verdict.CodeSerializationFailure, notRun},
+			{verdict.CodeCompletionUnknown, mayHaveRun},
+		},
+		tagged: {
+			ok,
+			{verdict.CodeCompletionUnknown, mayHaveRun},
+			ok,
+			{verdict.CodeSerializationFailure, notRun},
+			{verdict.CodeCompletionUnknown, mayHaveRun},
+		},
 		halved: {
 			ok,
 			{verdict.CodeCompletionUnknown, mayHaveRun},
@@ -141,11 +167,12 @@
 				}
 				r.sample()
 				r.strike(f)
-				_, err := conn.Exec(context.Background(), s.sql)
+				tag, err := conn.Exec(context.Background(), s.sql)
 				if want := expected[i]; want.code == "" {
 					require.NoError(t, err)
 				} else {
 					refused(t, err, want.code, want.verdict)
+					require.Empty(t, tag.String(), "a statement without an outcome was told its tag")
 				}
 				if s.prepare[0] == "BEGIN" {
 					exec(t, conn, "ROLLBACK")
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -122,6 +122,7 @@
 // back as soon as there is none, before the commit is confirmed.
 func (x *exchange) keepOrRelease(status byte) {
 	x.c.countPlacement(x.rq, x.placed.replica)
+	x.c.unsynced = false
 	if status != endpoint.StatusIdle {
 		x.c.lease, x.c.atReplica, x.c.term = x.placed.lease, x.placed.replica, x.placed.term
 		return
@@ -183,6 +184,7 @@
 
 // endUnsynced ends the answer to a batch that a Flush has cut off from its Sync.
 func (x *exchange) endUnsynced() outcome {
+	x.c.unsynced = x.conn.Status() == endpoint.StatusIdle
 	x.c.lease, x.c.atReplica, x.c.term = x.placed.lease, x.placed.replica, x.placed.term
 	if x.failed {
 		x.c.skipping = true
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -110,6 +110,7 @@
 		c.tellFloor()
 	}
 	c.server.metrics.refused.Add(reason.Verdict.String(), 1)
+	c.answers.takeBackHeld()
 	c.answers.add(errorResponse(reason, severityError))
 	if rq.synced {
 		c.ready()
