Draw faults at random against the acceptance of changes

Cause: single faults are tested, mixtures were not. Change: instances are killed, started, cut off and frozen and the table goes down, at random, while changes are made at any instance; the history that the table keeps is bounded by a setting of the controller, and tested.

--- a/internal/configuration/commit.go
+++ b/internal/configuration/commit.go
@@ -154,10 +154,10 @@
 		{Key: changeRow(version), Value: entry},
 		{Key: changeIDRow(a.change.GetId()), Value: []byte(strconv.FormatUint(version, 10))},
 	}
-	old := prunedVersion(version)
-	if old == 0 {
+	if version <= c.cfg.HistoryKept {
 		return writes, nil
 	}
+	old := version - c.cfg.HistoryKept
 	dropped, err := c.HistoryEntry(ctx, old)
 	if trace.IsNotFound(err) {
 		return writes, nil
--- a/internal/configuration/config.go
+++ b/internal/configuration/config.go
@@ -51,6 +51,8 @@
 	// AskAfter is for how long a staged change waits for its outcome before this
 	// instance looks at the table.
 	AskAfter time.Duration
+	// HistoryKept is the number of accepted changes that the table keeps.
+	HistoryKept uint64
 	// StageConcurrency bounds the peers that are told at once.
 	StageConcurrency int
 	Log              *zap.Logger
@@ -64,6 +66,7 @@
 	DefaultTakeOverAfter    = 8 * time.Second
 	DefaultAskAfter         = 3 * time.Second
 	DefaultStageConcurrency = 128
+	DefaultHistoryKept      = 10_000
 
 	tableTimeout   = 1500 * time.Millisecond
 	retryPause     = 100 * time.Millisecond
@@ -93,6 +96,9 @@
 	if c.TakeOverAfter <= c.AcceptTimeout {
 		return trace.BadParameter("TakeOverAfter must exceed AcceptTimeout")
 	}
+	if c.HistoryKept == 0 {
+		c.HistoryKept = DefaultHistoryKept
+	}
 	if c.StageConcurrency <= 0 {
 		c.StageConcurrency = DefaultStageConcurrency
 	}
--- a/internal/configuration/fleet_test.go
+++ b/internal/configuration/fleet_test.go
@@ -207,7 +207,9 @@
 	noTable   func(from *instance) bool
 	calls     int
 	bytes     int
-	rng       *rand.Rand // guarded by mu
+
+	historyKept uint64     // of the instances started from now on; 0 is the default
+	rng         *rand.Rand // guarded by mu
 }
 
 // testIsolation is the isolation limit in tests, short of the default so that
@@ -338,6 +340,7 @@
 	var err error
 	i.config, err = New(Config{
 		ID: id, Board: i.board, Table: table, Objects: f.objects, Caller: network{f, i}, Clock: f.clock,
+		HistoryKept: f.historyKept,
 	})
 	require.NoError(f.t, err)
 	f.mu.Lock()
--- /dev/null
+++ b/internal/configuration/random_test.go
@@ -0,0 +1,98 @@
+package configuration
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// randomFaults is a sequence of faults and changes drawn from a seed.
+type randomFaults struct {
+	*fleet
+	rng     *rand.Rand
+	dead    []*instance
+	started int
+	tried   int
+	taken   int
+}
+
+// step draws one thing that happens.
+func (r *randomFaults) step() {
+	all := r.all()
+	one := all[r.rng.IntN(len(all))]
+	switch r.rng.IntN(12) {
+	case 0:
+		if len(all) > 3 {
+			r.kill(one)
+			r.dead = append(r.dead, one)
+		}
+	case 1, 2:
+		r.started++
+		r.start(fmt.Sprint(one.domain, "-s", r.started), one.domain)
+	case 3:
+		r.isolate(inDomain(one.domain), r.rng.IntN(2) == 0)
+	case 4:
+		r.freeze(one)
+	case 5:
+		r.table.setDown(true)
+	case 6, 7:
+		r.heal()
+		r.table.setDown(false)
+	default:
+		go r.change(one)
+	}
+}
+
+func (r *randomFaults) change(i *instance) {
+	r.mu.Lock()
+	r.tried++
+	id := fmt.Sprint("c", r.tried)
+	r.mu.Unlock()
+	if r.accept(i, id) == nil {
+		r.mu.Lock()
+		r.taken++
+		r.mu.Unlock()
+	}
+}
+
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			inBubble(t, func(t *testing.T, f *fleet) {
+				f.startMany(9, "garmisch", "oberstdorf", "berchtesgaden")
+				r := &randomFaults{fleet: f, rng: rand.New(rand.NewPCG(seed, 7))}
+				for range 80 {
+					r.step()
+					time.Sleep(time.Duration(r.rng.IntN(4000)) * time.Millisecond)
+				}
+				f.heal()
+				f.table.setDown(false)
+				time.Sleep(15 * time.Second) // changes in progress end
+				f.waitFor("all serve by the accepted version", func() bool {
+					head := f.table.head(t)
+					for _, i := range f.all() {
+						if v := i.board.Configuration.Get(); !f.serving(i) || v.Version != head || v.StagedVersion != 0 {
+							return false
+						}
+					}
+					return true
+				})
+				f.mu.Lock()
+				tried, taken := r.tried, r.taken
+				f.mu.Unlock()
+				t.Logf("%d instances, %d changes tried, %d accepted", len(f.all()), tried, taken)
+				require.GreaterOrEqual(t, f.table.head(t), uint64(taken))
+				// Dead members whose lapse cannot be proved block changes until they
+				// register again.
+				for _, i := range r.dead {
+					f.start(i.id, i.domain)
+				}
+				f.acceptEventually(f.all()[0], "last")
+				f.everywhere(f.table.head(t))
+			})
+		})
+	}
+}
--- a/internal/configuration/rows.go
+++ b/internal/configuration/rows.go
@@ -17,16 +17,12 @@
 	headRow      = membership.HeadRow
 	pendingRow   = "config/pending"
 	latestObject = "config/latest"
-
-	// HistoryKept is the number of accepted changes that the table keeps.
-	HistoryKept = 10_000
 )
 
-func bodyRow(chunk int) string         { return fmt.Sprintf("config/body/%06d", chunk) }
-func changeRow(version uint64) string  { return fmt.Sprintf("config/change/%020d", version) }
-func changeIDRow(id string) string     { return "config/change-id/" + id }
-func versionObject(v uint64) string    { return fmt.Sprintf("config/version/%020d", v) }
-func prunedVersion(next uint64) uint64 { return next - min(next, HistoryKept) }
+func bodyRow(chunk int) string        { return fmt.Sprintf("config/body/%06d", chunk) }
+func changeRow(version uint64) string { return fmt.Sprintf("config/change/%020d", version) }
+func changeIDRow(id string) string    { return "config/change-id/" + id }
+func versionObject(v uint64) string   { return fmt.Sprintf("config/version/%020d", v) }
 
 func decodePending(value []byte) (*peerv1.Stage, error) {
 	var s peerv1.Stage
