Take lapsed members out between changes

Change: an instance with unanswered heartbeats asks all members to vouch and deletes the rows of the lapsed ones under the same conditions as a change. Measured: a fleet of four in one domain loses two members one after the other without a change and accepts the next one at once. Conclusion: only members that die together in one domain can still block changes.

--- a/internal/configuration/config.go
+++ b/internal/configuration/config.go
@@ -30,6 +30,8 @@
 	Limits() membership.Limits
 	// Vouching tells of the leases that this instance granted.
 	Vouching() (membership.Vouch, []*peerv1.Member)
+	// Suspects tells whether a registered member has not answered for long.
+	Suspects() bool
 	// Members are all known members, this instance included.
 	Members() []*peerv1.Member
 }
--- a/internal/configuration/controller.go
+++ b/internal/configuration/controller.go
@@ -58,6 +58,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	t, ctx := tomb.WithContext(ctx)
 	t.Go(func() error {
+		t.Go(func() error { return c.sweepLoop(ctx) })
 		c.readHint(ctx)
 		return c.outcomeLoop(ctx)
 	})
--- a/internal/configuration/faults_test.go
+++ b/internal/configuration/faults_test.go
@@ -11,6 +11,7 @@
 
 	configv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/config/v1"
 	"github.com/hornbeamlock/hornbeamlock/internal/fleetconfig"
+	"github.com/hornbeamlock/hornbeamlock/internal/membership"
 	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
@@ -522,3 +523,20 @@
 		f.everywhere(1)
 	})
 }
+
+func TestDeadMembersAreTakenOutBetweenChanges(t *testing.T) {
+	inBubble(t, func(t *testing.T, f *fleet) {
+		all := f.startMany(4, "garmisch")
+		for _, dead := range all[2:] {
+			f.kill(dead)
+			f.waitFor("its row is gone", func() bool {
+				f.table.mu.Lock()
+				defer f.table.mu.Unlock()
+				_, stands := f.table.rows[membership.MemberRow(dead.id)]
+				return !stands
+			})
+		}
+		require.NoError(t, f.accept(all[0], "c1"))
+		f.everywhere(1)
+	})
+}
--- a/internal/configuration/staged.go
+++ b/internal/configuration/staged.go
@@ -22,13 +22,22 @@
 
 // stage holds the change and vouches for the leases granted so far.
 func (c *Controller) stage(ctx context.Context, s *peerv1.Stage) *peerv1.StageAck {
+	if vouchOnly := s.GetVersion() == 0 && s.GetChange() == nil; vouchOnly {
+		return c.vouch()
+	}
 	if err := c.hold(ctx, s); err != nil {
 		inForce, _ := c.Version()
 		return &peerv1.StageAck{Reason: err.Error(), Version: inForce}
 	}
+	return c.vouch()
+}
+
+// vouch tells of the leases that this instance granted.
+func (c *Controller) vouch() *peerv1.StageAck {
 	vouch, holders := c.membership.Vouching()
+	inForce, _ := c.Version()
 	ack := &peerv1.StageAck{
-		Staged: true, Version: s.GetVersion() - 1, LeaseHolders: holders,
+		Staged: true, Version: inForce, LeaseHolders: holders,
 		SilentMs: make(map[string]int64, len(vouch.Granted)), UpMs: vouch.Up.Milliseconds(), Fresh: vouch.Fresh,
 	}
 	for id, age := range vouch.Granted {
--- a/internal/event/configuration.go
+++ b/internal/event/configuration.go
@@ -43,9 +43,15 @@
 		Fields: []string{"object", "error"},
 		Action: "Check the object store. The change itself is accepted.",
 	}
+	MembersRemoved = Event{
+		Number: 5008, Name: "configuration.members_removed", Level: zapcore.WarnLevel,
+		Text:   "members whose serving lease has surely lapsed are taken out of the table",
+		Fields: []string{"gone"},
+		Action: "Look for instances that died or are cut off; they register again when they come back.",
+	}
 )
 
 var configurationEvents = []Event{
 	ConfigurationInForce, ChangeAccepted, ChangeRefused, ChangeOutcomeUnknown, ChangeAbandoned,
-	SnapshotRefused, SnapshotNotWritten,
+	SnapshotRefused, SnapshotNotWritten, MembersRemoved,
 }
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -69,7 +69,9 @@
 	relistAfter   = 5 * time.Minute
 	// retryUnanswered is after how long a peer that did not answer is tried again.
 	retryUnanswered = 5 * time.Second
-	tableTimeout    = 2 * time.Second
+	// suspectAfter is after how long without an answer a member is suspected.
+	suspectAfter = 8 * time.Second
+	tableTimeout = 2 * time.Second
 )
 
 // CheckAndSetDefaults checks the configuration and fills in defaults.
--- a/internal/membership/controller.go
+++ b/internal/membership/controller.go
@@ -51,9 +51,10 @@
 
 // callState is what became of the heartbeats to one address.
 type callState struct {
-	busy     bool
-	failedAt time.Duration
-	failed   bool
+	busy         bool
+	failed       bool
+	failedAt     time.Duration // the latest failure
+	failingSince time.Duration // the first failure since a success
 }
 
 // New returns a controller that knows only itself.
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -213,10 +213,30 @@
 	defer c.mu.Unlock()
 	state := c.callTo(address)
 	state.busy = false
+	now := c.cfg.Clock()
+	if err != nil && !state.failed {
+		state.failingSince = now
+	}
 	state.failed = err != nil
 	if state.failed {
-		state.failedAt = c.cfg.Clock()
+		state.failedAt = now
+	}
+}
+
+// Suspects tells whether a registered member that this instance sends heartbeats
+// to has neither answered nor been heard of for long.
+func (c *Controller) Suspects() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock()
+	for id, e := range c.view.entries {
+		state, ok := c.calls[e.member.GetPeerAddress()]
+		if ok && id != c.cfg.ID && e.member.GetRegistered() && state.failed &&
+			now-state.failingSince > suspectAfter && now-e.heard > suspectAfter {
+			return true
+		}
 	}
+	return false
 }
 
 func (c *Controller) acked(sent time.Duration, told *peerv1.Heartbeat, ack *peerv1.HeartbeatAck) {
--- a/internal/membership/model_test.go
+++ b/internal/membership/model_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"math"
 	"os"
 	"slices"
 	"strconv"
@@ -71,6 +72,7 @@
 	gone     map[string]uint64
 	contacts map[string]uint64
 	staged   map[string]bool
+	sweep    bool // nothing is staged, only lapsed members are taken out
 }
 
 var errModel = errors.New("no answer")
@@ -226,13 +228,17 @@
 
 // begin stages a change at everyone that the coordinator reaches and judges the
 // others.
-func (m *model) begin(coordinator *node) {
+func (m *model) begin(coordinator *node, sweep bool) {
 	if m.change != nil || coordinator.frozen || !m.linked(coordinator.c.cfg.ID, "table") {
 		return
 	}
 	change := &modelChange{
 		next: m.head() + 1, epoch: m.rows[EpochRow].Revision, head: m.rows[HeadRow].Revision,
 		gone: make(map[string]uint64), contacts: make(map[string]uint64), staged: make(map[string]bool),
+		sweep: sweep,
+	}
+	if sweep {
+		change.next = math.MaxUint64
 	}
 	m.change = change
 	members := m.registered()
@@ -264,6 +270,10 @@
 	if !ok || n.frozen || n != coordinator && !m.linked(id, coordinator.c.cfg.ID) {
 		return Vouch{}, nil, false
 	}
+	if change.sweep {
+		vouch, holders := n.c.Vouching()
+		return vouch, holders, true
+	}
 	if n.version() != change.next-1 && !m.linked(id, "table") {
 		return Vouch{}, nil, false
 	}
@@ -345,10 +355,17 @@
 	if change == nil {
 		return false
 	}
+	if change.sweep && len(change.gone) == 0 {
+		m.change = nil
+		return false
+	}
 	conditions := []platform.Condition{{Key: EpochRow, Revision: change.epoch}, {Key: HeadRow, Revision: change.head}}
 	head, _, err := fleetconfig.Encode(&configv1.Configuration{Version: change.next})
 	require.NoError(m.t, err)
 	writes := []platform.Write{{Key: HeadRow, Value: head}}
+	if change.sweep {
+		conditions, writes = conditions[:1], nil
+	}
 	for key, revision := range change.contacts {
 		conditions = append(conditions, platform.Condition{Key: key, Revision: revision})
 	}
@@ -450,9 +467,10 @@
 		"crash":     func(*rapid.T) { delete(m.nodes, m.pick("a").c.cfg.ID) },
 		"join":      func(t *rapid.T) { m.join(t, domains) },
 		"leave":     func(*rapid.T) { n := m.pick("a"); n.leaving = m.now + n.c.endLease() },
-		"begin":     func(*rapid.T) { m.begin(m.pick("coordinator")) },
+		"begin":     func(*rapid.T) { m.begin(m.pick("coordinator"), false) },
+		"sweep":     func(*rapid.T) { m.begin(m.pick("coordinator"), true) },
 		"commit":    func(*rapid.T) { m.commit() },
-		"accept":    func(*rapid.T) { m.begin(m.pick("coordinator")); m.commit() },
+		"accept":    func(*rapid.T) { m.begin(m.pick("coordinator"), false); m.commit() },
 		"resolve":   func(*rapid.T) { m.resolve(m.pick("a")) },
 		"resolve all": func(*rapid.T) {
 			for _, id := range m.ids() {
