Refuse stored heads with an impossible number of chunks

Cause: a damaged head row with a negative or huge number of chunks would have ended the process that reads it. Conclusion: damaged rows give an error.

--- a/internal/fleetconfig/stored.go
+++ b/internal/fleetconfig/stored.go
@@ -18,6 +18,9 @@
 // MaxChunkBytes is the largest part of a configuration in one row.
 const MaxChunkBytes = 512 << 10
 
+// MaxChunks is the largest number of parts of a configuration.
+const MaxChunks = 256
+
 // Head describes a stored configuration. It is kept small, since every instance
 // reads it often.
 type Head struct {
@@ -41,6 +44,9 @@
 		chunks = append(chunks, rest[:n])
 		rest = rest[n:]
 	}
+	if len(chunks) > MaxChunks {
+		return nil, nil, trace.LimitExceeded("a configuration of %d bytes exceeds the limit of %d", len(body), MaxChunks*MaxChunkBytes)
+	}
 	head, err = json.Marshal(Head{Format: StoredFormat, Version: c.GetVersion(), Chunks: len(chunks), SHA256: digest[:]})
 	return head, chunks, trace.Wrap(err)
 }
@@ -57,6 +63,9 @@
 	if head.Format != StoredFormat {
 		return Head{}, trace.BadParameter("the stored configuration has format %d, this release reads %d", head.Format, StoredFormat)
 	}
+	if head.Chunks < 0 || head.Chunks > MaxChunks {
+		return Head{}, trace.BadParameter("the stored configuration's head names %d chunks, not 0 to %d", head.Chunks, MaxChunks)
+	}
 	return head, nil
 }
 
