--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -91,82 +91,6 @@
 	c.view.learn(m, now)
 }
 
-// dueAddresses chooses whom to send to and marks the calls as begun.
-func (c *Controller) dueAddresses(now time.Duration) []string {
-	members := make([]*peerv1.Member, 0, len(c.view.entries))
-	for _, e := range c.view.entries {
-		members = append(members, e.member)
-	}
-	answers := func(id string) bool { return c.answers(c.view.entries[id].member.GetPeerAddress(), now) }
-	var due []string
-	for _, m := range targets(c.self, members, answers, c.cfg.Fanout) {
-		due = append(due, m.GetPeerAddress())
-	}
-	if !c.anyoneAnswers(due, now) {
-		due = append(due, c.strangers()...)
-	}
-	started := due[:0]
-	for _, address := range due {
-		state := c.callTo(address)
-		if state.busy {
-			continue
-		}
-		state.busy = true
-		started = append(started, address)
-	}
-	return started
-}
-
-func (c *Controller) callTo(address string) *callState {
-	state, ok := c.calls[address]
-	if !ok {
-		state = &callState{}
-		c.calls[address] = state
-	}
-	return state
-}
-
-// answers tells whether a peer is worth a heartbeat before others.
-func (c *Controller) answers(address string, now time.Duration) bool {
-	state, ok := c.calls[address]
-	return !ok || !state.failed || now-state.failedAt >= retryUnanswered
-}
-
-func (c *Controller) anyoneAnswers(addresses []string, now time.Duration) bool {
-	for _, address := range addresses {
-		if state, ok := c.calls[address]; ok && !state.failed {
-			return true
-		}
-	}
-	return false
-}
-
-// strangers returns the addresses that the settings and the platform's list
-// name, while no member answers.
-func (c *Controller) strangers() []string {
-	known := make(map[string]bool, len(c.view.entries))
-	for _, e := range c.view.entries {
-		if !e.member.GetRemoved() {
-			known[e.member.GetPeerAddress()] = true
-		}
-	}
-	known[c.cfg.PeerAddress] = true
-	var addresses []string
-	add := func(address string) {
-		if address != "" && !known[address] {
-			known[address] = true
-			addresses = append(addresses, address)
-		}
-	}
-	for _, address := range c.cfg.Seeds {
-		add(address)
-	}
-	for _, m := range c.listed {
-		add(m.GetPeerAddress())
-	}
-	return addresses
-}
-
 // exchange sends one heartbeat and takes the answer into account.
 func (c *Controller) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Limits.Lease/2)
@@ -343,26 +267,3 @@
 		ack.ContactMs[domain] = (now - at).Milliseconds() + 1
 	}
 }
-
-// publishMembers brings the other members to the blackboard. The caller holds mu.
-func (c *Controller) publishMembers(now time.Duration) {
-	wall := time.Now()
-	for id := range c.cfg.Board.Members.Snapshot() {
-		if e, ok := c.view.entries[id]; !ok || e.member.GetRemoved() {
-			c.cfg.Board.Members.Delete(id)
-		}
-	}
-	for id, e := range c.view.entries {
-		if id == c.cfg.ID || e.member.GetRemoved() {
-			continue
-		}
-		row := blackboard.Member{
-			ID: id, FailureDomain: e.member.GetFailureDomain(), PeerAddress: e.member.GetPeerAddress(),
-			Incarnation: e.member.GetIncarnation(), Leaving: e.member.GetLeaving(),
-			LastHeard: wall.Add(e.heard - now), Version: e.version,
-		}
-		c.cfg.Board.Members.Update(id, func(old blackboard.Member, _ bool) (blackboard.Member, bool) {
-			return row, old != row
-		})
-	}
-}
