--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -24,8 +24,8 @@
 type Config struct {
 	// Board is required.
 	Board *blackboard.Board
-	// Demand tells the share controller that tokens were asked for in vain; nil
-	// means that nobody is told.
+	// Demand tells the share controller that tokens were asked for in vain, or,
+	// with 0, that they are still waited for; nil means that nobody is told.
 	Demand func(resource string, amount float64)
 	// MaxWait bounds the wait of a statement for its part; 0 means 100 ms.
 	MaxWait time.Duration
--- a/internal/admission/wait.go
+++ b/internal/admission/wait.go
@@ -27,15 +27,16 @@
 	if w.position() > int64(c.cfg.MaxWaiting) {
 		return refusal(c.cfg.MaxWait)
 	}
-	c.cfg.Demand(share.Resource, 1)
-	for {
+	for told := 1.0; ; told = 0 {
 		changed := changedOf(share.Spender)
 		wait, ok := w.take()
 		if ok {
 			return nil
 		}
-		if after, hopeless := w.hopeless(wait); hopeless {
-			return refusal(after)
+		c.cfg.Demand(share.Resource, told)
+		wait, hopeless := w.hopeless(wait)
+		if hopeless {
+			return refusal(wait)
 		}
 		if err := w.pause(ctx, wait, changed); err != nil {
 			return err
@@ -70,21 +71,22 @@
 }
 
 // hopeless tells that no token will come before the deadline, and after what
-// time one will.
+// time one will. Otherwise it returns how long to wait before trying again.
 func (w *waiter) hopeless(wait time.Duration) (time.Duration, bool) {
 	left := time.Until(w.deadline)
-	if left > 0 && wait <= left {
-		return 0, false
-	}
 	growing, ok := w.share.Spender.(grower)
 	if !ok {
-		return wait, true
+		return wait, left <= 0 || wait > left
 	}
 	after, more := growing.More()
-	if more && left > 0 {
-		return 0, false
-	}
-	if wait == never {
+	switch {
+	case left > 0 && wait <= left:
+		return wait, false
+	case left > 0 && more && after > 0:
+		return after, false
+	case left > 0 && more:
+		return left, false
+	case wait == never:
 		return after, true
 	}
 	return wait, true
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -68,6 +68,10 @@
 		require.Equal(t, want, l.Target(holder, 8), holder)
 	}
 	require.EqualValues(t, 9, l.Target("c", 30))
+	for holder, want := range map[string]int64{"a": 4, "b": 0, "c": 4, "unknown": 0} {
+		require.Equal(t, want, l.Portion(holder, 9), holder)
+	}
+	require.EqualValues(t, 1, l.Portion("b", 30))
 }
 
 func TestSettleRefusesWhatItCannotKnow(t *testing.T) {
@@ -149,6 +153,7 @@
 		return
 	}
 	moved := m.ledger.Grant(m.limit, h.name, m.ledger.Target(h.name, m.ledger.Units)-r.Held)
+	moved.Tokens += m.ledger.TopUp(1.5)
 	if arrives {
 		h.bucket.Absorb(m.now, moved)
 		h.lease = max(h.lease, sent+modelLease)
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -135,6 +135,14 @@
 	return moved
 }
 
+// TopUp moves up to that many free tokens to a holder that has room for them in
+// the capacity of its own units, and returns how many.
+func (l *Ledger) TopUp(tokens float64) float64 {
+	moved := max(0, min(tokens, l.Free.Tokens))
+	l.Free.Tokens -= moved
+	return moved
+}
+
 // Reclaim frees the units of every holder that has surely lapsed, as ended
 // tells, with their tokens taken as spent. It returns how many units came back.
 func (l *Ledger) Reclaim(ended func(Entry) bool) int64 {
@@ -207,6 +215,16 @@
 	return 0
 }
 
+// Portion returns how many of total units a holder should have for its want: all
+// of it while the wants together fit, else in proportion to the wants.
+func (l *Ledger) Portion(holder string, total int64) int64 {
+	own, wanted := l.Entry(holder).Want, l.Wanted()
+	if wanted <= total {
+		return own
+	}
+	return int64(float64(max(0, total)) * (float64(own) / float64(wanted)))
+}
+
 // Wanted sums the wants of all entries.
 func (l *Ledger) Wanted() int64 {
 	var sum int64
--- a/internal/share/account.go
+++ b/internal/share/account.go
@@ -8,6 +8,10 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/lease"
 )
 
+// emptyLast is after how many fruitless requests in a row callers no longer wait
+// for the next one.
+const emptyLast = 3
+
 // Account is what this instance holds of one limit. It is the Spender in the
 // blackboard's table Shares; its methods may be called from any goroutine.
 type Account struct {
@@ -25,7 +29,11 @@
 	emptyCount int           // guarded by mu; fruitless requests in a row
 	// heldBefore is how many units were held before the last request; guarded by mu
 	heldBefore int64
-	changed    chan struct{} // guarded by mu; nil while nobody waits
+	// topped is true when the last answer brought tokens; guarded by mu
+	topped bool
+	// pressedUntil is until when others are short of units; guarded by mu
+	pressedUntil time.Duration
+	changed      chan struct{} // guarded by mu; nil while nobody waits
 }
 
 // holding is what one allocator granted.
@@ -57,6 +65,7 @@
 	wait, ok = a.take(now, n)
 	if ok {
 		a.demand.admitted += n
+		a.demand.arrived += n
 	}
 	return wait, ok
 }
@@ -78,6 +87,7 @@
 		}
 		needed, taken := h.bucket.Take(now, n)
 		if taken {
+			a.demand.lastUse = now
 			return 0, true
 		}
 		wait = min(wait, needed)
@@ -148,9 +158,9 @@
 	return a.changed
 }
 
-// More tells whether the instance may still get more on demand: false while the
-// allocator is known to have nothing left; then after is the time until it will
-// be asked again.
+// More tells whether the instance may still get more on demand: false once the
+// allocator has had nothing for a few times. After is the time until it will be
+// asked again.
 func (a *Account) More() (after time.Duration, more bool) {
 	now := a.clock()
 	a.mu.Lock()
@@ -158,7 +168,7 @@
 	if a.asking || now >= a.emptyUntil {
 		return 0, true
 	}
-	return a.emptyUntil - now, false
+	return a.emptyUntil - now, a.emptyCount < emptyLast
 }
 
 // held sums the holdings whose lease is valid. The caller holds mu.
--- a/internal/share/account_test.go
+++ b/internal/share/account_test.go
@@ -74,6 +74,14 @@
 	require.EqualValues(t, 2, r.GetWant().GetUnits())
 }
 
+func TestUnitsThatNobodyReportsAreKept(t *testing.T) {
+	now := time.Hour
+	a := accountAt(t, &now, escrow.Limit{Units: 10})
+	require.EqualValues(t, 5, a.prepare(now+time.Second, 1))
+	a.SetUsed(0)
+	require.EqualValues(t, 1, a.prepare(now+2*time.Second, 1))
+}
+
 func TestHolderNames(t *testing.T) {
 	id, incarnation := parseHolder(holderName("a/b", 7, 3))
 	require.Equal(t, "a/b", id)
--- a/internal/share/allocator.go
+++ b/internal/share/allocator.go
@@ -18,7 +18,7 @@
 // answer's lease counts from before the request was sent.
 func (c *Controller) HandleShareRequest(ctx context.Context, from string, r *peerv1.ShareRequest) *peerv1.ShareGrant {
 	if r.GetRecall() {
-		return c.handleRecall(ctx, r)
+		return c.handleRecall(ctx, from, r)
 	}
 	p := c.part(r.GetResource())
 	left := c.session.left(c.cfg.Clock())
@@ -27,7 +27,11 @@
 	}
 	length := min(left, c.cfg.PartLease)
 	request := c.escrowRequest(from, r, length)
-	granted, err := c.settle(ctx, p, request)
+	short := 0.0
+	if !r.GetGive() {
+		short = r.GetWant().GetTokens()
+	}
+	granted, err := c.settle(ctx, p, request, short)
 	if err != nil {
 		return &peerv1.ShareGrant{Sequence: r.GetSequence(), Unknown: errors.Is(err, escrow.ErrUnknownHolding)}
 	}
@@ -54,9 +58,9 @@
 	return request
 }
 
-// settle carries out one request. It returns the units that the holder should
-// have from now on and the tokens to add.
-func (c *Controller) settle(ctx context.Context, p *part, r escrow.Request) (escrow.Amount, error) {
+// settle carries out one request of a holder that is short of tokens. It returns
+// the units that the holder should have from now on and the tokens to add.
+func (c *Controller) settle(ctx context.Context, p *part, r escrow.Request, short float64) (escrow.Amount, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := c.cfg.Clock()
@@ -70,10 +74,11 @@
 		return escrow.Amount{Units: target}, nil
 	}
 	moved := p.ledger.Grant(p.limit, r.Holder, target-r.Held)
+	moved.Tokens += p.ledger.TopUp(short - moved.Tokens)
 	if p.due(now) {
 		c.kick()
 	}
-	if r.Held+moved.Units < r.Want {
+	if r.Held+moved.Units < r.Want && moved.Tokens < max(short, 1) {
 		moved = moved.Plus(c.gather(ctx, p, r, r.Want-r.Held-moved.Units))
 	}
 	return escrow.Amount{Units: r.Held + moved.Units, Tokens: moved.Tokens}, nil
@@ -85,7 +90,7 @@
 func (c *Controller) gather(ctx context.Context, p *part, r escrow.Request, missing int64) escrow.Amount {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
-	c.recallHolders(p, r.Holder)
+	c.recallHolders(p, r.Holder, true)
 	for {
 		grown := p.growth()
 		p.mu.Unlock()
--- a/internal/share/ask.go
+++ b/internal/share/ask.go
@@ -16,6 +16,8 @@
 	// slack is by how much of it a holding must exceed the need before the rest
 	// is handed back.
 	slack = 4
+	// askPause is the shortest time between requests for which callers wait.
+	askPause = 4 * time.Millisecond
 	// suspectTime is for how long an allocator that did not answer is passed over.
 	suspectTime = 3 * time.Second
 )
@@ -102,16 +104,17 @@
 	return a.want(now, least)
 }
 
-// want returns how many units the demand calls for; at least twice what is held
-// while callers wait, since the estimate lags behind. The caller holds mu.
+// want returns how many units the demand calls for. The caller holds mu.
 func (a *Account) want(now time.Duration, least int64) int64 {
 	if a.limit.Rate <= 0 {
-		return min(a.limit.Units, a.demand.wantUnits(now, least))
-	}
-	want := a.demand.wantRate(now, a.limit)
-	if a.demand.missing > 0 {
-		want = max(want, 2*a.held(now).Units)
+		want := a.demand.wantUnits(now, least)
+		if !a.demand.reported {
+			// Nobody tells what is in use, so all of it may be.
+			want = max(want, a.held(now).Units)
+		}
+		return min(a.limit.Units, want)
 	}
+	want := a.demand.wantRate(now, a.limit, now < a.pressedUntil)
 	return min(a.limit.Units, want)
 }
 
@@ -165,7 +168,7 @@
 		r.Want = message(escrow.Amount{Units: keep, Tokens: held.Tokens - returned.Tokens})
 		return r
 	}
-	r.Want = &peerv1.ShareAmount{Units: want, Tokens: a.demand.missing}
+	r.Want = &peerv1.ShareAmount{Units: want, Tokens: a.demand.short(held, a.limit)}
 	return r
 }
 
@@ -234,13 +237,12 @@
 	h.lease = h.lease.Later(lease.Granted(sent, length))
 	held := h.bucket.Amount(now).Units
 	h.ceiling = -1
-	switch granted := g.GetGranted().GetUnits(); {
-	case granted > held:
-		h.bucket.Absorb(now, escrow.Amount{Units: granted - held, Tokens: g.GetGranted().GetTokens()})
-		a.demand.missing = max(0, a.demand.missing-g.GetGranted().GetTokens())
-	case granted < held:
+	granted := g.GetGranted().GetUnits()
+	h.bucket.Absorb(now, escrow.Amount{Units: max(0, granted-held), Tokens: g.GetGranted().GetTokens()})
+	if granted < held {
 		h.ceiling = granted
 	}
+	a.topped = g.GetGranted().GetTokens() >= 1
 	a.notify()
 }
 
@@ -264,8 +266,8 @@
 	a.dropEmpty(now, want)
 	held := a.held(now).Units
 	switch {
-	case err == nil && (held >= want || held > a.heldBefore || a.demand.missing == 0):
-		a.emptyCount, a.emptyUntil = 0, 0
+	case err == nil && (held >= want || held > a.heldBefore || a.topped || a.demand.missing == 0):
+		a.emptyCount, a.emptyUntil = 0, now+askPause
 	default:
 		a.emptyCount++
 		a.emptyUntil = now + backoff(a.emptyCount, backoffLast, random)
--- a/internal/share/controller.go
+++ b/internal/share/controller.go
@@ -125,7 +125,8 @@
 }
 
 // Demand tells that amount tokens or units of a limit were asked for in vain.
-// The controller asks for more at once unless there is known to be none.
+// The controller asks for more at once unless there is known to be none. An amount
+// of 0 repeats earlier demand that is still waiting.
 func (c *Controller) Demand(resource string, amount float64) {
 	a := c.account(resource)
 	if a == nil {
@@ -133,7 +134,9 @@
 	}
 	now := c.cfg.Clock()
 	a.mu.Lock()
-	a.demand.note(now, amount, a.limit)
+	if amount > 0 {
+		a.demand.note(now, amount, a.limit)
+	}
 	ask := !a.asking && now >= a.emptyUntil
 	a.mu.Unlock()
 	c.activate(a)
--- a/internal/share/part.go
+++ b/internal/share/part.go
@@ -17,6 +17,10 @@
 // partExtra is the part of the demand that is leased on top of it.
 const partExtra = 4
 
+// poolPart is the part of a rate that an allocator keeps to help out those that
+// are short for a moment, unless much more is wanted than there is.
+const poolPart = 10
+
 // wholeToken is one token with room for rounding.
 const wholeToken = 1.001
 
@@ -162,8 +166,15 @@
 // target returns how many units a holder should have of the part, within the
 // part's goal. The caller holds mu.
 func (p *part) target(now time.Duration, holder string) int64 {
-	target := p.ledger.Target(holder, min(p.ledger.Units, p.goal(now)))
-	if target > 0 && p.limit.Rate > 0 {
+	total := min(p.ledger.Units, p.goal(now))
+	if p.limit.Rate <= 0 {
+		return p.ledger.Target(holder, total)
+	}
+	if wanted := p.ledger.Wanted(); wanted < total+total/poolPart {
+		total -= total / poolPart
+	}
+	target := p.ledger.Portion(holder, total)
+	if target > 0 {
 		// Fewer units than this could never save up a whole token.
 		return max(target, p.limit.UnitsForTokens(wholeToken))
 	}
--- a/internal/share/recall.go
+++ b/internal/share/recall.go
@@ -13,13 +13,15 @@
 
 const (
 	// recallEvery is how often one holder is asked to hand back at most.
-	recallEvery = 100 * time.Millisecond
+	recallEvery = 250 * time.Millisecond
 	// recallTimeout bounds the wait for a domain to hand back to the table.
 	recallTimeout = 200 * time.Millisecond
 	// recallFanOut is the most domains that are asked at once.
 	recallFanOut = 3
+	// pressTime is for how long a recall makes only the latest demand count.
+	pressTime = 2 * time.Second
 	// ceilingTime is for how long a part that handed back takes no more.
-	ceilingTime = 2 * time.Second
+	ceilingTime = 250 * time.Millisecond
 	// contestedStep is the part of its units that an allocator must have above
 	// the asking one before it gives up units that it needs itself.
 	contestedStep = 20
@@ -29,18 +31,21 @@
 )
 
 // recallHolders asks the holders of a part that have more than their target to
-// hand back. The caller holds p.mu.
-func (c *Controller) recallHolders(p *part, except string) {
+// hand back, and all that are in the way of others to tell their demand anew. The
+// caller holds p.mu.
+func (c *Controller) recallHolders(p *part, except string, all bool) {
 	now := c.cfg.Clock()
 	for _, e := range p.ledger.Entries {
-		if e.Holder == except || e.Units <= p.target(now, e.Holder) || now-p.recalled[e.Holder] < recallEvery {
+		target := p.target(now, e.Holder)
+		if e.Holder == except || !all && e.Units <= target || now-p.recalled[e.Holder] < recallEvery {
 			continue
 		}
 		p.recalled[e.Holder] = now
 		id, _ := parseMember(e.Holder)
-		c.spawn(func(ctx context.Context) {
-			_, _ = c.call(ctx, id, &peerv1.ShareRequest{Resource: p.resource, Recall: true})
-		})
+		r := &peerv1.ShareRequest{
+			Resource: p.resource, Recall: true, Want: &peerv1.ShareAmount{Units: min(target, e.Units)},
+		}
+		c.spawn(func(ctx context.Context) { _, _ = c.call(ctx, id, r) })
 	}
 }
 
@@ -75,15 +80,19 @@
 }
 
 // handleRecall hands back what this instance can spare: as a holder to its
-// allocator, as an allocator to the table. The answer tells how many units went
-// back to the table.
-func (c *Controller) handleRecall(ctx context.Context, r *peerv1.ShareRequest) *peerv1.ShareGrant {
-	if a := c.account(r.GetResource()); a != nil {
-		c.askSoon(a)
-	}
+// allocator, which asks without naming what it holds itself, or as an allocator
+// to the table. The answer tells how many units went back to the table.
+func (c *Controller) handleRecall(ctx context.Context, from string, r *peerv1.ShareRequest) *peerv1.ShareGrant {
 	grant := &peerv1.ShareGrant{Sequence: r.GetSequence(), Granted: &peerv1.ShareAmount{}}
+	if r.GetHeld() == nil {
+		if a := c.account(r.GetResource()); a != nil {
+			a.press(c.cfg.Clock(), from, r.GetWant().GetUnits())
+			c.askSoon(a)
+		}
+		return grant
+	}
 	p := c.part(r.GetResource())
-	if p == nil || r.GetWant().GetUnits() <= r.GetHeld().GetUnits() {
+	if p == nil {
 		return grant
 	}
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
@@ -92,28 +101,37 @@
 	return grant
 }
 
+// press notes that others are short, and what the allocator leaves to the holding.
+func (a *Account) press(now time.Duration, allocator string, units int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pressedUntil = now + pressTime
+	if h := a.holding(allocator); h != nil {
+		h.ceiling = units
+	}
+}
+
 // handBack lowers the part in favour of another that holds and wants as given,
 // and waits until the table has got some of it back.
 func (c *Controller) handBack(ctx context.Context, p *part, held, want int64) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := c.cfg.Clock()
-	p.tidy(now)
+	p.tidy(c.cfg.Clock())
 	before := p.recorded
-	spare := p.spare(held, want)
-	if spare <= 0 {
-		return 0
-	}
-	p.ceiling, p.ceilingUntil = p.ledger.Units-spare, now+ceilingTime
-	p.baseAfter = now + partIdle
-	c.recallHolders(p, "")
-	c.kick()
-	for p.recorded >= before && ctx.Err() == nil {
+	for first := true; p.recorded >= before && ctx.Err() == nil; first = false {
+		now := c.cfg.Clock()
+		if spare := p.spare(held, want); spare > 0 {
+			p.ceiling, p.ceilingUntil = p.ledger.Units-spare, now+ceilingTime
+			p.baseAfter = now + partIdle
+			c.kick()
+		}
+		if first {
+			c.recallHolders(p, "", true)
+		}
 		grown := p.growth()
 		p.mu.Unlock()
 		select {
 		case <-grown:
-			c.kick()
 		case <-ctx.Done():
 		}
 		p.mu.Lock()
@@ -122,8 +140,8 @@
 }
 
 // spare returns how many units the part gives up for another one: what it does
-// not need, or, when both need more than there is, half of the difference. The
-// caller holds mu.
+// not need, or, when both need more than there is, what makes them equally
+// short. The caller holds mu.
 func (p *part) spare(held, want int64) int64 {
 	units := p.ledger.Units
 	missing := want - held
@@ -131,11 +149,24 @@
 	if unneeded := units - max(floor, p.ledger.Wanted()); unneeded > 0 {
 		return min(unneeded, missing)
 	}
-	difference := units - held
-	if difference*contestedStep <= units {
+	excess := p.excess(held, want)
+	if excess*contestedStep <= units {
 		return 0
 	}
-	return min(difference/2, missing, units-min(units, floor))
+	return min(excess, missing, units-min(units, floor))
+}
+
+// excess returns by how many units the part is above its portion of what it and
+// the other hold together: in proportion to the demand for a rate, half of it for
+// whole things. The caller holds mu.
+func (p *part) excess(held, want int64) int64 {
+	units := p.ledger.Units
+	if p.limit.Rate <= 0 {
+		return (units - held) / 2
+	}
+	own := p.demanded()
+	portion := float64(units+held) * float64(own) / float64(own+want)
+	return units - int64(portion)
 }
 
 // parseMember returns the instance and the incarnation of an entry's holder.
--- a/internal/share/watch.go
+++ b/internal/share/watch.go
@@ -88,7 +88,7 @@
 
 // base is how many units of a limit this instance leases as the allocator of its
 // failure domain even without demand, so that the domain can serve when it is
-// cut off: half of the limit, divided among the domains.
+// cut off or the table is down: an equal part for each domain.
 func (c *Controller) base(resource string, limit escrow.Limit) int64 {
 	d := c.directory.Load()
 	if c.cfg.Peers != nil && d.allocator(d.self.FailureDomain, resource) != c.cfg.Self.ID {
@@ -99,9 +99,9 @@
 		domains = int64(d.size())
 	}
 	if strings.HasPrefix(resource, connectionPrefix) && limit.Units >= int64(d.size()) {
-		return max(int64(len(d.local)), limit.Units/(2*domains))
+		return max(int64(len(d.local)), limit.Units/domains)
 	}
-	return limit.Units / (2 * domains)
+	return limit.Units / domains
 }
 
 // leastUnits is how many units the instance holds without demand: one
@@ -134,10 +134,11 @@
 	if len(a.holdings) == 0 && want == 0 {
 		return false, a.demand.idle(now)
 	}
-	if a.asking || now < a.nextAsk {
+	held := a.held(now).Units
+	pressed := now < a.pressedUntil && a.excess(held, want)
+	if a.asking || now < a.nextAsk && !pressed {
 		return false, false
 	}
-	held := a.held(now).Units
 	switch {
 	case want > held+held/growStep && now >= a.emptyUntil, a.excess(held, want):
 		return true, false
--- a/internal/share/worker.go
+++ b/internal/share/worker.go
@@ -153,6 +153,9 @@
 	p.returning = max(0, p.returning-op.returned)
 	p.ledger.Absorb(granted)
 	p.recorded = p.ledger.Units
+	if p.recorded <= p.ceiling {
+		p.ceilingUntil = 0
+	}
 	if granted.Units > 0 {
 		p.emptyCount, p.emptyUntil = 0, 0
 	}
