share: stop contested parts from circling, and measure the table's load

Cause: sixty instances that each used fifty organisations a little wrote 823 rows a second, since each wanted room for at least two tokens and the parts circled.

Change: an instance wants room for one token and for the demand of 400 ms, and an allocator gives up units that it needs only to one that is much shorter.

--- a/internal/share/demand.go
+++ b/internal/share/demand.go
@@ -32,7 +32,7 @@
 	// headroom is by how much a part exceeds the demand that it is meant for.
 	headroom = 1.2
 	// reserve is the time for whose demand tokens should be saved up.
-	reserve = 200 * time.Millisecond
+	reserve = 400 * time.Millisecond
 )
 
 // demand estimates what one instance needs of one limit. It is a value with the
@@ -139,7 +139,7 @@
 	if d.rising(now) {
 		rate = max(rate, rampFactor*d.sinceRise(now))
 	}
-	saved := max(2+rate*reserve.Seconds(), d.missing)
+	saved := max(wholeToken+rate*reserve.Seconds(), d.missing)
 	return max(l.UnitsForRate(rate*headroom), l.UnitsForTokens(saved))
 }
 
--- a/internal/share/recall.go
+++ b/internal/share/recall.go
@@ -24,7 +24,7 @@
 	ceilingTime = 250 * time.Millisecond
 	// contestedStep is the part of its units that an allocator must have above
 	// the asking one before it gives up units that it needs itself.
-	contestedStep = 20
+	contestedStep = 4
 	// floorPart is the part of a limit that a failure domain keeps when others
 	// need all of it.
 	floorPart = 256
