share: borrow tokens from other failure domains directly

Change: an instance whose callers wait asks the allocators of the other domains for a few units with their tokens, with a pause that grows while none has any; a share that is just being made is waited for; admission waits 300 ms while more may come and 50 ms when the fleet has nothing left; allocators keep a quarter of a part. The tests of the wait state the 100 ms that they rested on, and a case for the wait without help is added.

--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -12,7 +12,8 @@
 
 // Defaults.
 const (
-	defaultMaxWait    = 100 * time.Millisecond
+	defaultMaxWait    = 300 * time.Millisecond
+	defaultMaxAlone   = 50 * time.Millisecond
 	defaultMaxWaiting = 1024
 	defaultRetryRatio = 0.1
 	defaultRetryBurst = 10
@@ -27,8 +28,11 @@
 	// Demand tells the share controller that tokens were asked for in vain, or,
 	// with 0, that they are still waited for; nil means that nobody is told.
 	Demand func(resource string, amount float64)
-	// MaxWait bounds the wait of a statement for its part; 0 means 100 ms.
+	// MaxWait bounds the wait of a statement for its part; 0 means 300 ms.
 	MaxWait time.Duration
+	// MaxWaitAlone bounds the wait while the rest of the fleet is known to have
+	// nothing left; 0 means 50 ms.
+	MaxWaitAlone time.Duration
 	// MaxWaiting bounds the waiting statements of one organisation; 0 means
 	// 1,024.
 	MaxWaiting int
@@ -57,6 +61,7 @@
 		return trace.BadParameter("admission: RetryRatio is %v, must be 0 to 1", c.RetryRatio)
 	}
 	setDefault(&c.MaxWait, defaultMaxWait)
+	setDefault(&c.MaxWaitAlone, defaultMaxAlone)
 	setDefault(&c.MaxWaiting, defaultMaxWaiting)
 	setDefault(&c.RetryRatio, defaultRetryRatio)
 	setDefault(&c.RetryBurst, defaultRetryBurst)
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -82,8 +82,8 @@
 		return c.admitOpen()
 	}
 	resource := ratePrefix + name
-	share, ok := c.cfg.Board.Shares.Get(resource)
-	if !ok || share.Spender == nil {
+	share, ok := c.shareOf(ctx, resource)
+	if !ok {
 		c.refused.Add(name, 1)
 		return refusal(unknownRetryAfter)
 	}
@@ -104,6 +104,29 @@
 	return nil
 }
 
+// shareOf returns the instance's share of a limit. One that has just been
+// configured is waited for.
+func (c *Controller) shareOf(ctx context.Context, resource string) (blackboard.Share, bool) {
+	share, ok := c.cfg.Board.Shares.Get(resource)
+	if ok && share.Spender != nil {
+		return share, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.MaxWait)
+	defer cancel()
+	for {
+		changed := c.cfg.Board.Shares.Changed()
+		share, ok = c.cfg.Board.Shares.Get(resource)
+		if ok && share.Spender != nil {
+			return share, true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return share, false
+		}
+	}
+}
+
 // AllowRetry tells whether the organisation's budget allows one more retry, and
 // takes it off.
 func (c *Controller) AllowRetry(name string) bool { return c.organisation(name).retries.spend() }
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -136,10 +136,12 @@
 		more   bool
 		grow   time.Duration // when 1 token comes from elsewhere; 0 for never
 		answer bool          // whether elsewhere then still has more
+		alone  time.Duration // the longest wait without help
 		waited time.Duration
 		ok     bool
 	}{
-		"own tokens soon":         {rate: 20, waited: 50 * time.Millisecond, ok: true},
+		"own tokens soon":         {rate: 20, alone: 100 * time.Millisecond, waited: 50 * time.Millisecond, ok: true},
+		"own tokens too late":     {rate: 20, alone: 20 * time.Millisecond, waited: 0},
 		"part grows":              {more: true, grow: 30 * time.Millisecond, waited: 30 * time.Millisecond, ok: true},
 		"part grows too late":     {more: true, grow: 200 * time.Millisecond, waited: 100 * time.Millisecond},
 		"nothing to come":         {waited: 0},
@@ -156,7 +158,7 @@
 				if c.grow < 0 {
 					time.AfterFunc(-c.grow, func() { p.grow(0, false) })
 				}
-				controller := newController(t, p, Config{})
+				controller := newController(t, p, Config{MaxWait: 100 * time.Millisecond, MaxWaitAlone: c.alone})
 				began := time.Now()
 				err := controller.Admit(t.Context(), "one")
 				require.InDelta(t, c.waited, time.Since(began), 1e6)
@@ -173,7 +175,7 @@
 
 func TestWaitingStatementsTakeTurns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newController(t, newPart(100, 1, 0), Config{})
+		c := newController(t, newPart(100, 1, 0), Config{MaxWait: 100 * time.Millisecond, MaxWaitAlone: 100 * time.Millisecond})
 		var mu sync.Mutex
 		var order []int
 		var refused int
@@ -212,6 +214,18 @@
 	})
 }
 
+func TestShareThatIsJustBeingMadeIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newController(t, nil, Config{})
+		time.AfterFunc(20*time.Millisecond, func() {
+			c.cfg.Board.Shares.Put("rate/one", blackboard.Share{Resource: "rate/one", Spender: newPart(0, 1, 1)})
+		})
+		began := time.Now()
+		require.NoError(t, c.Admit(t.Context(), "one"))
+		require.InDelta(t, 20*time.Millisecond, time.Since(began), 1e6)
+	})
+}
+
 func TestUnknownOrganisationIsRefused(t *testing.T) {
 	c := newController(t, nil, Config{})
 	requireRefused(t, c.Admit(t.Context(), "one"), verdict.CodeConfigurationLimit)
--- a/internal/admission/wait.go
+++ b/internal/admission/wait.go
@@ -34,7 +34,7 @@
 			return nil
 		}
 		c.cfg.Demand(share.Resource, told)
-		wait, hopeless := w.hopeless(wait)
+		wait, hopeless := c.hopeless(w, wait)
 		if hopeless {
 			return refusal(wait)
 		}
@@ -72,13 +72,17 @@
 
 // hopeless tells that no token will come before the deadline, and after what
 // time one will. Otherwise it returns how long to wait before trying again.
-func (w *waiter) hopeless(wait time.Duration) (time.Duration, bool) {
+func (c *Controller) hopeless(w *waiter, wait time.Duration) (time.Duration, bool) {
 	left := time.Until(w.deadline)
 	growing, ok := w.share.Spender.(grower)
 	if !ok {
 		return wait, left <= 0 || wait > left
 	}
 	after, more := growing.More()
+	if !more {
+		// Nothing is left in the fleet beyond what this part earns by itself.
+		left = min(left, c.cfg.MaxWaitAlone)
+	}
 	switch {
 	case left > 0 && wait <= left:
 		return wait, false
--- a/internal/share/account.go
+++ b/internal/share/account.go
@@ -31,6 +31,9 @@
 	heldBefore int64
 	// topped is true when the last answer brought tokens; guarded by mu
 	topped bool
+	// borrowAfter is when other failure domains may be asked again, and
+	// borrowPause the pause before it; guarded by mu
+	borrowAfter, borrowPause time.Duration
 	// pressedUntil is until when others are short of units; guarded by mu
 	pressedUntil time.Duration
 	changed      chan struct{} // guarded by mu; nil while nobody waits
--- a/internal/share/allocator.go
+++ b/internal/share/allocator.go
@@ -12,7 +12,7 @@
 
 // gatherTimeout is how long an allocator waits for units to become free before
 // it answers with fewer than asked for.
-const gatherTimeout = 60 * time.Millisecond
+const gatherTimeout = 10 * time.Millisecond
 
 // HandleShareRequest answers a request of another instance, or of this one. The
 // answer's lease counts from before the request was sent.
--- a/internal/share/ask.go
+++ b/internal/share/ask.go
@@ -18,6 +18,10 @@
 	slack = 4
 	// askPause is the shortest time between requests for which callers wait.
 	askPause = 4 * time.Millisecond
+	// borrowLeast and borrowMost bound the pause between two times that other
+	// failure domains are asked to help out.
+	borrowLeast = 20 * time.Millisecond
+	borrowMost  = 2 * time.Second
 	// suspectTime is for how long an allocator that did not answer is passed over.
 	suspectTime = 3 * time.Second
 )
@@ -35,8 +39,9 @@
 		primary = c.allocatorOf(a.resource)
 		err = c.ask(ctx, a, primary, want)
 	}
+	borrowed := c.borrow(ctx, a)
 	for _, other := range a.others(primary) {
-		if c.suspected(other) {
+		if c.suspected(other) || other == borrowed {
 			continue
 		}
 		rest := int64(0)
@@ -49,6 +54,65 @@
 	a.conclude(c.cfg.Clock(), want, err, c.cfg.Random())
 }
 
+// borrow asks the allocators of other failure domains for a few units with their
+// tokens, while callers wait and the own domain has no token. They go back at a
+// later renewal. It returns the allocator that helped, or an empty string.
+func (c *Controller) borrow(ctx context.Context, a *Account) string {
+	directory := c.directory.Load()
+	others := slices.Clone(directory.domains[1:])
+	if len(others) == 0 {
+		return ""
+	}
+	first := int(c.cfg.Random() * float64(len(others)))
+	for n := range others {
+		want := a.lacking(c.cfg.Clock())
+		if want == 0 || !a.mayBorrow(c.cfg.Clock()) {
+			return ""
+		}
+		lender := directory.allocator(others[(first+n)%len(others)], a.resource)
+		if lender == "" || c.suspected(lender) {
+			continue
+		}
+		if err := c.ask(ctx, a, lender, want); err == nil && a.lacking(c.cfg.Clock()) == 0 {
+			a.borrowed(c.cfg.Clock(), true)
+			return lender
+		}
+	}
+	a.borrowed(c.cfg.Clock(), false)
+	return ""
+}
+
+// mayBorrow tells whether it is time to ask other failure domains again.
+func (a *Account) mayBorrow(now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now >= a.borrowAfter
+}
+
+// borrowed sets when other failure domains may be asked again: soon when one
+// helped, ever later while none has anything.
+func (a *Account) borrowed(now time.Duration, helped bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if helped {
+		a.borrowPause = borrowLeast
+	} else {
+		a.borrowPause = min(borrowMost, max(borrowLeast, 2*a.borrowPause))
+	}
+	a.borrowAfter = now + a.borrowPause
+}
+
+// lacking returns the units whose burst holds the tokens that callers wait for;
+// 0 when there is a token or nobody waits.
+func (a *Account) lacking(now time.Duration) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.limit.Rate <= 0 || a.demand.missing == 0 || a.held(now).Tokens >= wholeToken {
+		return 0
+	}
+	return min(a.limit.Units, a.limit.UnitsForTokens(wholeToken+a.demand.missing))
+}
+
 // ask carries out one exchange with an allocator.
 func (c *Controller) ask(ctx context.Context, a *Account, allocator string, want int64) error {
 	sent := c.cfg.Clock()
--- a/internal/share/part.go
+++ b/internal/share/part.go
@@ -19,7 +19,7 @@
 
 // poolPart is the part of a rate that an allocator keeps to help out those that
 // are short for a moment, unless much more is wanted than there is.
-const poolPart = 10
+const poolPart = 4
 
 // wholeToken is one token with room for rounding.
 const wholeToken = 1.001
