--- /dev/null
+++ b/bench/capacity/page/render.go
@@ -0,0 +1,66 @@
+package page
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Markers of the parts of the page that are written from the slopes.
+const (
+	slopesMarker  = "slopes"
+	figuresMarker = "figures"
+)
+
+// Render returns the page with its tables written anew.
+func Render(page string, z Size, s Slopes) (string, error) {
+	page, err := replaceBetween(page, slopesMarker, slopesTable(s))
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	page, err = replaceBetween(page, figuresMarker, figuresTable(Figures(z, s)))
+	return page, trace.Wrap(err)
+}
+
+func slopesTable(s Slopes) string {
+	var b strings.Builder
+	b.WriteString("| slope | value | points | command |\n|---|---|---|---|\n")
+	for _, slope := range s {
+		fmt.Fprintf(&b, "| %s | %.4g %s | %s | `%s` |\n", slope.Name, slope.Value, slope.Unit, slope.Points, slope.Command)
+	}
+	return b.String()
+}
+
+func figuresTable(figures []Figure) string {
+	var b strings.Builder
+	b.WriteString("| role | figure | worked out from | value | bound | carried by |\n|---|---|---|---|---|---|\n")
+	for _, f := range figures {
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s |\n", f.Role, f.What, f.Formula, f.text(), boundText(f), f.Mechanism)
+	}
+	return b.String()
+}
+
+func boundText(f Figure) string {
+	if f.Bound == 0 {
+		return ""
+	}
+	verdict := "kept"
+	if f.Exceeds() {
+		verdict = "**exceeded**"
+	}
+	return fmt.Sprintf("%.3g: %s", f.Bound, verdict)
+}
+
+func replaceBetween(page, marker, table string) (string, error) {
+	begin, end := "<!-- "+marker+" -->\n", "<!-- end of "+marker+" -->"
+	head, rest, found := strings.Cut(page, begin)
+	if !found {
+		return "", trace.BadParameter("the page lacks the marker %q", begin)
+	}
+	_, tail, found := strings.Cut(rest, end)
+	if !found {
+		return "", trace.BadParameter("the page lacks the marker %q", end)
+	}
+	return head + begin + table + end + tail, nil
+}
