Promote a server that holds the log in the gateway's failover test

Cause: the test always promotes the second server; on a busy machine the majority that had confirmed a write was the first and the third, so the promotion broke the rule that the most advanced server wins, and the floor was rightly refused. Change: the test waits until the second server holds the primary's log. Conclusion: the check itself is as strict as before.

--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -121,6 +121,10 @@
 	defer adapter.Close()
 	servers := r.group.Servers()
 	ctx := context.Background()
+	// A promotion takes the most advanced server; here it is always the second.
+	require.Eventually(r.t, func() bool {
+		return !servers[1].Status().Durable.Less(servers[0].Status().Durable)
+	}, patience, time.Millisecond)
 	for _, s := range servers[1:] {
 		granted, _, err := adapter.Platform().Groups.GroupServer(s.ControlAddress()).Prepare(ctx, 2, "test")
 		require.NoError(r.t, err)
