--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -40,7 +40,7 @@
 	var all []Event
 	for _, part := range [][]Event{
 		instanceEvents, gatewayEvents, endpointEvents, groupEvents,
-		configurationEvents, membershipEvents, limitEvents, platformEvents,
+		configurationEvents, membershipEvents, limitEvents, platformEvents, edgeEvents,
 	} {
 		all = append(all, part...)
 	}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,269 @@
+// Package follow keeps a copy of a small set of rows of the platform's store. It
+// reads the store at a steady pace and, while the store does not serve this
+// instance, asks the other instances for theirs. Its invariants: the version of
+// the copy never falls, and AsOf is never later than the instant at which the
+// store was asked, on whatever instance that was.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/lease"
+)
+
+// Row is one row as the store holds it.
+type Row struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+}
+
+// Source reads the rows from the store.
+type Source interface {
+	// Read returns all rows as of one moment, ordered by key, and the store's
+	// version at that moment.
+	Read(ctx context.Context) ([]Row, uint64, error)
+}
+
+// Waiter is a Source that can tell when there is something new.
+type Waiter interface {
+	Source
+	// Await returns true when a row has changed after version, and false when
+	// none has until wait is over. A history that is no longer available counts
+	// as a change.
+	Await(ctx context.Context, version uint64, wait time.Duration) (bool, error)
+}
+
+// State is the copy.
+type State struct {
+	Rows    []Row
+	Version uint64
+	// AsOf is an instant of the boot-time clock at which nothing newer was in
+	// the store; negative while nothing was ever read.
+	AsOf time.Duration
+}
+
+// Known tells whether anything was ever read.
+func (s State) Known() bool { return s.AsOf >= 0 }
+
+// Age is how old the copy is at least known to be current.
+func (s State) Age(now time.Duration) time.Duration { return now - s.AsOf }
+
+// PeerSource asks another instance for its copy. Rows are nil when the other
+// instance's version is not above the one given; its age tells how old its copy is.
+type PeerSource func(ctx context.Context, set string, above uint64) (rows []Row, version uint64, age time.Duration, err error)
+
+// Config describes a Follower.
+type Config struct {
+	// Set names the rows in logs and between instances.
+	Set    string
+	Source Source
+	// Peers asks some other instance; nil asks none.
+	Peers PeerSource
+	Clock lease.Clock
+	Log   *zap.Logger
+	// Interval is the time between two reads, or the longest wait of one Await.
+	Interval time.Duration
+	// Timeout bounds one call to the store.
+	Timeout time.Duration
+	// Apply is called with each new copy, by one goroutine.
+	Apply func(State)
+}
+
+// Pauses between calls that fail.
+const (
+	// retryPause spaces calls to a store that fails: a few a second for each
+	// instance stay far below the store's rates at several hundred instances.
+	retryPause = 250 * time.Millisecond
+	// minPeerAge is how old a copy gets before other instances are asked.
+	minPeerAge = 500 * time.Millisecond
+)
+
+// CheckAndSetDefaults validates the configuration.
+func (c *Config) CheckAndSetDefaults() error {
+	if c.Source == nil || c.Set == "" || c.Apply == nil {
+		return trace.BadParameter("follow: Set, Source and Apply are required")
+	}
+	if c.Clock == nil {
+		c.Clock = lease.BootClock
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	if c.Interval <= 0 {
+		c.Interval = time.Second
+	}
+	if c.Timeout <= 0 {
+		c.Timeout = time.Second
+	}
+	return nil
+}
+
+// Follower keeps the copy.
+type Follower struct {
+	cfg   Config
+	state *blackboard.Cell[State]
+	mu    sync.Mutex // orders publications
+	poke  chan struct{}
+	// failingSince is the boot-time instant since when the store does not serve
+	// this instance, 0 while it does.
+	failingSince atomic.Int64
+	// servingSince is the boot-time instant since when it serves without a failure.
+	servingSince atomic.Int64
+}
+
+// New returns a Follower that knows nothing.
+func New(cfg Config) (*Follower, error) {
+	if err := cfg.CheckAndSetDefaults(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Follower{
+		cfg: cfg, state: blackboard.NewCell(State{AsOf: -1}), poke: make(chan struct{}, 1),
+	}, nil
+}
+
+// State returns the copy.
+func (f *Follower) State() State { return f.state.Get() }
+
+// Changed returns a channel that is closed at the next publication.
+func (f *Follower) Changed() <-chan struct{} { return f.state.Changed() }
+
+// Serving tells whether the store served the last call of this instance.
+func (f *Follower) Serving() bool { return f.failingSince.Load() == 0 }
+
+// ServingSince is the boot-time instant of the first call that the store served
+// after the last one that it did not; 0 when none has failed.
+func (f *Follower) ServingSince() time.Duration { return time.Duration(f.servingSince.Load()) }
+
+// Poke makes the next read come at once.
+func (f *Follower) Poke() {
+	select {
+	case f.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := f.Refresh(ctx); err != nil {
+			f.failed(err)
+			f.askPeers(ctx)
+			f.sleep(ctx, retryPause)
+			continue
+		}
+		f.served()
+		f.wait(ctx)
+	}
+	return nil
+}
+
+// Refresh reads the store once.
+func (f *Follower) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+	defer cancel()
+	sent := f.cfg.Clock()
+	rows, version, err := f.cfg.Source.Read(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f.publish(State{Rows: rows, Version: version, AsOf: sent})
+	return nil
+}
+
+// publish replaces the copy unless the new one is older.
+func (f *Follower) publish(s State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.state.Get()
+	if s.Version < now.Version || now.Known() && s.AsOf < now.AsOf && s.Version == now.Version {
+		return
+	}
+	s.AsOf = max(s.AsOf, now.AsOf)
+	f.state.Set(s)
+	f.cfg.Apply(s)
+}
+
+// wait passes the time until the next read.
+func (f *Follower) wait(ctx context.Context) {
+	waiter, ok := f.cfg.Source.(Waiter)
+	if !ok {
+		f.sleep(ctx, jitter(f.cfg.Interval))
+		return
+	}
+	for ctx.Err() == nil {
+		changed, err := f.await(ctx, waiter)
+		if changed || err != nil {
+			return
+		}
+		select {
+		case <-f.poke:
+			return
+		default:
+		}
+	}
+}
+
+func (f *Follower) await(ctx context.Context, waiter Waiter) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Interval+f.cfg.Timeout)
+	defer cancel()
+	return waiter.Await(ctx, f.State().Version, f.cfg.Interval)
+}
+
+// askPeers takes over the copy of another instance if it is newer.
+func (f *Follower) askPeers(ctx context.Context) {
+	mine := f.State()
+	if f.cfg.Peers == nil || mine.Known() && mine.Age(f.cfg.Clock()) < minPeerAge {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+	defer cancel()
+	sent := f.cfg.Clock()
+	rows, version, age, err := f.cfg.Peers(ctx, f.cfg.Set, mine.Version)
+	if err != nil {
+		f.cfg.Log.Debug("no other instance has newer rows", zap.String("set", f.cfg.Set), zap.Error(err))
+		return
+	}
+	if version == mine.Version {
+		rows = mine.Rows
+	}
+	f.publish(State{Rows: rows, Version: version, AsOf: sent - age})
+}
+
+func (f *Follower) failed(err error) {
+	if f.failingSince.CompareAndSwap(0, max(1, int64(f.cfg.Clock()))) {
+		event.StoreFailing.Emit(f.cfg.Log, zap.String("set", f.cfg.Set), zap.Error(err))
+	}
+}
+
+func (f *Follower) served() {
+	if since := f.failingSince.Swap(0); since != 0 {
+		f.servingSince.Store(int64(f.cfg.Clock()))
+		event.StoreBack.Emit(f.cfg.Log, zap.String("set", f.cfg.Set),
+			zap.Duration("failed_for", f.cfg.Clock()-time.Duration(since)))
+	}
+}
+
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.poke:
+	case <-ctx.Done():
+	}
+}
+
+// jitter spreads the instances' calls by a tenth either way.
+func jitter(d time.Duration) time.Duration {
+	return d - d/10 + rand.N(d/5+1)
+}
--- /dev/null
+++ b/internal/peerlink/peerlink.go
@@ -0,0 +1,109 @@
+// Package peerlink carries small typed messages between edge instances, as JSON
+// over HTTP/1.1: one request, one answer, a short timeout. Instances with a
+// fraction of a core and a few megabytes to spare bear neither a handshake with
+// certificates for each pair nor a stream multiplexer; the platform's network
+// between instances is closed to others.
+package peerlink
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	// maxMessageBytes bounds one message: a configuration with several thousand
+	// routes, encoded, is below 2 MiB.
+	maxMessageBytes = 8 << 20
+	// idleTimeout closes connections to instances that are seldom asked.
+	idleTimeout = 30 * time.Second
+	// maxIdlePerPeer keeps one connection to each instance.
+	maxIdlePerPeer = 1
+)
+
+// Client calls other instances.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client that connects by dial.
+func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext: dial, DisableCompression: true,
+		MaxIdleConnsPerHost: maxIdlePerPeer, IdleConnTimeout: idleTimeout,
+		WriteBufferSize: 1 << 10, ReadBufferSize: 1 << 10,
+	}}}
+}
+
+// Call sends in to the handler of name at address and fills out.
+func (c *Client) Call(ctx context.Context, address, name string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/peer/"+name, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return trace.ConnectionProblem(nil, "peer %s answered %s", address, response.Status)
+	}
+	return trace.Wrap(json.Unmarshal(answer, out))
+}
+
+// IsRefused tells whether the other machine answered that no process listens.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// Server answers other instances.
+type Server struct {
+	mux *http.ServeMux
+}
+
+// NewServer returns a server without handlers.
+func NewServer() *Server { return &Server{mux: http.NewServeMux()} }
+
+// Mux takes further handlers beside the peers' messages.
+func (s *Server) Mux() *http.ServeMux { return s.mux }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Handle registers the handler of the messages of that name.
+func Handle[In, Out any](s *Server, name string, handler func(ctx context.Context, in In) (Out, error)) {
+	s.mux.HandleFunc("POST /peer/"+name, func(w http.ResponseWriter, r *http.Request) {
+		var in In
+		if err := json.NewDecoder(io.LimitReader(r.Body, maxMessageBytes)).Decode(&in); err != nil {
+			http.Error(w, "malformed message", http.StatusBadRequest)
+			return
+		}
+		out, err := handler(r.Context(), in)
+		if err != nil {
+			http.Error(w, trace.UserMessage(err), http.StatusConflict)
+			return
+		}
+		encoded, err := json.Marshal(out)
+		if err != nil {
+			http.Error(w, "answer cannot be encoded", http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(encoded) // a caller that has gone needs no answer
+	})
+}
