leadership: replace primaries by one row for each service

Cause: the platform's servers have no promises that a majority could give; a primary is replaced by a call to the platform alone, and the old one goes on until it is told. Change: an intent in the store, then every registered instance stops or its copy of the rows has surely lapsed, then the call under a fence number that one conditional commit has taken. Planned replacements wait for a replica with everything.

--- /dev/null
+++ b/internal/leadership/belief.go
@@ -0,0 +1,268 @@
+package leadership
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/lease"
+)
+
+// stopGrace is how long statements under way at a primary may end before the use
+// is revoked: several times a usual statement, and small beside a promotion.
+const stopGrace = 150 * time.Millisecond
+
+// Reasons why there is no primary to use.
+var (
+	errNoEvidence = trace.ConnectionProblem(nil, "what is known of the primary is too old")
+	errMoving     = trace.ConnectionProblem(nil, "the primary is being replaced")
+	errNoPrimary  = trace.NotFound("no primary is registered")
+)
+
+// Leader is a primary that may be used.
+type Leader struct {
+	Endpoint string
+	Term     uint64
+	Epoch    uint64
+}
+
+// Beliefs is what this instance believes of the services' primaries.
+type Beliefs struct {
+	clock    lease.Clock
+	log      *zap.Logger
+	registry func() *catalog.Registry
+	changed  *blackboard.Cell[struct{}]
+
+	mu       sync.Mutex
+	records  records             // guarded by mu
+	services map[string]*service // guarded by mu
+}
+
+// service is the local state beside the record.
+type service struct {
+	// stopped is the highest epoch for which this instance has given up the
+	// primary of the epochs before.
+	stopped uint64
+	// graceUntil is until when uses that began before may still be confirmed.
+	graceUntil time.Duration
+	uses       map[*Use]struct{}
+	last       Leader // as logged
+}
+
+// NewBeliefs returns beliefs that know nothing.
+func NewBeliefs(clock lease.Clock, log *zap.Logger, registry func() *catalog.Registry) *Beliefs {
+	return &Beliefs{clock: clock, log: log, registry: registry,
+		changed: blackboard.NewCell(struct{}{}), services: make(map[string]*service)}
+}
+
+// Apply takes over a copy of the rows.
+func (b *Beliefs) Apply(s follow.State) {
+	decoded, err := decode(s)
+	if err != nil {
+		event.HandoverFailed.Emit(b.log, zap.Error(err))
+		return
+	}
+	b.mu.Lock()
+	b.records = decoded
+	for name, record := range decoded.services {
+		b.logChange(name, record)
+	}
+	b.mu.Unlock()
+	b.changed.Set(struct{}{})
+}
+
+// logChange tells of a new epoch or phase. The caller holds mu.
+func (b *Beliefs) logChange(name string, r Record) {
+	s := b.serviceOf(name)
+	now := Leader{Endpoint: r.Endpoint, Term: r.Term, Epoch: r.Epoch}
+	if r.Phase == Moving {
+		now.Endpoint = ""
+	}
+	if s.last == now {
+		return
+	}
+	if r.Phase == Moving && s.stopped < r.Epoch {
+		s.graceUntil = b.clock() + stopGrace
+	}
+	s.last = now
+	event.LeaderChanged.Emit(b.log, zap.String("service", name), zap.String("endpoint", r.Endpoint),
+		zap.Uint64("term", r.Term), zap.Uint64("epoch", r.Epoch), zap.String("phase", string(r.Phase)))
+}
+
+// serviceOf returns the local state of a service. The caller holds mu.
+func (b *Beliefs) serviceOf(name string) *service {
+	s, ok := b.services[name]
+	if !ok {
+		s = &service{uses: make(map[*Use]struct{})}
+		b.services[name] = s
+	}
+	return s
+}
+
+// Changed returns a channel that is closed when a primary may have changed.
+func (b *Beliefs) Changed() <-chan struct{} { return b.changed.Changed() }
+
+// EvidenceAge is how old the copy of the rows is.
+func (b *Beliefs) EvidenceAge() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.records.known {
+		return EvidenceLifetime
+	}
+	return b.clock() - b.records.asOf
+}
+
+// Leader returns the primary that may be used now.
+func (b *Beliefs) Leader(name string) (Leader, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leader(name)
+}
+
+func (b *Beliefs) leader(name string) (Leader, error) {
+	if !b.current() {
+		return Leader{}, errNoEvidence
+	}
+	record, ok := b.records.services[name]
+	if record.Phase == Moving || record.Epoch < b.serviceOf(name).stopped {
+		return Leader{}, errMoving
+	}
+	if ok {
+		return Leader{Endpoint: record.Endpoint, Term: record.Term, Epoch: record.Epoch}, nil
+	}
+	id, ok := solePrimary(b.registry(), name)
+	if !ok {
+		return Leader{}, errNoPrimary
+	}
+	return Leader{Endpoint: id}, nil
+}
+
+// current tells whether the copy entitles to the use of a primary.
+func (b *Beliefs) current() bool {
+	return b.records.known && b.clock()-b.records.asOf < EvidenceLifetime
+}
+
+// solePrimary returns the only endpoint that calls itself primary, for services
+// that were never moved.
+func solePrimary(registry *catalog.Registry, service string) (string, bool) {
+	found := ""
+	for _, e := range registry.ByService[service] {
+		if e.Role != catalog.RolePrimary {
+			continue
+		}
+		if found != "" {
+			return "", false
+		}
+		found = e.ID
+	}
+	return found, found != ""
+}
+
+// record returns the agreed record of a service, false if it was never moved.
+func (b *Beliefs) record(name string) (Record, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.records.services[name]
+	return r, ok
+}
+
+// unrivalled tells whether, by a copy that no rival can have outlived, the intent
+// of r is still the last one for its service.
+func (b *Beliefs) unrivalled(r Record) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.records.services[r.Service]
+	return b.current() && (known.Epoch < r.Epoch || known == r)
+}
+
+// dutyHolder returns the instance that last took a fence number.
+func (b *Beliefs) dutyHolder() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.records.duty.Holder
+}
+
+// Use is the use of a primary by one statement.
+type Use struct {
+	Leader
+	beliefs *Beliefs
+	name    string // of the service
+	service *service
+	revoked atomic.Bool
+	done    chan struct{}
+}
+
+// Enter begins the use of the service's primary. Call Exit at its end.
+func (b *Beliefs) Enter(name string) (*Use, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	leader, err := b.leader(name)
+	if err != nil {
+		return nil, err
+	}
+	u := &Use{Leader: leader, beliefs: b, name: name, service: b.serviceOf(name), done: make(chan struct{})}
+	u.service.uses[u] = struct{}{}
+	return u, nil
+}
+
+// Valid tells whether a write may still be sent, or its success be told.
+func (u *Use) Valid() bool {
+	if u.revoked.Load() {
+		return false
+	}
+	b := u.beliefs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if leader, err := b.leader(u.name); err == nil {
+		return leader.Epoch == u.Epoch
+	}
+	return b.current() && b.clock() < u.service.graceUntil
+}
+
+// Exit ends the use. It may be called again.
+func (u *Use) Exit() {
+	u.beliefs.mu.Lock()
+	defer u.beliefs.mu.Unlock()
+	if _, ok := u.service.uses[u]; ok {
+		delete(u.service.uses, u)
+		close(u.done)
+	}
+}
+
+// Stop gives up the primary of all epochs before epoch. On return no use of it
+// is valid.
+func (b *Beliefs) Stop(ctx context.Context, name string, epoch uint64) {
+	b.mu.Lock()
+	s := b.serviceOf(name)
+	if s.stopped < epoch {
+		s.stopped = epoch
+		s.graceUntil = b.clock() + stopGrace
+	}
+	var under []*Use
+	for u := range s.uses {
+		if u.Epoch < epoch {
+			under = append(under, u)
+		}
+	}
+	b.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, stopGrace)
+	defer cancel()
+	revoked := 0
+	for _, u := range under {
+		select {
+		case <-u.done:
+		case <-ctx.Done():
+			u.revoked.Store(true)
+			revoked++
+		}
+	}
+	event.HandoverStopped.Emit(b.log, zap.String("service", name), zap.Uint64("epoch", epoch), zap.Int("revoked", revoked))
+}
--- /dev/null
+++ b/internal/leadership/handover.go
@@ -0,0 +1,463 @@
+package leadership
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+)
+
+// Times of one replacement.
+const (
+	// lapseSlack is added to the lifetime of the copies of instances that do not
+	// answer: stopGrace, and the lateness of their timers.
+	lapseSlack = 400 * time.Millisecond
+	// stopRetry spaces questions to an instance that has not stopped yet.
+	stopRetry = 150 * time.Millisecond
+	// statusTimeout bounds a question to a server.
+	statusTimeout = 500 * time.Millisecond
+	// catchUpLimit is how long a planned replacement waits for a replica to
+	// receive all that the old primary has.
+	catchUpLimit = 2 * time.Second
+	// promoteLimit is how long the platform's promotion may take to show: 1 s at
+	// most on the known deployments.
+	promoteLimit = 4 * time.Second
+	// promotePoll spaces the questions whether it shows.
+	promotePoll = 50 * time.Millisecond
+	// promoteAgain is after how long without effect the order is repeated.
+	promoteAgain = 1500 * time.Millisecond
+	// orderTimeout bounds the call to the platform.
+	orderTimeout = 1500 * time.Millisecond
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 1500 * time.Millisecond
+	// storeAttempts bounds the repetitions of a commit whose answer was lost.
+	storeAttempts = 6
+	// stepDownTries is how often the old primary is told to step down.
+	stepDownTries = 4
+)
+
+// handover is one replacement.
+type handover struct {
+	c       *Controller
+	service string
+	why     reason
+	began   time.Duration
+	// epoch is that of the committed intent, 0 before.
+	epoch atomic.Uint64
+	// superseded is true once this instance has stopped for a later epoch.
+	superseded atomic.Bool
+
+	record Record // as committed
+	// written is an instant after which every reader of the store sees the intent.
+	written time.Duration
+	old     string
+	members []Member
+}
+
+// run goes through all steps.
+func (h *handover) run(ctx context.Context) error {
+	if err := h.commitIntent(ctx); err != nil {
+		return trace.Wrap(err, "writing the intent")
+	}
+	event.HandoverBegun.Emit(h.c.cfg.Log, zap.String("service", h.service), zap.String("from", h.old),
+		zap.Uint64("epoch", h.record.Epoch), zap.Uint64("fence", h.record.Fence), zap.String("reason", string(h.why)))
+	h.c.cfg.Beliefs.Stop(ctx, h.service, h.record.Epoch)
+	if err := h.stopMembers(ctx); err != nil {
+		return trace.Wrap(err, "stopping the use of the primary")
+	}
+	target, term, err := h.promote(ctx)
+	if err != nil {
+		return trace.Wrap(err, "promoting")
+	}
+	return trace.Wrap(h.settle(ctx, target, term), "writing the outcome")
+}
+
+// commitIntent takes a fence number and marks the service as moving, in one
+// commit that only one instance can win.
+func (h *handover) commitIntent(ctx context.Context) error {
+	current, rows, err := h.read(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	known, _ := h.c.cfg.Beliefs.record(h.service)
+	if current.services[h.service].Epoch != known.Epoch {
+		return trace.CompareFailed("another instance was first")
+	}
+	next := Record{
+		Service: h.service, Endpoint: known.Endpoint, Term: known.Term, Phase: Moving, Epoch: known.Epoch + 1,
+		Holder: h.c.cfg.Self, Fence: current.duty.Fence + 1, Attempt: uuid.NewString(),
+	}
+	if next.Endpoint == "" {
+		next.Endpoint, _ = solePrimary(h.c.cfg.Registry(), h.service)
+	}
+	h.old = next.Endpoint
+	writes := []platform.Write{encodeRow(dutyKey, duty{Holder: next.Holder, Fence: next.Fence}), encodeRow(servicePrefix+h.service, next)}
+	if err := h.commit(ctx, rows, writes, next); err != nil {
+		return trace.Wrap(err)
+	}
+	h.record, h.written = next, h.c.cfg.Clock()
+	h.epoch.Store(next.Epoch)
+	return nil
+}
+
+// read returns the rows that a commit is conditional on.
+func (h *handover) read(ctx context.Context) (records, []platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, _, err := h.c.cfg.Table.Get(ctx, dutyKey, servicePrefix+h.service)
+	if err != nil {
+		return records{}, nil, trace.Wrap(err)
+	}
+	decoded := records{services: make(map[string]Record)}
+	for _, row := range rows {
+		if row.Revision == 0 {
+			continue
+		}
+		if row.Key == dutyKey {
+			err = json.Unmarshal(row.Value, &decoded.duty)
+		} else {
+			var record Record
+			err = json.Unmarshal(row.Value, &record)
+			decoded.services[h.service] = record
+		}
+		if err != nil {
+			return decoded, nil, trace.BadParameter("row %s: %v", row.Key, err)
+		}
+	}
+	return decoded, rows, nil
+}
+
+// commit writes under the condition that the rows are as read. One whose answer
+// was lost is looked for by its attempt, and repeated under the same conditions.
+func (h *handover) commit(ctx context.Context, rows []platform.Row, writes []platform.Write, mine Record) error {
+	conditions := make([]platform.Condition, len(rows))
+	for i, row := range rows {
+		conditions[i] = platform.Condition{Key: row.Key, Revision: row.Revision}
+	}
+	var last error
+	for range storeAttempts {
+		result, err := h.commitOnce(ctx, conditions, writes)
+		if err == nil && result.Applied {
+			return nil
+		}
+		if current, _, readErr := h.read(ctx); readErr == nil {
+			if current.services[h.service] == mine {
+				return nil
+			}
+			if err == nil {
+				return trace.CompareFailed("another instance was first")
+			}
+		}
+		last = err
+		if !sleep(ctx, stopRetry) {
+			break
+		}
+	}
+	return trace.ConnectionProblem(last, "the store did not take the commit")
+}
+
+func (h *handover) commitOnce(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (platform.CommitResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return h.c.cfg.Table.Commit(ctx, conditions, writes)
+}
+
+func encodeRow(key string, value any) platform.Write {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic("leadership: a row cannot be encoded: " + err.Error())
+	}
+	return platform.Write{Key: key, Value: encoded}
+}
+
+// stopMembers returns once no instance uses the old primary any more: each has
+// stopped, or runs no process, or its copy of the rows has lapsed.
+func (h *handover) stopMembers(ctx context.Context) error {
+	members, err := h.c.cfg.FreshMembers(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	h.members = members
+	lapsed := h.written + EvidenceLifetime + lapseSlack
+	ctx, cancel := context.WithTimeout(ctx, max(0, lapsed-h.c.cfg.Clock()))
+	defer cancel()
+	first := h.stopRound(ctx, members, false)
+	// An instance that started meanwhile may have learned of the primary from one
+	// that had not stopped yet: those without a process are asked again now.
+	h.stopRound(ctx, first, true)
+	if h.c.cfg.Clock() < lapsed && ctx.Err() != nil {
+		return trace.Wrap(ctx.Err())
+	}
+	return nil
+}
+
+// stopRound asks the members until each has stopped or is dead, and returns the
+// dead ones.
+func (h *handover) stopRound(ctx context.Context, members []Member, again bool) (dead []Member) {
+	var mu sync.Mutex
+	var pending sync.WaitGroup
+	for _, m := range members {
+		if m.Name == h.c.cfg.Self {
+			continue
+		}
+		pending.Go(func() {
+			if stopped := h.stopOne(ctx, m); !stopped && !again {
+				mu.Lock()
+				dead = append(dead, m)
+				mu.Unlock()
+			}
+		})
+	}
+	pending.Wait()
+	return dead
+}
+
+// stopOne reports whether the member has stopped; else it runs no process, or
+// ctx has ended.
+func (h *handover) stopOne(ctx context.Context, m Member) bool {
+	for ctx.Err() == nil {
+		asking, cancel := context.WithTimeout(ctx, askTimeout)
+		err := h.c.cfg.Peers.Stop(asking, m, h.service, h.record.Epoch)
+		cancel()
+		if err == nil {
+			return true
+		}
+		if h.c.cfg.Peers.IsDead(err) {
+			return false
+		}
+		sleep(ctx, stopRetry)
+	}
+	return false
+}
+
+// promote finds the new primary, orders it and waits until it shows.
+func (h *handover) promote(ctx context.Context) (catalog.Endpoint, uint64, error) {
+	deadline := h.c.cfg.Clock() + promoteLimit + catchUpLimit
+	var ordered time.Duration
+	var target catalog.Endpoint
+	var above uint64
+	for h.c.cfg.Clock() < deadline && ctx.Err() == nil {
+		found := h.survey(ctx)
+		if leader, ok := found.settledLeader(h.old, above); ok {
+			return leader.endpoint, leader.status.Term, nil
+		}
+		if leader, ok := h.returned(found); ok && ordered == 0 {
+			return leader.endpoint, leader.status.Term, nil
+		}
+		if above == 0 {
+			above = found.newestTerm()
+		}
+		now := h.c.cfg.Clock()
+		if ordered == 0 || now-ordered > promoteAgain {
+			choice, ok := found.choose(h.old, h.why.planned() && now < h.written+catchUpLimit)
+			if ok {
+				if err := h.order(ctx, choice); err != nil {
+					return target, 0, trace.Wrap(err)
+				}
+				target, ordered = choice, h.c.cfg.Clock()
+			}
+		}
+		sleep(ctx, promotePoll)
+	}
+	return target, 0, trace.LimitExceeded("no new primary showed in time")
+}
+
+// returned finds the old primary answering again before anything was ordered, so
+// that nothing that it has acknowledged need be lost.
+func (h *handover) returned(found survey) (answer, bool) {
+	if h.why != reasonSilent {
+		return answer{}, false
+	}
+	for _, a := range found.answers {
+		if a.endpoint.ID == h.old && a.status.Primary && !a.endpoint.Draining && a.status.Term == found.newestTerm() {
+			return a, true
+		}
+	}
+	return answer{}, false
+}
+
+// order asks the platform for the promotion, unless another instance may have
+// taken a later fence number: that one waits until this one has stopped, or its
+// copy of the rows has lapsed.
+func (h *handover) order(ctx context.Context, target catalog.Endpoint) error {
+	event.HandoverPromoted.Emit(h.c.cfg.Log, zap.String("service", h.service), zap.String("endpoint", target.ID),
+		zap.Uint64("fence", h.record.Fence), zap.Duration("waited", h.c.cfg.Clock()-h.began))
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if h.superseded.Load() || !h.c.cfg.Beliefs.unrivalled(h.record) {
+		return trace.CompareFailed("another instance may have taken over")
+	}
+	err := h.c.cfg.Promoter.Promote(ctx, Promotion{
+		Service: h.service, Endpoint: target.ID, Holder: h.c.cfg.Self, Fence: h.record.Fence,
+	})
+	if err != nil {
+		h.c.cfg.Log.Info("the platform did not confirm the promotion", zap.String("endpoint", target.ID), zap.Error(err))
+	}
+	return nil
+}
+
+// settle records the new primary and tells everybody.
+func (h *handover) settle(ctx context.Context, target catalog.Endpoint, term uint64) error {
+	current, rows, err := h.read(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if current.services[h.service] != h.record {
+		return trace.CompareFailed("another instance has taken over")
+	}
+	next := h.record
+	next.Endpoint, next.Term, next.Phase, next.Attempt = target.ID, term, Settled, uuid.NewString()
+	if err := h.commit(ctx, rows, []platform.Write{encodeRow(servicePrefix+h.service, next)}, next); err != nil {
+		return trace.Wrap(err)
+	}
+	event.HandoverDone.Emit(h.c.cfg.Log, zap.String("service", h.service), zap.String("endpoint", target.ID),
+		zap.Uint64("term", term), zap.Uint64("epoch", next.Epoch), zap.Duration("took", h.c.cfg.Clock()-h.began))
+	h.tellAll(ctx)
+	h.stepDownOld(ctx, target, term)
+	return nil
+}
+
+// tellAll makes every instance read the outcome now.
+func (h *handover) tellAll(ctx context.Context) {
+	if err := h.c.cfg.Refresh(ctx); err != nil {
+		h.c.cfg.Log.Info("the outcome is read again later", zap.Error(err))
+	}
+	for range h.c.ask(ctx, h.members, func(ctx context.Context, m Member) (bool, error) {
+		return true, h.c.cfg.Peers.Settled(ctx, m)
+	}) {
+		continue
+	}
+}
+
+// stepDownOld makes the old primary a replica where it can be reached.
+func (h *handover) stepDownOld(ctx context.Context, target catalog.Endpoint, term uint64) {
+	e, ok := h.c.cfg.Registry().Endpoints[h.old]
+	if !ok || h.old == target.ID {
+		return
+	}
+	for range stepDownTries {
+		asking, cancel := context.WithTimeout(ctx, statusTimeout)
+		err := h.c.cfg.Servers.StepDown(asking, e, term)
+		cancel()
+		if err == nil || !sleep(ctx, stopRetry) {
+			return
+		}
+	}
+}
+
+// survey asks all endpoints of the service at once.
+func (h *handover) survey(ctx context.Context) survey {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	registry := h.c.cfg.Registry()
+	var mu sync.Mutex
+	var pending sync.WaitGroup
+	found := survey{}
+	for _, e := range registry.ByService[h.service] {
+		pending.Go(func() {
+			status, err := h.c.cfg.Servers.Status(ctx, e)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				found.silent++
+				return
+			}
+			found.answers = append(found.answers, answer{endpoint: e, status: status})
+		})
+	}
+	pending.Wait()
+	return found
+}
+
+// answer is what one server said.
+type answer struct {
+	endpoint catalog.Endpoint
+	status   ServerStatus
+}
+
+// survey is what the servers of a service said.
+type survey struct {
+	answers []answer
+	silent  int
+}
+
+func (s survey) newestTerm() uint64 {
+	var newest uint64
+	for _, a := range s.answers {
+		newest = max(newest, a.status.Term)
+	}
+	return newest
+}
+
+// settledLeader returns the primary to record, if there is one: one of a later
+// term than any before the order, or a new server that already leads in place of
+// one that has gone.
+func (s survey) settledLeader(old string, above uint64) (answer, bool) {
+	newest := s.newestTerm()
+	for _, a := range s.answers {
+		if a.status.Primary && a.status.Term == newest && a.endpoint.ID != old && !a.endpoint.Draining {
+			return a, true
+		}
+	}
+	for _, a := range s.answers {
+		if a.status.Primary && above > 0 && a.status.Term > above {
+			return a, true
+		}
+	}
+	return answer{}, false
+}
+
+// choose returns the endpoint to promote: the one whose log is the longest, and
+// while the old primary answers only one that has all of it.
+func (s survey) choose(old string, wantAll bool) (catalog.Endpoint, bool) {
+	var best *answer
+	var oldEnd position.Position
+	oldAnswers := false
+	for i, a := range s.answers {
+		if a.endpoint.ID == old {
+			oldEnd, oldAnswers = a.status.Received, true
+			continue
+		}
+		if a.endpoint.Draining {
+			continue
+		}
+		if best == nil || best.status.Received.Less(a.status.Received) {
+			best = &s.answers[i]
+		}
+	}
+	switch {
+	case best == nil:
+		return catalog.Endpoint{}, false
+	case oldAnswers && wantAll && best.status.Received.Less(oldEnd):
+		return catalog.Endpoint{}, false
+	}
+	return best.endpoint, true
+}
+
+// sleep waits for d. It reports false when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// String names the replacement in errors.
+func (h *handover) String() string {
+	return h.service + " epoch " + strconv.FormatUint(h.record.Epoch, 10)
+}
--- /dev/null
+++ b/internal/leadership/ports.go
@@ -0,0 +1,114 @@
+package leadership
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/lease"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+)
+
+// ServerStatus is what a database server says of itself.
+type ServerStatus struct {
+	Primary bool
+	// Term is the term that the server knows to be the newest.
+	Term uint64
+	// Received is the last position in the server's log.
+	Received position.Position
+	// Lag is the time by which a replica applies late.
+	Lag time.Duration
+}
+
+// Servers speaks to database servers.
+type Servers interface {
+	Status(ctx context.Context, e catalog.Endpoint) (ServerStatus, error)
+	// StepDown makes a primary of a term below term a replica.
+	StepDown(ctx context.Context, e catalog.Endpoint, term uint64) error
+}
+
+// Promotion is an order to the platform.
+type Promotion struct {
+	Service  string
+	Endpoint string
+	Holder   string
+	Fence    uint64
+}
+
+// Promoter asks the platform to make an endpoint the primary. A trace.CompareFailed
+// error means that the platform refused; any other leaves the outcome open.
+type Promoter interface {
+	Promote(ctx context.Context, p Promotion) error
+}
+
+// Member is a registered instance.
+type Member struct {
+	Name    string
+	Address string
+}
+
+// Peers calls other instances.
+type Peers interface {
+	// Stop has the member give up the primary of all epochs before epoch.
+	Stop(ctx context.Context, m Member, service string, epoch uint64) error
+	// Settled tells the member that the rows have changed.
+	Settled(ctx context.Context, m Member) error
+	// Reaches asks whether the member gets answers from the endpoint.
+	Reaches(ctx context.Context, m Member, endpoint string) (bool, error)
+	// Replacing asks whether the member is at work on the epoch.
+	Replacing(ctx context.Context, m Member, service string, epoch uint64) (bool, error)
+	// IsDead tells from an error of the others that no process listens there.
+	IsDead(err error) bool
+}
+
+// Health tells how endpoints answer this instance.
+type Health interface {
+	// SilentFor is how long the endpoint has failed to answer; 0 while it does.
+	SilentFor(endpoint string) time.Duration
+}
+
+// Config describes a Controller.
+type Config struct {
+	// Self is the name of this instance.
+	Self    string
+	Beliefs *Beliefs
+	// Refresh reads the rows anew and applies them.
+	Refresh  func(ctx context.Context) error
+	Registry func() *catalog.Registry
+	// RegistrySettled tells whether an entry that is missing from the registry
+	// is gone for good.
+	RegistrySettled func() bool
+	// Members returns the instances known to be registered, this one included.
+	Members func() []Member
+	// FreshMembers reads them from the store.
+	FreshMembers func(ctx context.Context) ([]Member, error)
+	Table        platform.Table
+	Servers      Servers
+	Promoter     Promoter
+	Peers        Peers
+	Health       Health
+	Clock        lease.Clock
+	Log          *zap.Logger
+}
+
+// CheckAndSetDefaults validates the configuration.
+func (c *Config) CheckAndSetDefaults() error {
+	if c.Self == "" || c.Beliefs == nil || c.Refresh == nil || c.Registry == nil || c.Members == nil || c.FreshMembers == nil ||
+		c.Table == nil || c.Servers == nil || c.Promoter == nil || c.Peers == nil || c.Health == nil {
+		return trace.BadParameter("leadership: every port is required")
+	}
+	if c.RegistrySettled == nil {
+		c.RegistrySettled = func() bool { return true }
+	}
+	if c.Clock == nil {
+		c.Clock = lease.BootClock
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/leadership/record.go
@@ -0,0 +1,91 @@
+package leadership
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+)
+
+const (
+	// RowPrefix begins the keys of all rows that this package writes.
+	RowPrefix = "leader/"
+	// dutyKey is the row that hands out fence numbers.
+	dutyKey = RowPrefix + "@duty"
+	// servicePrefix begins the keys of the services' rows.
+	servicePrefix = RowPrefix + "service/"
+)
+
+// EvidenceLifetime is how long a copy of the rows entitles to the use of a
+// primary. Longer rides out longer outages of the store; shorter ends the wait
+// for an unreachable instance sooner. Outages and cuts of the known deployments
+// last up to 6 s.
+const EvidenceLifetime = 6 * time.Second
+
+// Phase says whether the primary may be used.
+type Phase string
+
+// The phases.
+const (
+	// Settled means that Endpoint is the primary.
+	Settled Phase = "settled"
+	// Moving means that Endpoint is being replaced; nobody may use it.
+	Moving Phase = "moving"
+)
+
+// Record is what is agreed about one service's primary.
+type Record struct {
+	Service string `json:"service"`
+	// Endpoint is the primary, or the one that is being replaced.
+	Endpoint string `json:"endpoint"`
+	// Term is the primary's term, 0 if it was never replaced through here.
+	Term  uint64 `json:"term"`
+	Phase Phase  `json:"phase"`
+	// Epoch rises by one with every intent to replace.
+	Epoch uint64 `json:"epoch"`
+	// Holder is the instance that replaces or has replaced.
+	Holder string `json:"holder"`
+	// Fence is the number under which Holder calls the platform.
+	Fence uint64 `json:"fence"`
+	// Attempt identifies the commit, so that one whose answer was lost is
+	// recognised.
+	Attempt string `json:"attempt"`
+}
+
+// duty hands out fence numbers.
+type duty struct {
+	Holder string `json:"holder"`
+	Fence  uint64 `json:"fence"`
+}
+
+// records is the decoded copy of all rows.
+type records struct {
+	duty     duty
+	services map[string]Record
+	asOf     time.Duration
+	known    bool
+}
+
+// decode reads the rows of a copy. A row that cannot be read is an error: it may
+// name a primary that must not be used.
+func decode(s follow.State) (records, error) {
+	r := records{services: make(map[string]Record), asOf: s.AsOf, known: s.Known()}
+	for _, row := range s.Rows {
+		switch {
+		case row.Key == dutyKey:
+			if err := json.Unmarshal(row.Value, &r.duty); err != nil {
+				return r, trace.BadParameter("row %s: %v", row.Key, err)
+			}
+		case strings.HasPrefix(row.Key, servicePrefix):
+			var record Record
+			if err := json.Unmarshal(row.Value, &record); err != nil {
+				return r, trace.BadParameter("row %s: %v", row.Key, err)
+			}
+			r.services[record.Service] = record
+		}
+	}
+	return r, nil
+}
