quota: share rates by tokens that move between instances

Cause: the present division of limits makes about 300 table writes a second; on the platform each call is priced and the store has 400 in all. Change: each instance holds an equal part of every limit in memory and hands tokens to those that run short, subtracting before the other adds; no call to the store.

--- /dev/null
+++ b/internal/quota/ledger.go
@@ -0,0 +1,217 @@
+// Package quota keeps organisations within their rate and burst over all
+// instances. Each instance holds an equal part of every limit, as a token bucket,
+// and instances that have tokens to spare hand them to those that run short: the
+// giver subtracts before the receiver adds, so a lost message loses tokens and
+// never makes any. Nothing is kept: an instance that starts begins without
+// tokens. Its invariant: over any window, all instances together hand out no more
+// than the limit allows in that window.
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Limit is what an organisation may do over all instances.
+type Limit struct {
+	Rate  float64 // operations per second
+	Burst float64 // operations
+}
+
+// Allowance describes how the sum over a window is judged.
+type Allowance struct {
+	Window    time.Duration
+	Tolerance float64 // part of the limit by which it may be exceeded
+	Slack     float64 // operations beside
+}
+
+const (
+	// leastCapacity lets every instance admit a single operation at once.
+	leastCapacity = 1.5
+	// slackUsed is the part of tolerance and slack that buckets of the least
+	// capacity may use up; the rest is for tokens on their way between buckets
+	// and for members that this instance has not heard of yet.
+	slackUsed = 0.5
+	// demandHalfLife is how fast the estimate of an organisation's demand follows.
+	demandHalfLife = 500 * time.Millisecond
+	// reserveTime is the time for which a giver keeps what it needs itself.
+	reserveTime = 300 * time.Millisecond
+	// askTime is the time for which a receiver asks for what it needs.
+	askTime = 250 * time.Millisecond
+)
+
+// Ledger is one instance's part of all limits.
+type Ledger struct {
+	allowance Allowance
+
+	mu       sync.Mutex
+	accounts map[string]*account // guarded by mu
+}
+
+// account is one organisation's bucket.
+type account struct {
+	tokens   float64
+	capacity float64
+	rate     float64 // tokens per second
+	at       time.Duration
+	demand   float64 // operations per second, decaying
+	demandAt time.Duration
+	waiting  int
+}
+
+// NewLedger returns a ledger without accounts.
+func NewLedger(a Allowance) *Ledger {
+	return &Ledger{allowance: a, accounts: make(map[string]*account)}
+}
+
+// part returns the bucket of one of n instances. Where an equal part of the burst
+// is less than an operation, the bucket is made larger and the rate smaller, so
+// that a window's sum stays within what is allowed.
+func (a Allowance) part(l Limit, members int) (rate, capacity float64) {
+	n := float64(max(1, members))
+	seconds := a.Window.Seconds()
+	capacity = max(l.Burst/n, leastCapacity)
+	allowed := l.Rate*seconds + l.Burst
+	allowed += slackUsed * (allowed*a.Tolerance + a.Slack)
+	rate = min(l.Rate, (allowed-n*capacity)/seconds) / n
+	return max(0, rate), capacity
+}
+
+// Configure sets the limits and among how many instances they are divided.
+func (l *Ledger) Configure(limits map[string]Limit, members int, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name := range l.accounts {
+		if _, ok := limits[name]; !ok {
+			delete(l.accounts, name)
+		}
+	}
+	for name, limit := range limits {
+		a, ok := l.accounts[name]
+		if !ok {
+			a = &account{at: now, demandAt: now}
+			l.accounts[name] = a
+		}
+		a.refill(now)
+		a.rate, a.capacity = l.allowance.part(limit, members)
+		a.tokens = min(a.tokens, a.capacity)
+	}
+}
+
+func (a *account) refill(now time.Duration) {
+	passed := (now - a.at).Seconds()
+	a.at = now
+	if passed > 0 && a.tokens < a.capacity {
+		a.tokens = min(a.capacity, a.tokens+a.rate*passed)
+	}
+}
+
+func (a *account) decay(now time.Duration) {
+	passed := now - a.demandAt
+	a.demandAt = now
+	if passed > 0 {
+		a.demand *= math.Exp2(-passed.Seconds() / demandHalfLife.Seconds())
+	}
+}
+
+// noteDemand counts one operation into the estimate.
+func (a *account) noteDemand(now time.Duration) {
+	a.decay(now)
+	a.demand += math.Ln2 / demandHalfLife.Seconds()
+}
+
+// Take spends a token. Without one it returns false, and how long until the
+// bucket itself has one.
+func (l *Ledger) Take(organisation string, first bool, now time.Duration) (ok bool, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, known := l.accounts[organisation]
+	if !known {
+		return false, l.allowance.Window
+	}
+	a.refill(now)
+	if first {
+		a.noteDemand(now)
+	}
+	if a.tokens >= 1 {
+		a.tokens--
+		return true, 0
+	}
+	if a.rate <= 0 {
+		return false, l.allowance.Window
+	}
+	return false, time.Duration((1 - a.tokens) / a.rate * float64(time.Second))
+}
+
+// Refund gives back the token of an operation that reached no endpoint.
+func (l *Ledger) Refund(organisation string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a, ok := l.accounts[organisation]; ok {
+		a.tokens = min(a.capacity, a.tokens+1)
+	}
+}
+
+// Waiting changes how many operations wait for a token.
+func (l *Ledger) Waiting(organisation string, change int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a, ok := l.accounts[organisation]; ok {
+		a.waiting += change
+	}
+}
+
+// Wants returns what to ask other instances for, by organisation.
+func (l *Ledger) Wants(now time.Duration) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wants := make(map[string]float64)
+	for name, a := range l.accounts {
+		a.refill(now)
+		a.decay(now)
+		need := float64(a.waiting) + (a.demand-a.rate)*askTime.Seconds() - a.tokens
+		if a.waiting > 0 {
+			need = max(need, float64(a.waiting)-a.tokens)
+		}
+		if need > 0 && (a.waiting > 0 || a.tokens < 1) {
+			wants[name] = min(need, a.capacity+float64(a.waiting))
+		}
+	}
+	return wants
+}
+
+// Give hands out what this instance can spare of what another one wants.
+func (l *Ledger) Give(wants map[string]float64, now time.Duration) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	given := make(map[string]float64)
+	for name, want := range wants {
+		a, ok := l.accounts[name]
+		if !ok || want <= 0 || math.IsNaN(want) {
+			continue
+		}
+		a.refill(now)
+		a.decay(now)
+		spare := a.tokens - float64(a.waiting) - max(0, a.demand-a.rate)*reserveTime.Seconds()
+		if amount := min(want, spare); amount > 0 {
+			a.tokens -= amount
+			given[name] = amount
+		}
+	}
+	return given
+}
+
+// Add takes in what another instance has given. What does not fit is lost.
+func (l *Ledger) Add(given map[string]float64, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, amount := range given {
+		a, ok := l.accounts[name]
+		if !ok || amount <= 0 || math.IsNaN(amount) {
+			continue
+		}
+		a.refill(now)
+		a.tokens = min(a.capacity+float64(a.waiting), a.tokens+amount)
+	}
+}
