request, backend, pipeline: a request path that knows no wire protocol

Cause: gateway, pool and endpoint hold PostgreSQL messages in the same files as the decisions, so the platform's line protocol could only be served by a copy. Change: statements and answers as plain types; connections by organisation, as the platform's servers are told who is connected; placement, transactions, retries and verdicts over them. The PostgreSQL gateway still has its own path.

--- /dev/null
+++ b/internal/pipeline/config.go
@@ -0,0 +1,91 @@
+package pipeline
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/backend"
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
+	"github.com/hornbeamlock/hornbeamlock/internal/lease"
+	"github.com/hornbeamlock/hornbeamlock/internal/metrics"
+)
+
+// Times of a request.
+const (
+	// defaultTimeout bounds a statement on a route without a timeout.
+	defaultTimeout = time.Second
+	// admissionPatience is the longest wait for the organisation's rate: some
+	// rounds of borrowing, and a small part of the latency objectives.
+	admissionPatience = 150 * time.Millisecond
+	// leastReadAttempt is the shortest time that a read may go without an answer
+	// before it is tried elsewhere: well above the longest usual statement.
+	leastReadAttempt = 400 * time.Millisecond
+	// retryPause spaces attempts after a failure with nowhere else to go.
+	retryPause = 15 * time.Millisecond
+	// maxAttempts bounds the attempts of one statement.
+	maxAttempts = 12
+	// retryHint is told to callers when no better forecast is at hand.
+	retryHint = 100 * time.Millisecond
+)
+
+// Admission lets operations in within their organisation's limit.
+type Admission interface {
+	Admit(ctx context.Context, organisation string, patience time.Duration) error
+	Refund(organisation string)
+}
+
+// Config describes a Pipeline.
+type Config struct {
+	FailureDomain string
+	Configuration func() *catalog.Configuration
+	Registry      func() *catalog.Registry
+	Beliefs       *leadership.Beliefs
+	Admission     Admission
+	Pools         *backend.Pools
+	Health        *backend.Health
+	// LookAgain asks for newer copies of primaries and registry, after an endpoint
+	// has contradicted the present ones.
+	LookAgain func()
+	Clock     lease.Clock
+	Log       *zap.Logger
+	Metrics   *metrics.Set
+}
+
+// CheckAndSetDefaults validates the configuration.
+func (c *Config) CheckAndSetDefaults() error {
+	if c.Configuration == nil || c.Registry == nil || c.Beliefs == nil || c.Admission == nil || c.Pools == nil || c.Health == nil {
+		return trace.BadParameter("pipeline: every port is required")
+	}
+	if c.LookAgain == nil {
+		c.LookAgain = func() {}
+	}
+	if c.Clock == nil {
+		c.Clock = lease.BootClock
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	return nil
+}
+
+// Pipeline serves sessions.
+type Pipeline struct {
+	cfg     Config
+	fresh   *freshness
+	journal *journal
+}
+
+// New returns a Pipeline.
+func New(cfg Config) (*Pipeline, error) {
+	if err := cfg.CheckAndSetDefaults(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Pipeline{cfg: cfg, fresh: newFreshness(), journal: newJournal(cfg.Log, cfg.Metrics)}, nil
+}
--- /dev/null
+++ b/internal/pipeline/journal.go
@@ -0,0 +1,60 @@
+package pipeline
+
+import (
+	"expvar"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/metrics"
+)
+
+const (
+	// linesPerSecond and lineBurst bound the request lines of one kind: enough for
+	// each refusal of a usual disturbance, and a small part of a fraction of a core
+	// under a flood of them.
+	linesPerSecond = 20
+	lineBurst      = 60
+)
+
+// journal writes and counts what became of requests.
+type journal struct {
+	log      *zap.Logger
+	outcomes *expvar.Map
+	places   *expvar.Map
+	retries  *expvar.Map
+	dropped  *expvar.Map
+	limits   map[int]*rate.Limiter
+	tell     *rate.Limiter
+}
+
+func newJournal(log *zap.Logger, set *metrics.Set) *journal {
+	j := &journal{
+		log:      log,
+		outcomes: set.Labelled("pipeline_requests_total"),
+		places:   set.Labelled("pipeline_placements_total"),
+		retries:  set.Labelled("pipeline_retries_total"),
+		dropped:  set.Labelled("pipeline_lines_dropped_total"),
+		limits:   make(map[int]*rate.Limiter),
+		tell:     rate.NewLimiter(rate.Every(time.Second), 1),
+	}
+	for _, e := range []event.Event{event.RequestRefused, event.RequestUnknown, event.RequestLate} {
+		j.limits[e.Number] = rate.NewLimiter(linesPerSecond, lineBurst)
+	}
+	return j
+}
+
+// line writes one occurrence within the bound of its kind; those beyond it are
+// counted and told once a second.
+func (j *journal) line(e event.Event, fields ...zap.Field) {
+	if j.limits[e.Number].Allow() {
+		e.Emit(j.log, fields...)
+		return
+	}
+	j.dropped.Add(e.Name, 1)
+	if j.tell.Allow() {
+		event.LinesDropped.Emit(j.log, zap.String("kind", e.Name), zap.String("count", j.dropped.Get(e.Name).String()))
+	}
+}
--- /dev/null
+++ b/internal/pipeline/retry.go
@@ -0,0 +1,209 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// runner runs a statement at a place.
+type runner func(ctx context.Context, at attempt) outcome
+
+// placeRead runs something that only reads, at a replica that is recent enough or
+// at the primary, and tries elsewhere as long as that may help.
+func (e *execution) placeRead(ctx context.Context, r catalog.Route, organisation string, run runner) error {
+	var tried []string
+	var last error
+	for e.attempts < maxAttempts && ctx.Err() == nil {
+		list := e.s.planRead(r, organisation, tried).candidates()
+		if len(list) == 0 {
+			if len(tried) == 0 || last == nil {
+				return e.placePrimary(ctx, r, organisation, run)
+			}
+			tried = nil
+			if !e.pause(ctx, retryPause) {
+				break
+			}
+			continue
+		}
+		err, settled := e.tryRead(ctx, r, organisation, list[0], run)
+		if settled {
+			return err
+		}
+		last = err
+		tried = append(tried, list[0].endpoint.ID)
+	}
+	return e.outOfTime(last)
+}
+
+// tryRead makes one attempt. It reports whether its result is final.
+func (e *execution) tryRead(ctx context.Context, r catalog.Route, organisation string, c candidate, run runner) (error, bool) {
+	at := attempt{after: c.after}
+	if c.primary {
+		use, err := e.s.p.cfg.Beliefs.Enter(r.Service)
+		if err != nil || use.Endpoint != c.endpoint.ID {
+			if err == nil {
+				use.Exit()
+			}
+			return err, false
+		}
+		defer use.Exit()
+		at.use = use
+	}
+	result, err := e.try(ctx, r, organisation, c.endpoint, at, run)
+	if err != nil {
+		return err, false
+	}
+	if result.refused != nil && result.refused.Code == verdict.CodeBehind {
+		e.s.p.fresh.noteBehind(c.endpoint.ID, c.after, e.s.p.cfg.Clock())
+		return result.refused, false
+	}
+	return e.judge(result)
+}
+
+// placePrimary runs something at the primary, waiting for one while it is being
+// replaced.
+func (e *execution) placePrimary(ctx context.Context, r catalog.Route, organisation string, run runner) error {
+	cfg := &e.s.p.cfg
+	var last error
+	for e.attempts < maxAttempts && ctx.Err() == nil {
+		changed := cfg.Beliefs.Changed()
+		use, err := cfg.Beliefs.Enter(r.Service)
+		if err != nil {
+			last = err
+			e.awaitChange(ctx, changed)
+			continue
+		}
+		endpoint, ok := cfg.Registry().Endpoints[use.Endpoint]
+		if !ok {
+			use.Exit()
+			last = errNotRegistered
+			e.pause(ctx, retryPause)
+			continue
+		}
+		result, err := e.try(ctx, r, organisation, endpoint, attempt{use: use}, run)
+		use.Exit()
+		if err == nil {
+			if err, settled := e.judge(result); settled {
+				return err
+			}
+			err = result.failure()
+		}
+		last = err
+		if isRefusal(err) && verdict.As(err, verdict.NotRun).Code == verdict.CodeTooManyConnections {
+			return err
+		}
+		cfg.LookAgain()
+		e.pause(ctx, retryPause)
+	}
+	return e.outOfTime(last)
+}
+
+var errNotRegistered = errors.New("pipeline: the primary is not registered")
+
+// try acquires a connection and runs the statement there. The error means that
+// nothing was sent.
+func (e *execution) try(ctx context.Context, r catalog.Route, organisation string, endpoint catalog.Endpoint, at attempt, run runner) (outcome, error) {
+	e.attempts++
+	e.endpoint = endpoint.ID
+	cfg := &e.s.p.cfg
+	queued := cfg.Clock()
+	link, err := cfg.Pools.Acquire(ctx, endpoint, organisation, r.Priority)
+	e.queued += cfg.Clock() - queued
+	if err != nil {
+		return outcome{}, err
+	}
+	if at.use == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, attemptTime(ctx))
+		defer cancel()
+	}
+	at.link = link
+	result := run(ctx, at)
+	if !result.keep {
+		link.Release()
+	}
+	return result, nil
+}
+
+// attemptTime is how long one attempt of a read may take, so that a silent
+// connection leaves time for another.
+func attemptTime(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return leastReadAttempt
+	}
+	left := time.Until(deadline)
+	return max(min(left, leastReadAttempt), left/2)
+}
+
+// failure is the error of an outcome.
+func (o outcome) failure() error {
+	if o.refused != nil {
+		return o.refused
+	}
+	return o.err
+}
+
+// judge tells whether an outcome is final, and the error for the caller then.
+func (e *execution) judge(o outcome) (error, bool) {
+	switch {
+	case o.refused == nil && o.err == nil:
+		return nil, true
+	case o.err != nil && o.sent && !o.harmless:
+		return unknown("the connection failed before the outcome was told").WithCause(o.err), true
+	case o.err != nil:
+		return o.err, false
+	}
+	switch o.refused.Code {
+	case verdict.CodeReadOnlyTransaction, verdict.CodeMisrouted, verdict.CodeBehind, verdict.CodeTooManyConnections, verdict.CodeUndefinedPreparedStmt:
+		return o.refused, false
+	case verdict.CodeStatementFailed:
+		return o.refused, !o.harmless
+	default:
+		return o.refused, true
+	}
+}
+
+func isRefusal(err error) bool {
+	var refused *verdict.Error
+	return errors.As(err, &refused)
+}
+
+// outOfTime is the error for a statement that has not run in the time it had.
+func (e *execution) outOfTime(last error) error {
+	var refused *verdict.Error
+	if errors.As(last, &refused) && refused.Code != verdict.CodeBehind && refused.Code != verdict.CodeUndefinedPreparedStmt {
+		return refused
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow, "no endpoint could serve the statement in time").
+		WithRetryAfter(retryHint).WithCause(last)
+}
+
+func (e *execution) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// maxLook is the longest time between two looks for a primary: evidence can grow
+// old without any event.
+const maxLook = 250 * time.Millisecond
+
+func (e *execution) awaitChange(ctx context.Context, changed <-chan struct{}) {
+	timer := time.NewTimer(maxLook)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -133,3 +133,17 @@
 	}
 	return New(otherwise, CodeInternal, "internal error").WithCause(err)
 }
+
+// Codes that endpoints report beside those above.
+const (
+	// CodeBehind: the endpoint's log lacks the position asked for.
+	CodeBehind = "55R01"
+	// CodeMisrouted: the endpoint is not the one that was meant.
+	CodeMisrouted = "08R01"
+	// CodeStatementFailed: the endpoint ran the statement, and it failed.
+	CodeStatementFailed = "XXR01"
+	// CodeSyntaxError: the statement cannot be read or does not fit here.
+	CodeSyntaxError = "42601"
+	// CodeTooLarge: the message is beyond the bound.
+	CodeTooLarge = "54000"
+)
