edge: assemble an instance over the platform's ports; its settings

Cause: instance.New starts elections, staged changes and an operators' interface that the platform makes needless. Change: an edge instance with its registration, messages and readiness; checked settings of its own, read by the same loader.

--- /dev/null
+++ b/internal/edge/instance.go
@@ -0,0 +1,275 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/backend"
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
+	"github.com/hornbeamlock/hornbeamlock/internal/peerlink"
+	"github.com/hornbeamlock/hornbeamlock/internal/pipeline"
+	"github.com/hornbeamlock/hornbeamlock/internal/quota"
+)
+
+// Names of the sets of rows that an instance follows.
+const (
+	setConfiguration = "configuration"
+	setRegistry      = "registry"
+	setFleet         = "fleet"
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	cfg         Config
+	incarnation string
+
+	configuration *blackboard.Cell[*catalog.Configuration]
+	registry      *blackboard.Cell[*catalog.Registry]
+	members       *blackboard.Cell[[]member]
+	registered    atomic.Bool
+	draining      atomic.Bool
+	toldReady     atomic.Pointer[string]
+
+	followers  map[string]*follow.Follower
+	fleet      *follow.Follower
+	beliefs    *leadership.Beliefs
+	controller *leadership.Controller
+	ledger     *quota.Ledger
+	admission  *quota.Admission
+	health     *backend.Health
+	pools      *backend.Pools
+	pipeline   *pipeline.Pipeline
+	server     *peerlink.Server
+	client     *peerlink.Client
+}
+
+// New returns an Instance; it serves once Run runs and Ready says so.
+func New(cfg Config) (*Instance, error) {
+	if err := cfg.CheckAndSetDefaults(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	i := &Instance{
+		cfg: cfg, incarnation: uuid.NewString(),
+		configuration: blackboard.NewCell(&catalog.Configuration{}),
+		registry:      blackboard.NewCell(catalog.NewRegistry(nil)),
+		members:       blackboard.NewCell[[]member](nil),
+		ledger:        quota.NewLedger(cfg.Allowance),
+		health:        backend.NewHealth(cfg.Clock),
+		server:        peerlink.NewServer(),
+		client:        peerlink.NewClient(cfg.Dial),
+	}
+	i.beliefs = leadership.NewBeliefs(cfg.Clock, cfg.Log, i.registry.Get)
+	for _, build := range []func() error{i.buildFollowers, i.buildLimits, i.buildLeadership, i.buildPipeline} {
+		if err := build(); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	i.serveMessages()
+	i.gauges()
+	return i, nil
+}
+
+func (i *Instance) buildFollowers() error {
+	i.followers = make(map[string]*follow.Follower)
+	for _, c := range []follow.Config{
+		{Set: setConfiguration, Source: i.cfg.Ports.Configuration, Interval: configurationWait, Apply: i.applyConfiguration},
+		{Set: setRegistry, Source: i.cfg.Ports.Registry, Interval: registryInterval, Apply: i.applyRegistry},
+		{Set: setFleet, Source: i.cfg.Ports.Fleet, Interval: fleetInterval, Apply: i.applyFleet},
+	} {
+		c.Peers, c.Clock, c.Log, c.Timeout = i.askRows, i.cfg.Clock, i.cfg.Log, storeTimeout
+		f, err := follow.New(c)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		i.followers[c.Set] = f
+	}
+	i.fleet = i.followers[setFleet]
+	return nil
+}
+
+func (i *Instance) buildLimits() (err error) {
+	i.admission, err = quota.NewAdmission(quota.Config{
+		Ledger: i.ledger, Peers: i.quotaPeers, Ask: i.askTokens, Clock: i.cfg.Clock, Log: i.cfg.Log,
+	})
+	return trace.Wrap(err)
+}
+
+func (i *Instance) buildLeadership() (err error) {
+	i.controller, err = leadership.New(leadership.Config{
+		Self: i.cfg.Name, Beliefs: i.beliefs, Refresh: i.fleet.Refresh, Registry: i.registry.Get,
+		RegistrySettled: i.registrySettled, Members: i.leadershipMembers, FreshMembers: i.freshMembers,
+		Table: i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
+		Peers: peers{i.client}, Health: i.health, Clock: i.cfg.Clock, Log: i.cfg.Log,
+	})
+	return trace.Wrap(err)
+}
+
+func (i *Instance) buildPipeline() (err error) {
+	i.pools, err = backend.NewPools(backend.Config{
+		Dialer: i.cfg.Ports.Dialer, Health: i.health, Clock: i.cfg.Clock, Members: i.memberCount, Registry: i.registry.Get,
+		MaxConnections: func(service string) int { return i.configuration.Get().Services[service].MaxConnections },
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	i.pipeline, err = pipeline.New(pipeline.Config{
+		FailureDomain: i.cfg.FailureDomain, Configuration: i.configuration.Get, Registry: i.registry.Get,
+		Beliefs: i.beliefs, Admission: i.admission, Pools: i.pools, Health: i.health, LookAgain: i.lookAgain,
+		Clock: i.cfg.Clock, Log: i.cfg.Log, Metrics: i.cfg.Metrics,
+	})
+	return trace.Wrap(err)
+}
+
+// Pipeline serves callers' sessions.
+func (i *Instance) Pipeline() *pipeline.Pipeline { return i.pipeline }
+
+// Handler answers other instances.
+func (i *Instance) Handler() http.Handler { return i.server }
+
+// Run follows the store and replaces primaries until ctx ends.
+func (i *Instance) Run(ctx context.Context) error {
+	t, ctx := tomb.WithContext(ctx)
+	for _, f := range i.followers {
+		t.Go(func() error { return f.Run(ctx) })
+	}
+	t.Go(func() error { return i.register(ctx) })
+	t.Go(func() error { return i.admission.Run(ctx) })
+	t.Go(func() error { return i.controller.Run(ctx) })
+	t.Go(func() error { return i.pools.Run(ctx) })
+	return trace.Wrap(t.Wait())
+}
+
+// applyConfiguration puts a new version into force.
+func (i *Instance) applyConfiguration(s follow.State) {
+	c, err := i.cfg.Ports.DecodeConfiguration(s.Rows)
+	if err != nil {
+		event.ConfigurationUnreadable.Emit(i.cfg.Log, zap.Error(err))
+		return
+	}
+	if now := i.configuration.Get(); c.Version <= now.Version {
+		return
+	}
+	i.configuration.Set(c)
+	i.divideLimits()
+	event.ConfigurationApplied.Emit(i.cfg.Log, zap.Uint64("version", c.Version),
+		zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)))
+}
+
+// applyRegistry takes over the registered endpoints.
+func (i *Instance) applyRegistry(s follow.State) {
+	before := i.registry.Get()
+	now := i.cfg.Ports.DecodeRegistry(s.Rows, func(key string, err error) {
+		event.RegistryEntryIgnored.Emit(i.cfg.Log, zap.String("endpoint", key), zap.Error(err))
+	})
+	i.registry.Set(now)
+	i.logRegistry(before, now)
+}
+
+func (i *Instance) logRegistry(before, now *catalog.Registry) {
+	tell := func(e catalog.Endpoint, change string) {
+		event.RegistryChanged.Emit(i.cfg.Log, zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("change", change))
+	}
+	for id, e := range now.Endpoints {
+		old, ok := before.Endpoints[id]
+		switch {
+		case !ok:
+			tell(e, "registered")
+		case e.Draining && !old.Draining:
+			tell(e, "draining")
+		case e.Role != old.Role:
+			tell(e, "role")
+		case e.StartedAt != old.StartedAt:
+			tell(e, "restarted")
+		}
+	}
+	for id, e := range before.Endpoints {
+		if _, ok := now.Endpoints[id]; !ok {
+			tell(e, "gone")
+		}
+	}
+}
+
+// applyFleet takes over the fleet's own rows.
+func (i *Instance) applyFleet(s follow.State) {
+	before := len(i.members.Get())
+	i.members.Set(decodeMembers(s.Rows, i.cfg.Log))
+	if len(i.members.Get()) != before {
+		i.divideLimits()
+	}
+	i.beliefs.Apply(s)
+}
+
+func (i *Instance) divideLimits() {
+	limits := make(map[string]quota.Limit)
+	for name, o := range i.configuration.Get().Organisations {
+		limits[name] = quota.Limit{Rate: o.Rate, Burst: o.Burst}
+	}
+	i.ledger.Configure(limits, i.memberCount(), i.cfg.Clock())
+}
+
+// registrySettled tells whether a missing entry means that the endpoint is gone:
+// not while the store fails, nor in the time after it in which entries return.
+func (i *Instance) registrySettled() bool {
+	f := i.followers[setRegistry]
+	return f.Serving() && i.cfg.Clock()-f.ServingSince() > entriesReturn && f.State().Age(i.cfg.Clock()) < 2*registryInterval
+}
+
+// entriesReturn is how long after an outage of the store entries that lapsed
+// meanwhile may take to be back, with the time until this instance reads them.
+const entriesReturn = 2*time.Second + registryInterval
+
+// lookAgain reads primaries and registry anew.
+func (i *Instance) lookAgain() {
+	i.fleet.Poke()
+	i.followers[setRegistry].Poke()
+}
+
+// Ready tells whether callers may be sent here, and why not.
+func (i *Instance) Ready() (bool, string) {
+	reason := ""
+	switch {
+	case i.draining.Load():
+		reason = "draining"
+	case i.configuration.Get().Version == 0:
+		reason = "no configuration"
+	case !i.followers[setRegistry].State().Known():
+		reason = "no registry of endpoints"
+	case !i.registered.Load():
+		reason = "not registered"
+	case i.beliefs.EvidenceAge() >= leadership.EvidenceLifetime:
+		reason = "what is known of primaries is too old"
+	}
+	if before := i.toldReady.Swap(&reason); before == nil || *before != reason {
+		event.ReadinessChanged.Emit(i.cfg.Log, zap.Bool("ready", reason == ""), zap.String("reason", reason))
+	}
+	return reason == "", reason
+}
+
+// Drain makes Ready say no from here on.
+func (i *Instance) Drain() { i.draining.Store(true) }
+
+// Draining tells whether Drain was called.
+func (i *Instance) Draining() bool { return i.draining.Load() }
+
+// Leave takes the instance out of the fleet, once it serves nobody.
+func (i *Instance) Leave(ctx context.Context) { i.deregister(ctx) }
+
+func (i *Instance) gauges() {
+	set := i.cfg.Metrics
+	set.Gauge("edge_configuration_version", func() any { return i.configuration.Get().Version })
+	set.Gauge("edge_members", func() any { return i.memberCount() })
+	set.Gauge("edge_endpoints", func() any { return len(i.registry.Get().Endpoints) })
+	set.Gauge("edge_evidence_age_seconds", func() any { return i.beliefs.EvidenceAge().Seconds() })
+	set.Gauge("edge_ready", func() any { ready, _ := i.Ready(); return ready })
+}
--- /dev/null
+++ b/internal/edge/members.go
@@ -0,0 +1,156 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/quota"
+)
+
+const (
+	// memberPrefix begins the keys of the registered instances.
+	memberPrefix = "member/"
+	// registerPause spaces attempts to register.
+	registerPause = 300 * time.Millisecond
+)
+
+// member is a registered instance, as stored.
+type member struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+	// Incarnation differs after every start.
+	Incarnation string `json:"incarnation"`
+}
+
+// decodeMembers reads the registered instances, ordered by name. A row that
+// cannot be read still counts as an instance: limits are divided by their number.
+func decodeMembers(rows []follow.Row, log *zap.Logger) []member {
+	var members []member
+	for _, row := range rows {
+		name, ok := strings.CutPrefix(row.Key, memberPrefix)
+		if !ok {
+			continue
+		}
+		m := member{Name: name}
+		if err := json.Unmarshal(row.Value, &m); err != nil {
+			log.Warn("a member's row cannot be read", zap.String("key", row.Key), zap.Error(err))
+		}
+		m.Name = name
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b member) int { return strings.Compare(a.Name, b.Name) })
+	return members
+}
+
+// register writes this instance's row, until the store has taken it.
+func (i *Instance) register(ctx context.Context) error {
+	self := member{
+		Name: i.cfg.Name, Address: i.cfg.PeerAddress, FailureDomain: i.cfg.FailureDomain, Incarnation: i.incarnation,
+	}
+	value, err := json.Marshal(self)
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if i.isListed() || i.writeMember(ctx, platform.Write{Key: memberPrefix + i.cfg.Name, Value: value}) {
+			break
+		}
+		pause(ctx, registerPause)
+	}
+	// Rows read from here on show every intent whose holder may not have seen the
+	// registration.
+	for ctx.Err() == nil {
+		err := i.fleet.Refresh(ctx)
+		if err == nil || i.isListed() {
+			break
+		}
+		pause(ctx, registerPause)
+	}
+	i.registered.Store(true)
+	event.EdgeRegistered.Emit(i.cfg.Log, zap.String("incarnation", i.incarnation), zap.String("address", i.cfg.PeerAddress))
+	return nil
+}
+
+// isListed tells whether a row of this instance with its present address is
+// already there, from an earlier start.
+func (i *Instance) isListed() bool {
+	return slices.ContainsFunc(i.members.Get(), func(m member) bool {
+		return m.Name == i.cfg.Name && m.Address == i.cfg.PeerAddress
+	})
+}
+
+func (i *Instance) writeMember(ctx context.Context, w platform.Write) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := i.cfg.Ports.Table.Commit(ctx, nil, []platform.Write{w})
+	if err != nil {
+		i.cfg.Log.Debug("the store did not confirm this instance's row", zap.Error(err))
+	}
+	return err == nil
+}
+
+// deregister takes this instance's row back, once it uses nothing any more.
+func (i *Instance) deregister(ctx context.Context) {
+	i.writeMember(ctx, platform.Write{Key: memberPrefix + i.cfg.Name, Delete: true})
+}
+
+// others are the other registered instances.
+func (i *Instance) others() []member {
+	return slices.DeleteFunc(slices.Clone(i.members.Get()), func(m member) bool {
+		return m.Name == i.cfg.Name || m.Address == ""
+	})
+}
+
+// memberCount is among how many instances limits are divided.
+func (i *Instance) memberCount() int { return max(1, len(i.members.Get())) }
+
+func (i *Instance) leadershipMembers() []leadership.Member {
+	return toLeadership(i.members.Get())
+}
+
+// freshMembers reads the registered instances from the store.
+func (i *Instance) freshMembers(ctx context.Context) ([]leadership.Member, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, _, err := i.cfg.Ports.Fleet.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return toLeadership(decodeMembers(rows, i.cfg.Log)), nil
+}
+
+func toLeadership(members []member) []leadership.Member {
+	list := make([]leadership.Member, 0, len(members))
+	for _, m := range members {
+		list = append(list, leadership.Member{Name: m.Name, Address: m.Address})
+	}
+	return list
+}
+
+func (i *Instance) quotaPeers() []quota.Peer {
+	members := i.others()
+	list := make([]quota.Peer, 0, len(members))
+	for _, m := range members {
+		list = append(list, quota.Peer{Name: m.Name, Address: m.Address, Near: m.FailureDomain == i.cfg.FailureDomain})
+	}
+	return list
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/settings/edge.go
@@ -0,0 +1,60 @@
+package settings
+
+import "time"
+
+// Edge is the whole file of an edge instance.
+type Edge struct {
+	Instance  Instance      `json:"instance" doc:"Who the instance is."`
+	Callers   EdgeCallers   `json:"callers" doc:"Where callers connect, the platform's line protocol."`
+	Peers     EdgePeers     `json:"peers" doc:"Where other instances connect, HTTP."`
+	Readiness Operations    `json:"readiness" doc:"The platform's readiness probe, HTTP."`
+	Store     EdgeStore     `json:"store" doc:"The platform's store."`
+	Promotion EdgePromotion `json:"promotion" doc:"The platform's call that promotes an endpoint."`
+	Quota     EdgeQuota     `json:"quota" doc:"How the organisations' limits are judged."`
+	Drain     EdgeDrain     `json:"drain" doc:"The end after SIGTERM."`
+	Log       Log           `json:"log" doc:"The JSON log on standard error."`
+}
+
+// EdgeCallers is the callers' listener.
+type EdgeCallers struct {
+	Listen         string `json:"listen" validate:"required,ip_port" doc:"IP address and TCP port."`
+	MaxConnections int    `json:"max_connections" validate:"min=1,max=1000000" doc:"Most callers connected at once."`
+}
+
+// EdgePeers is the listener for other instances.
+type EdgePeers struct {
+	Listen string   `json:"listen" validate:"required,ip_port" doc:"IP address and TCP port, as other instances are told."`
+	Seeds  []string `json:"seeds" validate:"max=64,dive,ip_port" doc:"Peer addresses to ask while the store does not serve this instance."`
+}
+
+// EdgeStore is the platform's store.
+type EdgeStore struct {
+	Address string `json:"address" validate:"required,ip_port" doc:"IP address and TCP port."`
+}
+
+// EdgePromotion is the platform's call.
+type EdgePromotion struct {
+	Address string `json:"address" validate:"required,ip_port" doc:"IP address and TCP port."`
+}
+
+// EdgeQuota is how the sum of all instances is judged.
+type EdgeQuota struct {
+	Window    time.Duration `json:"window" validate:"min=1s,max=1h" doc:"Sliding window over which operations are counted."`
+	Tolerance float64       `json:"tolerance" validate:"min=0,max=1" doc:"Part of the limit by which a window may exceed it."`
+	Slack     float64       `json:"slack" validate:"min=0,max=1000000" doc:"Operations by which a window may exceed the limit besides."`
+}
+
+// EdgeDrain is the end after SIGTERM.
+type EdgeDrain struct {
+	Grace time.Duration `json:"grace" validate:"min=1s,max=1h" doc:"Time from SIGTERM to SIGKILL."`
+}
+
+// DefaultEdge returns the settings that a file starts from.
+func DefaultEdge() Edge {
+	return Edge{
+		Callers: EdgeCallers{MaxConnections: 3000},
+		Quota:   EdgeQuota{Window: 5 * time.Second},
+		Drain:   EdgeDrain{Grace: 6 * time.Second},
+		Log:     Log{Level: "info"},
+	}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -40,12 +40,17 @@
 
 // Load reads and checks a file. The error is a Problems when the file is JSON
 // but not valid settings.
-func Load(path string) (*Settings, error) {
+func Load(path string) (*Settings, error) { return load(path, Parse) }
+
+// LoadEdge reads and checks the file of an edge instance.
+func LoadEdge(path string) (*Edge, error) { return load(path, ParseEdge) }
+
+func load[T any](path string, parse func([]byte) (*T, error)) (*T, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	s, err := Parse(data)
+	s, err := parse(data)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -53,14 +58,23 @@
 }
 
 // Parse checks the text of a settings file.
-func Parse(data []byte) (*Settings, error) {
+func Parse(data []byte) (*Settings, error) { return parse(data, Default(), checkRules) }
+
+// ParseEdge checks the text of an edge instance's settings file.
+func ParseEdge(data []byte) (*Edge, error) {
+	return parse(data, DefaultEdge(), func(*Edge) Problems { return nil })
+}
+
+// parse fills s, which holds the defaults. Rules check what concerns more than one
+// field.
+func parse[T any](data []byte, s T, rules func(*T) Problems) (*T, error) {
 	tree, err := decodeJSON(data)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s := Default()
 	problems := fill(&s, tree)
 	problems = append(problems, validate(&s, problems)...)
+	problems = append(problems, rules(&s)...)
 	if len(problems) == 0 {
 		return &s, nil
 	}
@@ -82,7 +96,7 @@
 }
 
 // fill copies the tree over the defaults and reports what does not fit.
-func fill(s *Settings, tree map[string]any) Problems {
+func fill(s any, tree map[string]any) Problems {
 	var meta mapstructure.Metadata
 	decoder, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
 		Result:   s,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -78,6 +78,10 @@
 	b.WriteString("This page is written from `internal/settings` by `make events`.\n\n")
 	b.WriteString("| field | type | accepted | default | meaning |\n|---|---|---|---|---|\n")
 	describe(&b, "", reflect.ValueOf(Default()))
+	b.WriteString("\n## Edge instances\n\nThe settings of `hornbeamlockd` as built in `platform/` for a platform that keeps ")
+	b.WriteString("everything that lasts; `deploy/settings.json.tmpl` renders them.\n\n")
+	b.WriteString("| field | type | accepted | default | meaning |\n|---|---|---|---|---|\n")
+	describe(&b, "", reflect.ValueOf(DefaultEdge()))
 	if *update {
 		require.NoError(t, os.WriteFile(schemaDoc, []byte(b.String()), 0o644))
 	}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -11,7 +11,7 @@
 )
 
 // validate checks ranges. Fields that already have a problem are passed over.
-func validate(s *Settings, known Problems) Problems {
+func validate(s any, known Problems) Problems {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("json") })
 	if err := v.RegisterValidation("ip_port", isIPPort); err != nil {
@@ -19,7 +19,7 @@
 	}
 	var failures validator.ValidationErrors
 	if !errors.As(v.Struct(s), &failures) {
-		return checkRules(s)
+		return nil
 	}
 	reported := make(map[string]bool)
 	for _, problem := range known {
@@ -32,7 +32,7 @@
 			problems = append(problems, Problem{Path: path, Text: rangeText(failure)})
 		}
 	}
-	return append(problems, checkRules(s)...)
+	return problems
 }
 
 // checkRules are the checks that concern more than one field.
