leadership: a refused connection is no proof that an instance has stopped

Change: an instance that does not confirm is waited for until its copy of the rows has lapsed. Meanwhile the old primary is watched, and stays if it answers again. Tests without the bench: TestUnreachableInstanceIsWaitedFor, TestPrimaryThatReturnsIsNotReplaced.

--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -187,8 +187,6 @@
 	return answer.Yes, err
 }
 
-func (p peers) IsDead(err error) bool { return peerlink.IsRefused(err) }
-
 // askTokens asks another instance for tokens.
 func (i *Instance) askTokens(ctx context.Context, p quota.Peer, wants map[string]float64) (map[string]float64, error) {
 	var answer tokensMessage
--- a/internal/leadership/handover.go
+++ b/internal/leadership/handover.go
@@ -25,6 +25,8 @@
 	lapseSlack = 400 * time.Millisecond
 	// stopRetry spaces questions to an instance that has not stopped yet.
 	stopRetry = 150 * time.Millisecond
+	// watchInterval spaces looks for an old primary that may come back.
+	watchInterval = 300 * time.Millisecond
 	// statusTimeout bounds a question to a server.
 	statusTimeout = 500 * time.Millisecond
 	// catchUpLimit is how long a planned replacement waits for a replica to
@@ -73,9 +75,13 @@
 	event.HandoverBegun.Emit(h.c.cfg.Log, zap.String("service", h.service), zap.String("from", h.old),
 		zap.Uint64("epoch", h.record.Epoch), zap.Uint64("fence", h.record.Fence), zap.String("reason", string(h.why)))
 	h.c.cfg.Beliefs.Stop(ctx, h.service, h.record.Epoch)
-	if err := h.stopMembers(ctx); err != nil {
+	returned, err := h.stopMembers(ctx)
+	if err != nil {
 		return trace.Wrap(err, "stopping the use of the primary")
 	}
+	if returned != nil {
+		return trace.Wrap(h.settle(ctx, returned.endpoint, returned.status.Term), "writing that the primary stays")
+	}
 	target, term, err := h.promote(ctx)
 	if err != nil {
 		return trace.Wrap(err, "promoting")
@@ -182,63 +188,60 @@
 }
 
 // stopMembers returns once no instance uses the old primary any more: each has
-// stopped, or runs no process, or its copy of the rows has lapsed.
-func (h *handover) stopMembers(ctx context.Context) error {
-	members, err := h.c.cfg.FreshMembers(ctx)
-	if err != nil {
-		return trace.Wrap(err)
+// stopped, or its copy of the rows has lapsed. A refused connection says nothing of
+// a process: what cuts a link may refuse connections as well. It reports true as
+// soon as the old primary answers again, when it need not be replaced.
+func (h *handover) stopMembers(ctx context.Context) (returned *answer, err error) {
+	if h.members, err = h.c.cfg.FreshMembers(ctx); err != nil {
+		return nil, trace.Wrap(err)
 	}
-	h.members = members
 	lapsed := h.written + EvidenceLifetime + lapseSlack
-	ctx, cancel := context.WithTimeout(ctx, max(0, lapsed-h.c.cfg.Clock()))
+	stopping, cancel := context.WithTimeout(ctx, max(0, lapsed-h.c.cfg.Clock()))
 	defer cancel()
-	first := h.stopRound(ctx, members, false)
-	// An instance that started meanwhile may have learned of the primary from one
-	// that had not stopped yet: those without a process are asked again now.
-	h.stopRound(ctx, first, true)
-	if h.c.cfg.Clock() < lapsed && ctx.Err() != nil {
-		return trace.Wrap(ctx.Err())
+	found := make(chan answer, 1)
+	if h.why == reasonSilent {
+		go h.watchOld(stopping, func(a answer) {
+			found <- a
+			cancel()
+		})
 	}
-	return nil
-}
-
-// stopRound asks the members until each has stopped or is dead, and returns the
-// dead ones.
-func (h *handover) stopRound(ctx context.Context, members []Member, again bool) (dead []Member) {
-	var mu sync.Mutex
 	var pending sync.WaitGroup
-	for _, m := range members {
-		if m.Name == h.c.cfg.Self {
-			continue
+	for _, m := range h.members {
+		if m.Name != h.c.cfg.Self {
+			pending.Go(func() { h.stopOne(stopping, m) })
 		}
-		pending.Go(func() {
-			if stopped := h.stopOne(ctx, m); !stopped && !again {
-				mu.Lock()
-				dead = append(dead, m)
-				mu.Unlock()
-			}
-		})
 	}
 	pending.Wait()
-	return dead
+	select {
+	case a := <-found:
+		return &a, nil
+	default:
+		return nil, trace.Wrap(ctx.Err())
+	}
 }
 
-// stopOne reports whether the member has stopped; else it runs no process, or
-// ctx has ended.
-func (h *handover) stopOne(ctx context.Context, m Member) bool {
+// stopOne asks the member until it has stopped or ctx ends.
+func (h *handover) stopOne(ctx context.Context, m Member) {
 	for ctx.Err() == nil {
 		asking, cancel := context.WithTimeout(ctx, askTimeout)
 		err := h.c.cfg.Peers.Stop(asking, m, h.service, h.record.Epoch)
 		cancel()
 		if err == nil {
-			return true
-		}
-		if h.c.cfg.Peers.IsDead(err) {
-			return false
+			return
 		}
+		h.c.cfg.Log.Debug("an instance has not stopped yet", zap.String("member", m.Name), zap.Error(err))
 		sleep(ctx, stopRetry)
 	}
-	return false
+}
+
+// watchOld looks for the old primary while others are being stopped.
+func (h *handover) watchOld(ctx context.Context, found func(answer)) {
+	for sleep(ctx, watchInterval) {
+		if a, ok := h.returned(h.survey(ctx)); ok {
+			found(a)
+			return
+		}
+	}
 }
 
 // promote finds the new primary, orders it and waits until it shows.
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -61,8 +61,6 @@
 	Reaches(ctx context.Context, m Member, endpoint string) (bool, error)
 	// Replacing asks whether the member is at work on the epoch.
 	Replacing(ctx context.Context, m Member, service string, epoch uint64) (bool, error)
-	// IsDead tells from an error of the others that no process listens there.
-	IsDead(err error) bool
 }
 
 // Health tells how endpoints answer this instance.
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -9,11 +9,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -68,9 +66,6 @@
 	return trace.Wrap(json.Unmarshal(answer, out))
 }
 
-// IsRefused tells whether the other machine answered that no process listens.
-func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
 // Server answers other instances.
 type Server struct {
 	mux *http.ServeMux
