leadership, backend: one intent for one record; bound calls and connections under failure

Two instances decided at the same moment; the second had learned of the first one's intent before it wrote its own, took that as its starting point, and settled on the old primary while the first one's order was still on its way. The stop of the first one had marked the second as superseded before it had written anything, so both gave up and all others tried again. Ruled out: an unstopped instance (all had confirmed within 0.5 s). Change: an intent is conditional on the very record of the decision; after a holder that did not finish, late orders are waited for; only the ordered endpoint counts as the new primary until the platform refuses it. Reads on behalf of requests at most every 400 ms; a full endpoint is dialled with an exponential delay.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -25,8 +26,13 @@
 	// fullPause is how long a pool keeps to its own part after the endpoint has
 	// refused a connection for want of room.
 	fullPause = time.Second
-	// fullRetry spaces attempts to connect to an endpoint without room.
-	fullRetry = 15 * time.Millisecond
+	// firstFullRetry and longestFullRetry space attempts of one pool to connect to
+	// an endpoint without room, doubling in between.
+	firstFullRetry   = 20 * time.Millisecond
+	longestFullRetry = 320 * time.Millisecond
+	// spareConnections may be open beyond the endpoint's slots, for transactions
+	// that rest.
+	spareConnections = 2
 	// maxWaiting bounds the statements that wait for one endpoint: with a few
 	// connections of some 30 ms a statement, more would wait for longer than
 	// their objectives.
@@ -79,8 +85,10 @@
 	// open counts connections, idle, in use and being opened.
 	open    int
 	waiting []*waiter
-	// fullUntil is until when the pool keeps to its part.
-	fullUntil time.Duration
+	// fullUntil is until when the pool keeps to its part, and retryAt when the next
+	// connection may be tried.
+	fullUntil, retryAt time.Duration
+	fullRetry          time.Duration
 }
 
 // waiter is a statement that waits for a connection.
@@ -105,7 +113,7 @@
 func (p *Pools) Acquire(ctx context.Context, e catalog.Endpoint, organisation string, priority int) (*Link, error) {
 	q := p.poolOf(e.ID)
 	for {
-		part, most := p.limits(e.Service)
+		part, most := p.limits(e)
 		link, victim, dial, w := q.take(e, organisation, priority, part, most)
 		if victim != nil {
 			victim.conn.Close()
@@ -121,9 +129,6 @@
 			if err == nil || !isFull(err) {
 				return link, err
 			}
-			if !pause(ctx, fullRetry) {
-				return nil, noRoom(e)
-			}
 			continue
 		case w == nil:
 			return nil, noRoom(e)
@@ -147,10 +152,10 @@
 
 // limits returns this instance's part of an endpoint's connections, and how many
 // it may have while there is room.
-func (p *Pools) limits(service string) (part, most int) {
-	total := max(1, p.cfg.MaxConnections(service))
+func (p *Pools) limits(e catalog.Endpoint) (part, most int) {
+	total := max(1, p.cfg.MaxConnections(e.Service))
 	part = max(1, total/max(1, p.cfg.Members()))
-	return part, min(total, 2*part+1)
+	return part, min(total, max(part, e.Slots+spareConnections))
 }
 
 func noRoom(e catalog.Endpoint) error {
@@ -179,7 +184,9 @@
 	if q.pools.cfg.Clock() < q.fullUntil {
 		allowed = part
 	}
+	waits := q.pools.cfg.Clock() < q.retryAt
 	switch {
+	case waits:
 	case q.open < part || q.open < allowed && len(q.idle) == 0:
 		q.open++
 		return nil, nil, true, nil
@@ -187,7 +194,8 @@
 		victim = q.idle[0]
 		q.idle = q.idle[1:]
 		return nil, victim, true, nil
-	case len(q.waiting) >= maxWaiting:
+	}
+	if len(q.waiting) >= maxWaiting {
 		return nil, nil, false, nil
 	}
 	w = &waiter{priority: priority, wake: make(chan struct{}, 1)}
@@ -216,14 +224,31 @@
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		if isFull(err) {
-			q.fullUntil = q.pools.cfg.Clock() + fullPause
+			q.full()
 		}
 		q.closed()
 		return nil, err
 	}
+	q.mu.Lock()
+	q.fullRetry = 0
+	q.mu.Unlock()
 	return &Link{Endpoint: e, Organisation: organisation, conn: conn, pool: q}, nil
 }
 
+// full notes that the endpoint has no room for another connection. The caller
+// holds mu.
+func (q *pool) full() {
+	now := q.pools.cfg.Clock()
+	q.fullUntil = now + fullPause
+	q.fullRetry = min(max(firstFullRetry, 2*q.fullRetry), longestFullRetry)
+	q.retryAt = now + q.fullRetry/2 + rand.N(q.fullRetry/2)
+	time.AfterFunc(q.retryAt-now, func() {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.wakeOne()
+	})
+}
+
 // closed counts a connection less and lets a waiter try. The caller holds mu.
 func (q *pool) closed() {
 	q.open--
@@ -304,7 +329,7 @@
 	now := q.pools.cfg.Clock()
 	q.idle = slices.DeleteFunc(q.idle, func(l *Link) bool {
 		known, registered := registry.Endpoints[q.id]
-		part, _ := q.pools.limits(l.Endpoint.Service)
+		part, _ := q.pools.limits(l.Endpoint)
 		unfit := all || !registered || known.Draining || known.StartedAt != l.Endpoint.StartedAt
 		if unfit || now-l.idleSince > idleLimit || q.open > part {
 			q.open--
@@ -315,14 +340,3 @@
 	})
 	return closing
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/backend"
@@ -29,6 +30,10 @@
 	setFleet         = "fleet"
 )
 
+// lookInterval spaces the reads that requests ask for when an endpoint contradicts
+// what is known: below the usual intervals, and few calls even when all fail.
+const lookInterval = 400 * time.Millisecond
+
 // Instance is one entry instance.
 type Instance struct {
 	cfg         Config
@@ -40,6 +45,7 @@
 	registered    atomic.Bool
 	draining      atomic.Bool
 	toldReady     atomic.Pointer[string]
+	lookLimit     *rate.Limiter
 
 	followers  map[string]*follow.Follower
 	fleet      *follow.Follower
@@ -68,6 +74,7 @@
 		health:        backend.NewHealth(cfg.Clock),
 		server:        peerlink.NewServer(),
 		client:        peerlink.NewClient(cfg.Dial),
+		lookLimit:     rate.NewLimiter(rate.Every(lookInterval), 1),
 	}
 	i.beliefs = leadership.NewBeliefs(cfg.Clock, cfg.Log, i.registry.Get)
 	for _, build := range []func() error{i.buildFollowers, i.buildLimits, i.buildLeadership, i.buildPipeline} {
@@ -229,10 +236,13 @@
 // meanwhile may take to be back, with the time until this instance reads them.
 const entriesReturn = 2*time.Second + registryInterval
 
-// lookAgain reads primaries and registry anew.
+// lookAgain reads primaries and registry anew, soon, however many requests ask for
+// it.
 func (i *Instance) lookAgain() {
-	i.fleet.Poke()
-	i.followers[setRegistry].Poke()
+	if i.lookLimit.Allow() {
+		i.fleet.Poke()
+		i.followers[setRegistry].Poke()
+	}
 }
 
 // Ready tells whether callers may be sent here, and why not.
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -195,7 +195,7 @@
 // start begins a replacement beside the others.
 func (c *Controller) start(ctx context.Context, t *tomb.Tomb, name string, why reason) {
 	record, _ := c.cfg.Beliefs.record(name)
-	h := &handover{c: c, service: name, why: why, began: c.cfg.Clock()}
+	h := &handover{c: c, service: name, why: why, began: c.cfg.Clock(), from: record}
 	c.mu.Lock()
 	c.running[name] = h
 	c.mu.Unlock()
@@ -215,7 +215,6 @@
 
 // attempt replaces the primary if the other instances agree that it is due.
 func (c *Controller) attempt(ctx context.Context, h *handover) error {
-	record, _ := c.cfg.Beliefs.record(h.service)
 	switch h.why {
 	case reasonSilent:
 		leader, err := c.cfg.Beliefs.Leader(h.service)
@@ -226,7 +225,7 @@
 			return nil
 		}
 	case reasonAbandoned:
-		if c.holderWorks(ctx, record) {
+		if c.holderWorks(ctx, h.from) {
 			return nil
 		}
 	}
--- a/internal/leadership/handover.go
+++ b/internal/leadership/handover.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +35,9 @@
 	// promoteLimit is how long the platform's promotion may take to show: 1 s at
 	// most on the known deployments.
 	promoteLimit = 4 * time.Second
+	// lateOrder is how long an order of an earlier holder may take to show: its
+	// call and the promotion itself.
+	lateOrder = 2500 * time.Millisecond
 	// promotePoll spaces the questions whether it shows.
 	promotePoll = 50 * time.Millisecond
 	// promoteAgain is after how long without effect the order is repeated.
@@ -55,6 +58,8 @@
 	service string
 	why     reason
 	began   time.Duration
+	// from is the record on which the decision rests, zero if there is none.
+	from Record
 	// epoch is that of the committed intent, 0 before.
 	epoch atomic.Uint64
 	// superseded is true once this instance has stopped for a later epoch.
@@ -96,12 +101,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	known, _ := h.c.cfg.Beliefs.record(h.service)
-	if current.services[h.service].Epoch != known.Epoch {
+	if current.services[h.service] != h.from || h.superseded.Load() {
 		return trace.CompareFailed("another instance was first")
 	}
 	next := Record{
-		Service: h.service, Endpoint: known.Endpoint, Term: known.Term, Phase: Moving, Epoch: known.Epoch + 1,
+		Service: h.service, Endpoint: h.from.Endpoint, Term: h.from.Term, Phase: Moving, Epoch: h.from.Epoch + 1,
 		Holder: h.c.cfg.Self, Fence: current.duty.Fence + 1, Attempt: uuid.NewString(),
 	}
 	if next.Endpoint == "" {
@@ -246,36 +250,71 @@
 
 // promote finds the new primary, orders it and waits until it shows.
 func (h *handover) promote(ctx context.Context) (catalog.Endpoint, uint64, error) {
+	if h.from.Phase == Moving && !sleep(ctx, lateOrder) {
+		return catalog.Endpoint{}, 0, trace.Wrap(ctx.Err())
+	}
+	o := order{h: h}
 	deadline := h.c.cfg.Clock() + promoteLimit + catchUpLimit
-	var ordered time.Duration
-	var target catalog.Endpoint
-	var above uint64
 	for h.c.cfg.Clock() < deadline && ctx.Err() == nil {
-		found := h.survey(ctx)
-		if leader, ok := found.settledLeader(h.old, above); ok {
-			return leader.endpoint, leader.status.Term, nil
-		}
-		if leader, ok := h.returned(found); ok && ordered == 0 {
-			return leader.endpoint, leader.status.Term, nil
+		leader, done, err := o.step(ctx, h.survey(ctx))
+		if done || err != nil {
+			return leader.endpoint, leader.status.Term, err
 		}
-		if above == 0 {
-			above = found.newestTerm()
+		sleep(ctx, promotePoll)
+	}
+	return catalog.Endpoint{}, 0, trace.LimitExceeded("no new primary showed in time")
+}
+
+// order is what was asked of the platform.
+type order struct {
+	h *handover
+	// target is the endpoint ordered, at the instant at; above is the newest term
+	// before.
+	target catalog.Endpoint
+	at     time.Duration
+	above  uint64
+}
+
+// step looks at one survey: it returns the new primary, or orders one.
+func (o *order) step(ctx context.Context, found survey) (answer, bool, error) {
+	h := o.h
+	now := h.c.cfg.Clock()
+	if o.target.ID != "" {
+		if leader, ok := found.leads(o.target.ID, o.above); ok {
+			return leader, true, nil
 		}
-		now := h.c.cfg.Clock()
-		if ordered == 0 || now-ordered > promoteAgain {
-			choice, ok := found.choose(h.old, h.why.planned() && now < h.written+catchUpLimit)
-			if ok {
-				if err := h.order(ctx, choice); err != nil {
-					return target, 0, trace.Wrap(err)
-				}
-				target, ordered = choice, h.c.cfg.Clock()
-			}
+		if now-o.at < promoteAgain {
+			return answer{}, false, nil
 		}
-		sleep(ctx, promotePoll)
+		return answer{}, false, o.give(ctx, o.target)
+	}
+	if leader, ok := found.successor(h.old); ok {
+		return leader, true, nil
+	}
+	if leader, ok := h.returned(found); ok {
+		return leader, true, nil
+	}
+	choice, ok := found.choose(h.old, h.why.planned() && now < h.written+catchUpLimit)
+	if !ok {
+		return answer{}, false, nil
 	}
-	return target, 0, trace.LimitExceeded("no new primary showed in time")
+	o.above = found.newestTerm()
+	return answer{}, false, o.give(ctx, choice)
 }
 
+// give orders the promotion. One that the platform refused leaves the choice open.
+func (o *order) give(ctx context.Context, target catalog.Endpoint) error {
+	o.target, o.at = target, o.h.c.cfg.Clock()
+	err := o.h.order(ctx, target)
+	if errors.Is(err, errRefused) {
+		o.target = catalog.Endpoint{}
+		return nil
+	}
+	return err
+}
+
+var errRefused = errors.New("leadership: the platform refused the promotion")
+
 // returned finds the old primary answering again before anything was ordered, so
 // that nothing that it has acknowledged need be lost.
 func (h *handover) returned(found survey) (answer, bool) {
@@ -304,7 +343,11 @@
 	err := h.c.cfg.Promoter.Promote(ctx, Promotion{
 		Service: h.service, Endpoint: target.ID, Holder: h.c.cfg.Self, Fence: h.record.Fence,
 	})
+	if trace.IsCompareFailed(err) {
+		return errRefused
+	}
 	if err != nil {
+		// The order may still take effect: the survey shows.
 		h.c.cfg.Log.Info("the platform did not confirm the promotion", zap.String("endpoint", target.ID), zap.Error(err))
 	}
 	return nil
@@ -403,18 +446,24 @@
 	return newest
 }
 
-// settledLeader returns the primary to record, if there is one: one of a later
-// term than any before the order, or a new server that already leads in place of
-// one that has gone.
-func (s survey) settledLeader(old string, above uint64) (answer, bool) {
+// leads returns the endpoint if it is the primary of a term above and none is of a
+// later one.
+func (s survey) leads(endpoint string, above uint64) (answer, bool) {
 	newest := s.newestTerm()
 	for _, a := range s.answers {
-		if a.status.Primary && a.status.Term == newest && a.endpoint.ID != old && !a.endpoint.Draining {
+		if a.endpoint.ID == endpoint && a.status.Primary && a.status.Term == newest && newest > above {
 			return a, true
 		}
 	}
+	return answer{}, false
+}
+
+// successor returns a primary other than the old one: an earlier order has taken
+// effect, or a new server leads in place of one that has gone.
+func (s survey) successor(old string) (answer, bool) {
+	newest := s.newestTerm()
 	for _, a := range s.answers {
-		if a.status.Primary && above > 0 && a.status.Term > above {
+		if a.status.Primary && a.status.Term == newest && a.endpoint.ID != old && !a.endpoint.Draining {
 			return a, true
 		}
 	}
@@ -459,8 +508,3 @@
 		return false
 	}
 }
-
-// String names the replacement in errors.
-func (h *handover) String() string {
-	return h.service + " epoch " + strconv.FormatUint(h.record.Epoch, 10)
-}
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -407,3 +407,38 @@
 		use.Exit()
 	})
 }
+
+// TestSecondIntentRestsOnTheSameRecord covers two instances that decide at the same
+// time: the later one has learned of the first one's intent before it writes its
+// own (zanettin hunt-7474-19: ONE 10).
+func TestSecondIntentRestsOnTheSameRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b")
+		time.Sleep(time.Second)
+		first := &handover{c: f.instances["a"].controller, service: "db", why: reasonSilent}
+		second := &handover{c: f.instances["b"].controller, service: "db", why: reasonSilent}
+		require.NoError(t, first.commitIntent(t.Context()))
+		require.NoError(t, f.instances["b"].refresh(t.Context()))
+		require.ErrorContains(t, second.commitIntent(t.Context()), "another instance was first")
+		require.Len(t, f.rows, 2)
+	})
+}
+
+// TestLateOrderOfAnEarlierHolder covers a promotion that shows only after its
+// holder has gone: ordering another one at once would make two primaries.
+func TestLateOrderOfAnEarlierHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b")
+		time.Sleep(time.Second)
+		f.set(func() {
+			w := encodeRow(servicePrefix+"db", Record{Service: "db", Endpoint: "s1", Phase: Moving, Epoch: 1, Holder: "gone", Fence: 1})
+			f.revision++
+			f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: f.revision}
+		})
+		time.Sleep(2 * time.Second)
+		f.set(func() { f.servers["s3"].status.Primary, f.servers["s3"].status.Term = true, 2 })
+		time.Sleep(4 * time.Second)
+		require.Equal(t, "s3", f.leader("a"))
+		require.Empty(t, f.ordered())
+	})
+}
