--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -14,7 +14,7 @@
 	// initialLatency stands for the latency of an endpoint that was never used.
 	initialLatency = 20 * time.Millisecond
 	// retryFailing is how often a failing endpoint is tried again.
-	retryFailing = 300 * time.Millisecond
+	retryFailing = 150 * time.Millisecond
 )
 
 // Health tells from real traffic how the endpoints answer.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -22,7 +22,7 @@
 	idleLimit = 30 * time.Second
 	// dialTimeout bounds the opening of a connection: one takes about 12 ms, more
 	// while the endpoint's slots are taken.
-	dialTimeout = 800 * time.Millisecond
+	dialTimeout = 600 * time.Millisecond
 	// fullPause is how long a pool keeps to its own part after the endpoint has
 	// refused a connection for want of room.
 	fullPause = time.Second
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -151,8 +151,11 @@
 
 // reaches tells whether an endpoint answers this instance.
 func (i *Instance) reaches(ctx context.Context, endpoint string) bool {
-	if i.health.AnsweredWithin(endpoint, recentAnswer) {
+	switch {
+	case i.health.AnsweredWithin(endpoint, recentAnswer):
 		return true
+	case i.health.SilentFor(endpoint) > recentAnswer:
+		return false
 	}
 	e, ok := i.registry.Get().Endpoints[endpoint]
 	if !ok {
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -18,8 +18,9 @@
 	// lookInterval is how often the services are looked through.
 	lookInterval = 100 * time.Millisecond
 	// silenceBeforeAsking is how long a primary is silent before the other
-	// instances are asked: above the longest usual statement with its wait.
-	silenceBeforeAsking = 700 * time.Millisecond
+	// instances are asked: above the longest usual statement with its wait. All of
+	// them have to miss it before anything happens.
+	silenceBeforeAsking = 500 * time.Millisecond
 	// rankDelay is how much longer each next instance waits before it acts, so
 	// that usually one does: above the time from an intent to its being known.
 	rankDelay = 500 * time.Millisecond
--- a/internal/leadership/handover.go
+++ b/internal/leadership/handover.go
@@ -29,6 +29,9 @@
 	watchInterval = 300 * time.Millisecond
 	// statusTimeout bounds a question to a server.
 	statusTimeout = 500 * time.Millisecond
+	// statusSpread is how much later than the first server the others may answer: a
+	// busy server's slots free up within it.
+	statusSpread = 120 * time.Millisecond
 	// catchUpLimit is how long a planned replacement waits for a replica to
 	// receive all that the old primary has.
 	catchUpLimit = 2 * time.Second
@@ -79,7 +82,6 @@
 	}
 	event.HandoverBegun.Emit(h.c.cfg.Log, zap.String("service", h.service), zap.String("from", h.old),
 		zap.Uint64("epoch", h.record.Epoch), zap.Uint64("fence", h.record.Fence), zap.String("reason", string(h.why)))
-	h.c.cfg.Beliefs.Stop(ctx, h.service, h.record.Epoch)
 	returned, err := h.stopMembers(ctx)
 	if err != nil {
 		return trace.Wrap(err, "stopping the use of the primary")
@@ -210,6 +212,7 @@
 		})
 	}
 	var pending sync.WaitGroup
+	pending.Go(func() { h.c.cfg.Beliefs.Stop(ctx, h.service, h.record.Epoch) })
 	for _, m := range h.members {
 		if m.Name != h.c.cfg.Self {
 			pending.Go(func() { h.stopOne(stopping, m) })
@@ -402,28 +405,41 @@
 	}
 }
 
-// survey asks all endpoints of the service at once.
+// survey asks all endpoints of the service at once. Once one has answered, the
+// others get a little longer: a server that is dark must not hold up the rest.
 func (h *handover) survey(ctx context.Context) survey {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	registry := h.c.cfg.Registry()
-	var mu sync.Mutex
+	endpoints := h.c.cfg.Registry().ByService[h.service]
+	answers := make(chan answer, len(endpoints))
 	var pending sync.WaitGroup
-	found := survey{}
-	for _, e := range registry.ByService[h.service] {
+	for _, e := range endpoints {
 		pending.Go(func() {
-			status, err := h.c.cfg.Servers.Status(ctx, e)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				found.silent++
-				return
+			if status, err := h.c.cfg.Servers.Status(ctx, e); err == nil {
+				answers <- answer{endpoint: e, status: status}
 			}
-			found.answers = append(found.answers, answer{endpoint: e, status: status})
 		})
 	}
-	pending.Wait()
-	return found
+	go func() {
+		pending.Wait()
+		close(answers)
+	}()
+	found := survey{}
+	for {
+		select {
+		case a, more := <-answers:
+			if !more {
+				return found
+			}
+			if len(found.answers) == 0 {
+				timer := time.AfterFunc(statusSpread, cancel)
+				defer timer.Stop()
+			}
+			found.answers = append(found.answers, a)
+		case <-ctx.Done():
+			return found
+		}
+	}
 }
 
 // answer is what one server said.
@@ -435,7 +451,6 @@
 // survey is what the servers of a service said.
 type survey struct {
 	answers []answer
-	silent  int
 }
 
 func (s survey) newestTerm() uint64 {
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -84,6 +84,16 @@
 			e.pause(ctx, retryPause)
 			continue
 		}
+		if !cfg.Health.Usable(use.Endpoint) {
+			// Others try it: a statement that waits for its turn there holds nothing.
+			use.Exit()
+			last = errSilent
+			if silent := cfg.Health.SilentFor(use.Endpoint); silent > silencePatience {
+				break
+			}
+			e.pause(ctx, retryPause)
+			continue
+		}
 		result, err := e.try(ctx, r, organisation, endpoint, attempt{use: use}, run)
 		use.Exit()
 		if err == nil {
@@ -102,6 +112,13 @@
 	return e.outOfTime(last)
 }
 
+// silencePatience is how long the primary may be silent before statements for it
+// are refused at once: another instance may reach it, and the caller's next attempt
+// goes to another one.
+const silencePatience = 250 * time.Millisecond
+
+var errSilent = errors.New("pipeline: the primary does not answer this instance")
+
 var errNotRegistered = errors.New("pipeline: the primary is not registered")
 
 // try acquires a connection and runs the statement there. The error means that
