edge, leadership: retire members that are gone; keep a primary that nobody replaced

A machine is removed for good at 3 s; every replacement of a primary from then on waits 6.4 s for its copy to lapse. At 41 s all processes are killed while a replacement has written its intent but ordered nothing; the next holder waits 6.4 s for the removed machine and 2.5 s for an order that was never given, and then replaces a primary that was healthy all along: 10 s without writes. Change: the first member by name that is alive pings the others; one that is silent for 6 s is marked retired, and its row goes once its copy has surely lapsed. An instance uses primaries only by a copy that names itself as registered. The target is written before it is ordered; an intent without one leaves the old primary when it answers.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -150,7 +150,8 @@
 	for _, f := range i.followers {
 		t.Go(func() error { return f.Run(ctx) })
 	}
-	t.Go(func() error { return i.register(ctx) })
+	t.Go(func() error { return i.keepRegistered(ctx) })
+	t.Go(func() error { return i.watchMembers(ctx) })
 	t.Go(func() error { return i.admission.Run(ctx) })
 	t.Go(func() error { return i.controller.Run(ctx) })
 	t.Go(func() error { return i.pools.Run(ctx) })
@@ -210,11 +211,12 @@
 // applyFleet takes over the fleet's own rows.
 func (i *Instance) applyFleet(s follow.State) {
 	before := len(i.members.Get())
-	i.members.Set(decodeMembers(s.Rows, i.cfg.Log))
-	if len(i.members.Get()) != before {
+	members := decodeMembers(s.Rows, i.cfg.Log)
+	i.beliefs.Apply(s, i.lists(members))
+	i.members.Set(members)
+	if len(members) != before {
 		i.divideLimits()
 	}
-	i.beliefs.Apply(s)
 }
 
 func (i *Instance) divideLimits() {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -30,6 +30,12 @@
 	FailureDomain string `json:"failure_domain"`
 	// Incarnation differs after every start.
 	Incarnation string `json:"incarnation"`
+	// Retired members are no longer heard of. One that reads this of itself stops
+	// using primaries until it has registered anew; its row goes once its copy of
+	// the rows has surely lapsed.
+	Retired bool `json:"retired,omitempty"`
+
+	version uint64 // of the row
 }
 
 // decodeMembers reads the registered instances, ordered by name. A row that
@@ -45,69 +51,87 @@
 		if err := json.Unmarshal(row.Value, &m); err != nil {
 			log.Warn("a member's row cannot be read", zap.String("key", row.Key), zap.Error(err))
 		}
-		m.Name = name
+		m.Name, m.version = name, row.Version
 		members = append(members, m)
 	}
 	slices.SortFunc(members, func(a, b member) int { return strings.Compare(a.Name, b.Name) })
 	return members
 }
 
-// register writes this instance's row, until the store has taken it.
-func (i *Instance) register(ctx context.Context) error {
-	self := member{
-		Name: i.cfg.Name, Address: i.cfg.PeerAddress, FailureDomain: i.cfg.FailureDomain, Incarnation: i.incarnation,
-	}
-	value, err := json.Marshal(self)
-	if err != nil {
-		return err
-	}
+// keepRegistered writes this instance's row whenever it is missing, as at the start.
+func (i *Instance) keepRegistered(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if i.isListed() || i.writeMember(ctx, platform.Write{Key: memberPrefix + i.cfg.Name, Value: value}) {
-			break
+		changed := i.members.Changed()
+		if i.isListed() || i.draining.Load() {
+			i.noteRegistered()
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
 		}
-		pause(ctx, registerPause)
-	}
-	// Rows read from here on show every intent whose holder may not have seen the
-	// registration.
-	for ctx.Err() == nil {
-		err := i.fleet.Refresh(ctx)
-		if err == nil || i.isListed() {
-			break
+		i.registered.Store(false)
+		if i.writeMember(ctx, nil, memberWrite(i.self())) {
+			// What is read from here on shows every intent whose holder may not have
+			// seen this instance.
+			if err := i.fleet.Refresh(ctx); err == nil {
+				continue
+			}
 		}
 		pause(ctx, registerPause)
 	}
-	i.registered.Store(true)
-	event.EdgeRegistered.Emit(i.cfg.Log, zap.String("incarnation", i.incarnation), zap.String("address", i.cfg.PeerAddress))
 	return nil
 }
 
-// isListed tells whether a row of this instance with its present address is
-// already there, from an earlier start.
-func (i *Instance) isListed() bool {
-	return slices.ContainsFunc(i.members.Get(), func(m member) bool {
-		return m.Name == i.cfg.Name && m.Address == i.cfg.PeerAddress
+func (i *Instance) noteRegistered() {
+	if !i.registered.Swap(true) {
+		event.EdgeRegistered.Emit(i.cfg.Log, zap.String("incarnation", i.incarnation), zap.String("address", i.cfg.PeerAddress))
+	}
+}
+
+func (i *Instance) self() member {
+	return member{Name: i.cfg.Name, Address: i.cfg.PeerAddress, FailureDomain: i.cfg.FailureDomain, Incarnation: i.incarnation}
+}
+
+func memberWrite(m member) platform.Write {
+	value, err := json.Marshal(m)
+	if err != nil {
+		panic("edge: a member's row cannot be encoded: " + err.Error())
+	}
+	return platform.Write{Key: memberPrefix + m.Name, Value: value}
+}
+
+// isListed tells whether a row of this instance with its present address is there,
+// of this or an earlier start.
+func (i *Instance) isListed() bool { return i.lists(i.members.Get()) }
+
+func (i *Instance) lists(members []member) bool {
+	return slices.ContainsFunc(members, func(m member) bool {
+		return m.Name == i.cfg.Name && m.Address == i.cfg.PeerAddress && !m.Retired
 	})
 }
 
-func (i *Instance) writeMember(ctx context.Context, w platform.Write) bool {
+// writeMember writes a member's row if the conditions hold, and reports whether it
+// surely did.
+func (i *Instance) writeMember(ctx context.Context, conditions []platform.Condition, w platform.Write) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := i.cfg.Ports.Table.Commit(ctx, nil, []platform.Write{w})
+	result, err := i.cfg.Ports.Table.Commit(ctx, conditions, []platform.Write{w})
 	if err != nil {
-		i.cfg.Log.Debug("the store did not confirm this instance's row", zap.Error(err))
+		i.cfg.Log.Debug("the store did not confirm a member's row", zap.String("key", w.Key), zap.Error(err))
 	}
-	return err == nil
+	return err == nil && result.Applied
 }
 
 // deregister takes this instance's row back, once it uses nothing any more.
 func (i *Instance) deregister(ctx context.Context) {
-	i.writeMember(ctx, platform.Write{Key: memberPrefix + i.cfg.Name, Delete: true})
+	i.writeMember(ctx, nil, platform.Write{Key: memberPrefix + i.cfg.Name, Delete: true})
 }
 
 // others are the other registered instances.
 func (i *Instance) others() []member {
 	return slices.DeleteFunc(slices.Clone(i.members.Get()), func(m member) bool {
-		return m.Name == i.cfg.Name || m.Address == ""
+		return m.Name == i.cfg.Name || m.Address == "" || m.Retired
 	})
 }
 
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -21,6 +21,7 @@
 	messageReaches   = "reaches"
 	messageReplacing = "replacing"
 	messageTokens    = "tokens"
+	messagePing      = "ping"
 )
 
 const (
@@ -80,6 +81,7 @@
 	peerlink.Handle(i.server, messageReplacing, func(_ context.Context, m epochMessage) (yesNo, error) {
 		return yesNo{Yes: i.controller.Replacing(m.Service, m.Epoch)}, nil
 	})
+	peerlink.Handle(i.server, messagePing, func(context.Context, nothing) (nothing, error) { return nothing{}, nil })
 	peerlink.Handle(i.server, messageTokens, func(_ context.Context, m tokensMessage) (tokensMessage, error) {
 		return tokensMessage{Tokens: i.ledger.Give(m.Tokens, i.cfg.Clock())}, nil
 	})
--- a/internal/leadership/belief.go
+++ b/internal/leadership/belief.go
@@ -63,9 +63,12 @@
 		changed: blackboard.NewCell(struct{}{}), services: make(map[string]*service)}
 }
 
-// Apply takes over a copy of the rows.
-func (b *Beliefs) Apply(s follow.State) {
+// Apply takes over a copy of the rows. Listed tells whether the same copy names
+// this instance as registered: one that is not is not waited for by others, and
+// must not use a primary.
+func (b *Beliefs) Apply(s follow.State, listed bool) {
 	decoded, err := decode(s)
+	decoded.listed = listed
 	if err != nil {
 		event.HandoverFailed.Emit(b.log, zap.Error(err))
 		return
@@ -147,7 +150,7 @@
 
 // current tells whether the copy entitles to the use of a primary.
 func (b *Beliefs) current() bool {
-	return b.records.known && b.clock()-b.records.asOf < EvidenceLifetime
+	return b.records.known && b.records.listed && b.clock()-b.records.asOf < EvidenceLifetime
 }
 
 // solePrimary returns the only endpoint that calls itself primary, for services
@@ -175,12 +178,11 @@
 }
 
 // unrivalled tells whether, by a copy that no rival can have outlived, the intent
-// of r is still the last one for its service.
+// of r is still the last one for its service. An epoch has one holder.
 func (b *Beliefs) unrivalled(r Record) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	known := b.records.services[r.Service]
-	return b.current() && (known.Epoch < r.Epoch || known == r)
+	return b.current() && b.records.services[r.Service].Epoch <= r.Epoch
 }
 
 // dutyHolder returns the instance that last took a fence number.
--- a/internal/leadership/handover.go
+++ b/internal/leadership/handover.go
@@ -107,7 +107,7 @@
 		return trace.CompareFailed("another instance was first")
 	}
 	next := Record{
-		Service: h.service, Endpoint: h.from.Endpoint, Term: h.from.Term, Phase: Moving, Epoch: h.from.Epoch + 1,
+		Service: h.service, Endpoint: h.from.Endpoint, Term: h.from.Term, Phase: Moving, Epoch: h.from.Epoch + 1, Ordered: h.from.Ordered,
 		Holder: h.c.cfg.Self, Fence: current.duty.Fence + 1, Attempt: uuid.NewString(),
 	}
 	if next.Endpoint == "" {
@@ -205,7 +205,7 @@
 	stopping, cancel := context.WithTimeout(ctx, max(0, lapsed-h.c.cfg.Clock()))
 	defer cancel()
 	found := make(chan answer, 1)
-	if h.why == reasonSilent {
+	if h.mayReturn() {
 		go h.watchOld(stopping, func(a answer) {
 			found <- a
 			cancel()
@@ -253,7 +253,7 @@
 
 // promote finds the new primary, orders it and waits until it shows.
 func (h *handover) promote(ctx context.Context) (catalog.Endpoint, uint64, error) {
-	if h.from.Phase == Moving && !sleep(ctx, lateOrder) {
+	if h.from.Ordered != "" && h.from.Phase == Moving && !sleep(ctx, lateOrder) {
 		return catalog.Endpoint{}, 0, trace.Wrap(ctx.Err())
 	}
 	o := order{h: h}
@@ -302,9 +302,34 @@
 		return answer{}, false, nil
 	}
 	o.above = found.newestTerm()
+	if err := h.announce(ctx, choice.ID); err != nil {
+		return answer{}, false, trace.Wrap(err)
+	}
 	return answer{}, false, o.give(ctx, choice)
 }
 
+// announce records what is about to be ordered, for an instance that may have to
+// carry on.
+func (h *handover) announce(ctx context.Context, target string) error {
+	if h.record.Ordered == target {
+		return nil
+	}
+	current, rows, err := h.read(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if current.services[h.service] != h.record {
+		return trace.CompareFailed("another instance has taken over")
+	}
+	next := h.record
+	next.Ordered, next.Attempt = target, uuid.NewString()
+	if err := h.commit(ctx, rows, []platform.Write{encodeRow(servicePrefix+h.service, next)}, next); err != nil {
+		return trace.Wrap(err)
+	}
+	h.record = next
+	return nil
+}
+
 // give orders the promotion. One that the platform refused leaves the choice open.
 func (o *order) give(ctx context.Context, target catalog.Endpoint) error {
 	o.target, o.at = target, o.h.c.cfg.Clock()
@@ -318,10 +343,16 @@
 
 var errRefused = errors.New("leadership: the platform refused the promotion")
 
+// mayReturn tells whether the old primary may stay: nothing was ordered, here or by
+// an earlier holder, and it is not leaving.
+func (h *handover) mayReturn() bool {
+	return h.why == reasonSilent || h.why == reasonAbandoned && h.from.Ordered == ""
+}
+
 // returned finds the old primary answering again before anything was ordered, so
 // that nothing that it has acknowledged need be lost.
 func (h *handover) returned(found survey) (answer, bool) {
-	if h.why != reasonSilent {
+	if !h.mayReturn() {
 		return answer{}, false
 	}
 	for _, a := range found.answers {
@@ -366,7 +397,7 @@
 		return trace.CompareFailed("another instance has taken over")
 	}
 	next := h.record
-	next.Endpoint, next.Term, next.Phase, next.Attempt = target.ID, term, Settled, uuid.NewString()
+	next.Endpoint, next.Term, next.Phase, next.Ordered, next.Attempt = target.ID, term, Settled, "", uuid.NewString()
 	if err := h.commit(ctx, rows, []platform.Write{encodeRow(servicePrefix+h.service, next)}, next); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/leadership/record.go
+++ b/internal/leadership/record.go
@@ -48,6 +48,9 @@
 	Epoch uint64 `json:"epoch"`
 	// Holder is the instance that replaces or has replaced.
 	Holder string `json:"holder"`
+	// Ordered is the endpoint whose promotion may have been ordered; empty while
+	// the platform has surely not been asked.
+	Ordered string `json:"ordered,omitempty"`
 	// Fence is the number under which Holder calls the platform.
 	Fence uint64 `json:"fence"`
 	// Attempt identifies the commit, so that one whose answer was lost is
@@ -67,6 +70,7 @@
 	services map[string]Record
 	asOf     time.Duration
 	known    bool
+	listed   bool // this instance is registered
 }
 
 // decode reads the rows of a copy. A row that cannot be read is an error: it may
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -74,7 +74,7 @@
 	capacity = max(l.Burst/n, leastCapacity)
 	allowed := l.Rate*seconds + l.Burst
 	allowed += slackUsed * (allowed*a.Tolerance + a.Slack)
-	rate = min(l.Rate, (allowed-n*capacity)/seconds) / n
+	rate = (allowed - n*capacity) / seconds / n
 	return max(0, rate), capacity
 }
 
