leadership: evidence of 2 s, kept alive by the word of a majority

A copy has to live that long only for the sake of outages of the store, in which nobody can replace anything. Weighed: a shorter life alone (an outage of 4.5 s then stops all primaries), leases through the store (same), asking all instances (one that is down blocks it). Change: a copy entitles for 2 s. While the store does not serve an instance, the word of a majority of the members that they know of no later epoch renews it, for 9 s at most. A replacement goes on once those that have not stopped are too few to be a majority, also by a copy that lacks the newcomers, 2.4 s after the last of the others has stopped. A member that started since vouches only by rows newer than its start; one that is retired is not asked and counts as one that has not stopped.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -42,6 +42,7 @@
 	configuration *blackboard.Cell[*catalog.Configuration]
 	registry      *blackboard.Cell[*catalog.Registry]
 	members       *blackboard.Cell[[]member]
+	knownSince    *blackboard.Cell[map[string]time.Duration]
 	registered    atomic.Bool
 	draining      atomic.Bool
 	toldReady     atomic.Pointer[string]
@@ -70,6 +71,7 @@
 		configuration: blackboard.NewCell(&catalog.Configuration{}),
 		registry:      blackboard.NewCell(catalog.NewRegistry(nil)),
 		members:       blackboard.NewCell[[]member](nil),
+		knownSince:    blackboard.NewCell[map[string]time.Duration](nil),
 		ledger:        quota.NewLedger(cfg.Allowance),
 		health:        backend.NewHealth(cfg.Clock),
 		server:        peerlink.NewServer(),
@@ -116,7 +118,8 @@
 	i.controller, err = leadership.New(leadership.Config{
 		Self: i.cfg.Name, Beliefs: i.beliefs, Refresh: i.fleet.Refresh, Registry: i.registry.Get,
 		RegistrySettled: i.registrySettled, Members: i.leadershipMembers, FreshMembers: i.freshMembers,
-		Table: i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
+		Newcomers: i.newcomers,
+		Table:     i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
 		Peers: peers{i.client}, Health: i.health, Clock: i.cfg.Clock, Log: i.cfg.Log,
 	})
 	return trace.Wrap(err)
@@ -212,7 +215,8 @@
 func (i *Instance) applyFleet(s follow.State) {
 	before := len(i.members.Get())
 	members := decodeMembers(s.Rows, i.cfg.Log)
-	i.beliefs.Apply(s, i.lists(members))
+	i.beliefs.Apply(s, i.membership(members))
+	i.noteNewcomers(members)
 	i.members.Set(members)
 	if len(members) != before {
 		i.divideLimits()
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -138,8 +138,45 @@
 // memberCount is among how many instances limits are divided.
 func (i *Instance) memberCount() int { return max(1, len(i.members.Get())) }
 
+// membership is what a copy of the members says.
+func (i *Instance) membership(members []member) leadership.Membership {
+	m := leadership.Membership{Listed: i.lists(members)}
+	for _, other := range members {
+		if !other.Retired {
+			m.Count++
+		}
+	}
+	return m
+}
+
+// noteNewcomers remembers since when each member is known.
+func (i *Instance) noteNewcomers(members []member) {
+	known := make(map[string]time.Duration, len(members))
+	before := i.knownSince.Get()
+	for _, m := range members {
+		since, ok := before[m.Name]
+		if !ok {
+			since = i.cfg.Clock()
+		}
+		known[m.Name] = since
+	}
+	i.knownSince.Set(known)
+}
+
+// newcomers counts the members that another instance may not know of.
+func (i *Instance) newcomers() int {
+	count := 0
+	now := i.cfg.Clock()
+	for _, since := range i.knownSince.Get() {
+		if now-since < leadership.LongestOutage+2*fleetInterval {
+			count++
+		}
+	}
+	return count
+}
+
 func (i *Instance) leadershipMembers() []leadership.Member {
-	return toLeadership(i.members.Get())
+	return toLeadership(slices.DeleteFunc(slices.Clone(i.members.Get()), func(m member) bool { return m.Retired }))
 }
 
 // freshMembers reads the registered instances from the store.
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -22,6 +22,7 @@
 	messageReplacing = "replacing"
 	messageTokens    = "tokens"
 	messagePing      = "ping"
+	messageVouch     = "vouch"
 )
 
 const (
@@ -58,6 +59,11 @@
 	Yes bool `json:"yes"`
 }
 
+// epochsMessage has the latest epoch of each service.
+type epochsMessage struct {
+	Epochs map[string]uint64 `json:"epochs"`
+}
+
 type nothing struct{}
 
 type tokensMessage struct {
@@ -82,6 +88,13 @@
 		return yesNo{Yes: i.controller.Replacing(m.Service, m.Epoch)}, nil
 	})
 	peerlink.Handle(i.server, messagePing, func(context.Context, nothing) (nothing, error) { return nothing{}, nil })
+	peerlink.Handle(i.server, messageVouch, func(context.Context, nothing) (epochsMessage, error) {
+		epochs, ok := i.beliefs.Vouch()
+		if !ok {
+			return epochsMessage{}, trace.NotFound("nothing is known since the start")
+		}
+		return epochsMessage{Epochs: epochs}, nil
+	})
 	peerlink.Handle(i.server, messageTokens, func(_ context.Context, m tokensMessage) (tokensMessage, error) {
 		return tokensMessage{Tokens: i.ledger.Give(m.Tokens, i.cfg.Clock())}, nil
 	})
@@ -186,6 +199,12 @@
 	return answer.Yes, err
 }
 
+func (p peers) Vouch(ctx context.Context, m leadership.Member) (map[string]uint64, error) {
+	var answer epochsMessage
+	err := p.client.Call(ctx, m.Address, messageVouch, nothing{}, &answer)
+	return answer.Epochs, err
+}
+
 func (p peers) Replacing(ctx context.Context, m leadership.Member, service string, epoch uint64) (bool, error) {
 	var answer yesNo
 	err := p.client.Call(ctx, m.Address, messageReplacing, epochMessage{Service: service, Epoch: epoch}, &answer)
--- a/internal/leadership/belief.go
+++ b/internal/leadership/belief.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,10 @@
 	errNoPrimary  = trace.NotFound("no primary is registered")
 )
 
+// IsUncertain tells from an error of Leader or Enter that this instance knows too
+// little, where another one may know more.
+func IsUncertain(err error) bool { return errors.Is(err, errNoEvidence) }
+
 // Leader is a primary that may be used.
 type Leader struct {
 	Endpoint string
@@ -44,6 +49,11 @@
 	mu       sync.Mutex
 	records  records             // guarded by mu
 	services map[string]*service // guarded by mu
+	// vouchedAt is an instant at which a majority of the members knew of nothing
+	// newer; guarded by mu.
+	vouchedAt time.Duration
+	// startedAt is when this process began to remember what it has stopped.
+	startedAt time.Duration
 }
 
 // service is the local state beside the record.
@@ -60,15 +70,16 @@
 // NewBeliefs returns beliefs that know nothing.
 func NewBeliefs(clock lease.Clock, log *zap.Logger, registry func() *catalog.Registry) *Beliefs {
 	return &Beliefs{clock: clock, log: log, registry: registry,
-		changed: blackboard.NewCell(struct{}{}), services: make(map[string]*service)}
+		startedAt: clock(),
+		changed:   blackboard.NewCell(struct{}{}), services: make(map[string]*service)}
 }
 
-// Apply takes over a copy of the rows. Listed tells whether the same copy names
-// this instance as registered: one that is not is not waited for by others, and
-// must not use a primary.
-func (b *Beliefs) Apply(s follow.State, listed bool) {
+// Apply takes over a copy of the rows, with what it says of the members. An
+// instance that is not listed is not waited for by others, and must not use a
+// primary.
+func (b *Beliefs) Apply(s follow.State, members Membership) {
 	decoded, err := decode(s)
-	decoded.listed = listed
+	decoded.members = members
 	if err != nil {
 		event.HandoverFailed.Emit(b.log, zap.Error(err))
 		return
@@ -113,14 +124,25 @@
 // Changed returns a channel that is closed when a primary may have changed.
 func (b *Beliefs) Changed() <-chan struct{} { return b.changed.Changed() }
 
-// EvidenceAge is how old the copy of the rows is.
+// EvidenceAge is how old what entitles to the use of primaries is.
 func (b *Beliefs) EvidenceAge() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.records.known {
-		return EvidenceLifetime
+	return b.evidenceAge()
+}
+
+// evidenceAge is the age of the copy of the rows, or of the members' word for it.
+// The caller holds mu.
+func (b *Beliefs) evidenceAge() time.Duration {
+	now := b.clock()
+	switch age := now - b.records.asOf; {
+	case !b.records.known || !b.records.members.Listed:
+		return LongestOutage
+	case age < LongestOutage:
+		return min(age, now-b.vouchedAt)
+	default:
+		return age
 	}
-	return b.clock() - b.records.asOf
 }
 
 // Leader returns the primary that may be used now.
@@ -148,10 +170,8 @@
 	return Leader{Endpoint: id}, nil
 }
 
-// current tells whether the copy entitles to the use of a primary.
-func (b *Beliefs) current() bool {
-	return b.records.known && b.records.listed && b.clock()-b.records.asOf < EvidenceLifetime
-}
+// current tells whether what is known entitles to the use of a primary.
+func (b *Beliefs) current() bool { return b.evidenceAge() < EvidenceLifetime }
 
 // solePrimary returns the only endpoint that calls itself primary, for services
 // that were never moved.
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -83,6 +83,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	t, ctx := tomb.WithContext(ctx)
 	t.Go(func() error { return c.look(ctx, t) })
+	t.Go(func() error { return c.seekWord(ctx) })
 	return trace.Wrap(t.Wait())
 }
 
--- a/internal/leadership/handover.go
+++ b/internal/leadership/handover.go
@@ -28,7 +28,7 @@
 	// watchInterval spaces looks for an old primary that may come back.
 	watchInterval = 300 * time.Millisecond
 	// statusTimeout bounds a question to a server.
-	statusTimeout = 500 * time.Millisecond
+	statusTimeout = 300 * time.Millisecond
 	// statusSpread is how much later than the first server the others may answer: a
 	// busy server's slots free up within it.
 	statusSpread = 120 * time.Millisecond
@@ -193,52 +193,76 @@
 	return platform.Write{Key: key, Value: encoded}
 }
 
-// stopMembers returns once no instance uses the old primary any more: each has
-// stopped, or its copy of the rows has lapsed. A refused connection says nothing of
-// a process: what cuts a link may refuse connections as well. It reports true as
-// soon as the old primary answers again, when it need not be replaced.
+// stopMembers returns once no instance uses the old primary any more. Each has
+// stopped, or what entitles it has lapsed: its copy of the rows, and the word of a
+// majority, which it cannot get once the members that have not stopped are too few
+// to be one. A refused connection says nothing of a process: what cuts a link may
+// refuse connections as well. The old primary that answers again meanwhile is
+// returned: it need not be replaced.
 func (h *handover) stopMembers(ctx context.Context) (returned *answer, err error) {
 	if h.members, err = h.c.cfg.FreshMembers(ctx); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	lapsed := h.written + EvidenceLifetime + lapseSlack
-	stopping, cancel := context.WithTimeout(ctx, max(0, lapsed-h.c.cfg.Clock()))
+	stopping, cancel := context.WithCancel(ctx)
 	defer cancel()
 	found := make(chan answer, 1)
 	if h.mayReturn() {
-		go h.watchOld(stopping, func(a answer) {
-			found <- a
-			cancel()
-		})
+		go h.watchOld(stopping, func(a answer) { found <- a })
 	}
-	var pending sync.WaitGroup
-	pending.Go(func() { h.c.cfg.Beliefs.Stop(ctx, h.service, h.record.Epoch) })
+	stops := make(chan struct{}, len(h.members))
 	for _, m := range h.members {
-		if m.Name != h.c.cfg.Self {
-			pending.Go(func() { h.stopOne(stopping, m) })
+		go func() {
+			if m.Name == h.c.cfg.Self {
+				h.c.cfg.Beliefs.Stop(stopping, h.service, h.record.Epoch)
+			} else if !h.stopOne(stopping, m) {
+				return
+			}
+			stops <- struct{}{}
+		}()
+	}
+	last, missing := h.written, len(h.members)
+	for missing > 0 {
+		timer := time.NewTimer(max(0, h.lapsesAt(last, missing)-h.c.cfg.Clock()))
+		select {
+		case <-stops:
+			timer.Stop()
+			last, missing = h.c.cfg.Clock(), missing-1
+		case a := <-found:
+			timer.Stop()
+			return &a, nil
+		case <-timer.C:
+			return nil, nil
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, trace.Wrap(ctx.Err())
 		}
 	}
-	pending.Wait()
-	select {
-	case a := <-found:
-		return &a, nil
-	default:
-		return nil, trace.Wrap(ctx.Err())
+	return nil, nil
+}
+
+// lapsesAt is when the members that have not stopped surely use the old primary no
+// more. Too few to be a majority, also by a copy that does not show the newcomers,
+// they have what they had when the last of the others stopped.
+func (h *handover) lapsesAt(lastStop time.Duration, missing int) time.Duration {
+	if 2*missing < len(h.members)-h.c.cfg.Newcomers() {
+		return max(h.written, lastStop) + EvidenceLifetime + lapseSlack
 	}
+	return h.written + LongestOutage + EvidenceLifetime + lapseSlack
 }
 
 // stopOne asks the member until it has stopped or ctx ends.
-func (h *handover) stopOne(ctx context.Context, m Member) {
+func (h *handover) stopOne(ctx context.Context, m Member) bool {
 	for ctx.Err() == nil {
 		asking, cancel := context.WithTimeout(ctx, askTimeout)
 		err := h.c.cfg.Peers.Stop(asking, m, h.service, h.record.Epoch)
 		cancel()
 		if err == nil {
-			return
+			return true
 		}
 		h.c.cfg.Log.Debug("an instance has not stopped yet", zap.String("member", m.Name), zap.Error(err))
 		sleep(ctx, stopRetry)
 	}
+	return false
 }
 
 // watchOld looks for the old primary while others are being stopped.
@@ -462,7 +486,7 @@
 			if !more {
 				return found
 			}
-			if len(found.answers) == 0 {
+			if len(found.answers) == 0 && !h.mayReturn() {
 				timer := time.AfterFunc(statusSpread, cancel)
 				defer timer.Stop()
 			}
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -59,6 +59,8 @@
 	Settled(ctx context.Context, m Member) error
 	// Reaches asks whether the member gets answers from the endpoint.
 	Reaches(ctx context.Context, m Member, endpoint string) (bool, error)
+	// Vouch asks for the latest epochs that the member knows of.
+	Vouch(ctx context.Context, m Member) (map[string]uint64, error)
 	// Replacing asks whether the member is at work on the epoch.
 	Replacing(ctx context.Context, m Member, service string, epoch uint64) (bool, error)
 }
@@ -80,22 +82,26 @@
 	// RegistrySettled tells whether an entry that is missing from the registry
 	// is gone for good.
 	RegistrySettled func() bool
-	// Members returns the instances known to be registered, this one included.
+	// Members returns the instances known to be registered and not retired, this one
+	// included.
 	Members func() []Member
-	// FreshMembers reads them from the store.
+	// FreshMembers reads all that are registered from the store, also retired ones.
 	FreshMembers func(ctx context.Context) ([]Member, error)
-	Table        platform.Table
-	Servers      Servers
-	Promoter     Promoter
-	Peers        Peers
-	Health       Health
-	Clock        lease.Clock
-	Log          *zap.Logger
+	// Newcomers is how many of them an instance that last read the store
+	// LongestOutage ago may not know of.
+	Newcomers func() int
+	Table     platform.Table
+	Servers   Servers
+	Promoter  Promoter
+	Peers     Peers
+	Health    Health
+	Clock     lease.Clock
+	Log       *zap.Logger
 }
 
 // CheckAndSetDefaults validates the configuration.
 func (c *Config) CheckAndSetDefaults() error {
-	if c.Self == "" || c.Beliefs == nil || c.Refresh == nil || c.Registry == nil || c.Members == nil || c.FreshMembers == nil ||
+	if c.Self == "" || c.Beliefs == nil || c.Refresh == nil || c.Registry == nil || c.Members == nil || c.FreshMembers == nil || c.Newcomers == nil ||
 		c.Table == nil || c.Servers == nil || c.Promoter == nil || c.Peers == nil || c.Health == nil {
 		return trace.BadParameter("leadership: every port is required")
 	}
--- a/internal/leadership/record.go
+++ b/internal/leadership/record.go
@@ -19,11 +19,16 @@
 	servicePrefix = RowPrefix + "service/"
 )
 
-// EvidenceLifetime is how long a copy of the rows entitles to the use of a
-// primary. Longer rides out longer outages of the store; shorter ends the wait
-// for an unreachable instance sooner. Outages and cuts of the known deployments
-// last up to 6 s.
-const EvidenceLifetime = 6 * time.Second
+const (
+	// EvidenceLifetime is how long a copy of the rows, or the word of a majority of
+	// the members that there is nothing newer, entitles to the use of a primary. It
+	// bounds the wait for an instance that cannot be reached; it has to be above the
+	// interval of the reads with a slow answer.
+	EvidenceLifetime = 2 * time.Second
+	// LongestOutage is how long the word of the members may stand in for the store:
+	// the store's known outages last up to 9 s.
+	LongestOutage = 9 * time.Second
+)
 
 // Phase says whether the primary may be used.
 type Phase string
@@ -70,7 +75,15 @@
 	services map[string]Record
 	asOf     time.Duration
 	known    bool
-	listed   bool // this instance is registered
+	members  Membership
+}
+
+// Membership is what a copy of the rows says of the registered instances.
+type Membership struct {
+	// Listed tells whether this instance is among them.
+	Listed bool
+	// Count is how many there are, without those that are retired.
+	Count int
 }
 
 // decode reads the rows of a copy. A row that cannot be read is an error: it may
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
@@ -74,6 +75,10 @@
 		use, err := cfg.Beliefs.Enter(r.Service)
 		if err != nil {
 			last = err
+			if leadership.IsUncertain(err) {
+				// Another instance may know the primary.
+				break
+			}
 			e.awaitChange(ctx, changed)
 			continue
 		}
