edge: relay to endpoints that are cut off from an instance; shed callers while cut off

An instance that cannot reach the primary refuses what another one could serve, and callers stay connected to an instance that knows too little to serve them. Change: a connection that cannot be opened directly is opened through an instance that says it can; only bytes pass there. An instance without evidence closes sessions at rest once a second, so that their callers connect to one that is ready.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -158,7 +159,10 @@
 	t.Go(func() error { return i.admission.Run(ctx) })
 	t.Go(func() error { return i.controller.Run(ctx) })
 	t.Go(func() error { return i.pools.Run(ctx) })
-	return trace.Wrap(t.Wait())
+	if err := t.Wait(); !errors.Is(err, context.Canceled) {
+		return trace.Wrap(err)
+	}
+	return nil
 }
 
 // applyConfiguration puts a new version into force.
@@ -272,6 +276,12 @@
 	return reason == "", reason
 }
 
+// CutOff tells whether the instance has served and now knows too little of the
+// primaries to do so.
+func (i *Instance) CutOff() bool {
+	return i.registered.Load() && i.configuration.Get().Version > 0 && i.beliefs.EvidenceAge() >= leadership.EvidenceLifetime
+}
+
 // Drain makes Ready say no from here on.
 func (i *Instance) Drain() { i.draining.Store(true) }
 
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -23,6 +23,7 @@
 	messageTokens    = "tokens"
 	messagePing      = "ping"
 	messageVouch     = "vouch"
+	messageDirect    = "direct"
 )
 
 const (
@@ -55,6 +56,10 @@
 	Endpoint string `json:"endpoint"`
 }
 
+type addressMessage struct {
+	Address string `json:"address"`
+}
+
 type yesNo struct {
 	Yes bool `json:"yes"`
 }
@@ -87,6 +92,7 @@
 	peerlink.Handle(i.server, messageReplacing, func(_ context.Context, m epochMessage) (yesNo, error) {
 		return yesNo{Yes: i.controller.Replacing(m.Service, m.Epoch)}, nil
 	})
+	i.serveRelay()
 	peerlink.Handle(i.server, messagePing, func(context.Context, nothing) (nothing, error) { return nothing{}, nil })
 	peerlink.Handle(i.server, messageVouch, func(context.Context, nothing) (epochsMessage, error) {
 		epochs, ok := i.beliefs.Vouch()
@@ -217,3 +223,45 @@
 	err := i.client.Call(ctx, p.Address, messageTokens, tokensMessage{Tokens: wants}, &answer)
 	return answer.Tokens, err
 }
+
+// serveRelay connects other instances to endpoints that they do not reach, and uses
+// them likewise.
+func (i *Instance) serveRelay() {
+	relay := i.cfg.Relay
+	if relay == nil {
+		return
+	}
+	relay.members = func() []string {
+		var addresses []string
+		for _, m := range i.others() {
+			addresses = append(addresses, m.Address)
+		}
+		return addresses
+	}
+	relay.reaches = func(ctx context.Context, member, address string) (bool, error) {
+		var answer yesNo
+		err := i.client.Call(ctx, member, messageDirect, addressMessage{Address: address}, &answer)
+		return answer.Yes, err
+	}
+	peerlink.Handle(i.server, messageDirect, func(ctx context.Context, m addressMessage) (yesNo, error) {
+		if !i.isEndpoint(m.Address) {
+			return yesNo{}, nil
+		}
+		conn, err := relay.directly(ctx, "tcp", m.Address)
+		if err == nil {
+			conn.Close()
+		}
+		return yesNo{Yes: err == nil}, nil
+	})
+	i.server.Mux().HandleFunc("GET /relay", relay.serve(i.isEndpoint))
+}
+
+// isEndpoint tells whether a registered endpoint has the address.
+func (i *Instance) isEndpoint(address string) bool {
+	for _, e := range i.registry.Get().Endpoints {
+		if e.Address == address {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"net"
 	"time"
 
@@ -49,7 +48,9 @@
 	Seeds     []string
 	Allowance quota.Allowance
 	// Dial connects to other instances.
-	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial DialFunc
+	// Relay, where set, is what Ports.Dialer connects by.
+	Relay   *Relay
 	Ports   Ports
 	Clock   lease.Clock
 	Log     *zap.Logger
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -37,6 +37,15 @@
 		Number: 9007, Name: "edge.readiness_changed", Level: zapcore.InfoLevel,
 		Text: "readiness changed", Fields: []string{"ready", "reason"},
 	}
+	EndpointRelayed = Event{
+		Number: 9008, Name: "edge.endpoint_relayed", Level: zapcore.InfoLevel,
+		Text:   "an endpoint is reached through another instance",
+		Fields: []string{"address", "through", "error"},
+	}
+	SessionsShed = Event{
+		Number: 9009, Name: "edge.sessions_shed", Level: zapcore.InfoLevel,
+		Text: "sessions at rest are closed, so that their callers go to other instances", Fields: []string{"callers"},
+	}
 	HandoverBegun = Event{
 		Number: 9010, Name: "edge.handover_begun", Level: zapcore.InfoLevel,
 		Text:   "replacing a primary: its use stops at every instance",
@@ -102,7 +111,7 @@
 
 var edgeEvents = []Event{
 	StoreFailing, StoreBack, ConfigurationApplied, ConfigurationUnreadable,
-	RegistryChanged, RegistryEntryIgnored, ReadinessChanged,
+	RegistryChanged, RegistryEntryIgnored, ReadinessChanged, EndpointRelayed, SessionsShed,
 	HandoverBegun, HandoverStopped, HandoverPromoted, HandoverDone, HandoverFailed,
 	LeaderChanged, LeaderDown, RequestRefused, RequestUnknown, RequestLate, LinesDropped,
 	EdgeRegistered, EdgeRemoved,
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -84,7 +85,10 @@
 	t, ctx := tomb.WithContext(ctx)
 	t.Go(func() error { return c.look(ctx, t) })
 	t.Go(func() error { return c.seekWord(ctx) })
-	return trace.Wrap(t.Wait())
+	if err := t.Wait(); !errors.Is(err, context.Canceled) {
+		return trace.Wrap(err)
+	}
+	return nil
 }
 
 // Replacing tells whether this instance works on the epoch.
