edge, leadership: keep endpoints for 2 s without an entry; let newcomers age while waiting

Change: an endpoint without an entry stays for 2 s, and the registry is read again then. Members carry the store's clock of their registration, and age while a replacement waits. The old primary is the one of the decision. Configuration is waited for 6 s in one call, the registry read every 2.5 s: a third fewer calls.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -43,11 +43,13 @@
 	configuration *blackboard.Cell[*catalog.Configuration]
 	registry      *blackboard.Cell[*catalog.Registry]
 	members       *blackboard.Cell[[]member]
-	knownSince    *blackboard.Cell[map[string]time.Duration]
 	registered    atomic.Bool
 	draining      atomic.Bool
 	toldReady     atomic.Pointer[string]
 	lookLimit     *rate.Limiter
+	// missing is since when registered endpoints have no entry; only the goroutine
+	// that follows the registry uses it.
+	missing map[string]time.Duration
 
 	followers  map[string]*follow.Follower
 	fleet      *follow.Follower
@@ -72,11 +74,11 @@
 		configuration: blackboard.NewCell(&catalog.Configuration{}),
 		registry:      blackboard.NewCell(catalog.NewRegistry(nil)),
 		members:       blackboard.NewCell[[]member](nil),
-		knownSince:    blackboard.NewCell[map[string]time.Duration](nil),
 		ledger:        quota.NewLedger(cfg.Allowance),
 		health:        backend.NewHealth(cfg.Clock),
 		server:        peerlink.NewServer(),
 		client:        peerlink.NewClient(cfg.Dial),
+		missing:       make(map[string]time.Duration),
 		lookLimit:     rate.NewLimiter(rate.Every(lookInterval), 1),
 	}
 	i.beliefs = leadership.NewBeliefs(cfg.Clock, cfg.Log, i.registry.Get)
@@ -119,8 +121,7 @@
 	i.controller, err = leadership.New(leadership.Config{
 		Self: i.cfg.Name, Beliefs: i.beliefs, Refresh: i.fleet.Refresh, Registry: i.registry.Get,
 		RegistrySettled: i.registrySettled, Members: i.leadershipMembers, FreshMembers: i.freshMembers,
-		Newcomers: i.newcomers,
-		Table:     i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
+		Table: i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
 		Peers: peers{i.client}, Health: i.health, Clock: i.cfg.Clock, Log: i.cfg.Log,
 	})
 	return trace.Wrap(err)
@@ -181,46 +182,11 @@
 		zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)))
 }
 
-// applyRegistry takes over the registered endpoints.
-func (i *Instance) applyRegistry(s follow.State) {
-	before := i.registry.Get()
-	now := i.cfg.Ports.DecodeRegistry(s.Rows, func(key string, err error) {
-		event.RegistryEntryIgnored.Emit(i.cfg.Log, zap.String("endpoint", key), zap.Error(err))
-	})
-	i.registry.Set(now)
-	i.logRegistry(before, now)
-}
-
-func (i *Instance) logRegistry(before, now *catalog.Registry) {
-	tell := func(e catalog.Endpoint, change string) {
-		event.RegistryChanged.Emit(i.cfg.Log, zap.String("endpoint", e.ID), zap.String("service", e.Service), zap.String("change", change))
-	}
-	for id, e := range now.Endpoints {
-		old, ok := before.Endpoints[id]
-		switch {
-		case !ok:
-			tell(e, "registered")
-		case e.Draining && !old.Draining:
-			tell(e, "draining")
-		case e.Role != old.Role:
-			tell(e, "role")
-		case e.StartedAt != old.StartedAt:
-			tell(e, "restarted")
-		}
-	}
-	for id, e := range before.Endpoints {
-		if _, ok := now.Endpoints[id]; !ok {
-			tell(e, "gone")
-		}
-	}
-}
-
 // applyFleet takes over the fleet's own rows.
 func (i *Instance) applyFleet(s follow.State) {
 	before := len(i.members.Get())
 	members := decodeMembers(s.Rows, i.cfg.Log)
 	i.beliefs.Apply(s, i.membership(members))
-	i.noteNewcomers(members)
 	i.members.Set(members)
 	if len(members) != before {
 		i.divideLimits()
@@ -235,17 +201,6 @@
 	i.ledger.Configure(limits, i.memberCount(), i.cfg.Clock())
 }
 
-// registrySettled tells whether a missing entry means that the endpoint is gone:
-// not while the store fails, nor in the time after it in which entries return.
-func (i *Instance) registrySettled() bool {
-	f := i.followers[setRegistry]
-	return f.Serving() && i.cfg.Clock()-f.ServingSince() > entriesReturn && f.State().Age(i.cfg.Clock()) < 2*registryInterval
-}
-
-// entriesReturn is how long after an outage of the store entries that lapsed
-// meanwhile may take to be back, with the time until this instance reads them.
-const entriesReturn = 2*time.Second + registryInterval
-
 // lookAgain reads primaries and registry anew, soon, however many requests ask for
 // it.
 func (i *Instance) lookAgain() {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
@@ -19,6 +20,9 @@
 const (
 	// memberPrefix begins the keys of the registered instances.
 	memberPrefix = "member/"
+	// newcomerFor is how long a member counts as a newcomer: until rows that lack it
+	// have surely lapsed, and a write that was performed late.
+	newcomerFor = leadership.LongestOutage + 7*time.Second
 	// registerPause spaces attempts to register.
 	registerPause = 300 * time.Millisecond
 )
@@ -30,6 +34,8 @@
 	FailureDomain string `json:"failure_domain"`
 	// Incarnation differs after every start.
 	Incarnation string `json:"incarnation"`
+	// RegisteredMs is the store's clock shortly before the row was written.
+	RegisteredMs int64 `json:"registered_ms"`
 	// Retired members are no longer heard of. One that reads this of itself stops
 	// using primaries until it has registered anew; its row goes once its copy of
 	// the rows has surely lapsed.
@@ -71,18 +77,33 @@
 			continue
 		}
 		i.registered.Store(false)
-		if i.writeMember(ctx, nil, memberWrite(i.self())) {
-			// What is read from here on shows every intent whose holder may not have
-			// seen this instance.
-			if err := i.fleet.Refresh(ctx); err == nil {
-				continue
-			}
+		if err := i.register(ctx); err != nil {
+			i.cfg.Log.Debug("this instance is not registered yet", zap.Error(err))
+			pause(ctx, registerPause)
 		}
-		pause(ctx, registerPause)
 	}
 	return nil
 }
 
+// register writes this instance's row and reads all rows: what is read from then on
+// shows every intent whose holder may not have seen this instance.
+func (i *Instance) register(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	key := memberPrefix + i.cfg.Name
+	rows, now, err := i.cfg.Ports.Table.Get(ctx, key)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	self := i.self()
+	self.RegisteredMs = now.UnixMilli()
+	conditions := []platform.Condition{{Key: key, Revision: rows[0].Revision}}
+	if _, err := i.cfg.Ports.Table.Commit(ctx, conditions, []platform.Write{memberWrite(self)}); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(i.fleet.Refresh(ctx))
+}
+
 func (i *Instance) noteRegistered() {
 	if !i.registered.Swap(true) {
 		event.EdgeRegistered.Emit(i.cfg.Log, zap.String("incarnation", i.incarnation), zap.String("address", i.cfg.PeerAddress))
@@ -149,32 +170,6 @@
 	return m
 }
 
-// noteNewcomers remembers since when each member is known.
-func (i *Instance) noteNewcomers(members []member) {
-	known := make(map[string]time.Duration, len(members))
-	before := i.knownSince.Get()
-	for _, m := range members {
-		since, ok := before[m.Name]
-		if !ok {
-			since = i.cfg.Clock()
-		}
-		known[m.Name] = since
-	}
-	i.knownSince.Set(known)
-}
-
-// newcomers counts the members that another instance may not know of.
-func (i *Instance) newcomers() int {
-	count := 0
-	now := i.cfg.Clock()
-	for _, since := range i.knownSince.Get() {
-		if now-since < leadership.LongestOutage+2*fleetInterval {
-			count++
-		}
-	}
-	return count
-}
-
 func (i *Instance) leadershipMembers() []leadership.Member {
 	return toLeadership(slices.DeleteFunc(slices.Clone(i.members.Get()), func(m member) bool { return m.Retired }))
 }
@@ -183,11 +178,21 @@
 func (i *Instance) freshMembers(ctx context.Context) ([]leadership.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rows, _, err := i.cfg.Ports.Fleet.Read(ctx)
+	rows, now, err := i.cfg.Ports.Table.List(ctx, memberPrefix)
 	if err != nil {
-		return nil, err
+		return nil, trace.Wrap(err)
+	}
+	copies := make([]follow.Row, len(rows))
+	for n, row := range rows {
+		copies[n] = follow.Row{Key: row.Key, Value: row.Value, Version: row.Revision}
+	}
+	members := decodeMembers(copies, i.cfg.Log)
+	list := toLeadership(members)
+	for n, m := range members {
+		age := time.Duration(now.UnixMilli()-m.RegisteredMs) * time.Millisecond
+		list[n].NewcomerUntil = i.cfg.Clock() + newcomerFor - age
 	}
-	return toLeadership(decodeMembers(rows, i.cfg.Log)), nil
+	return list, nil
 }
 
 func toLeadership(members []member) []leadership.Member {
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -60,12 +60,11 @@
 // Times of the copies that the instance follows.
 const (
 	// configurationWait is the longest wait for a change of the configuration in
-	// one call: a connection that went silent is noticed after it, within the
-	// bound of 3 s for a change to be in force.
-	configurationWait = 1500 * time.Millisecond
+	// one call; a connection that goes silent meanwhile is noticed by its keep-alive.
+	configurationWait = 6 * time.Second
 	// registryInterval spaces reads of the registry: endpoints that leave are
 	// served for 7 s after they have said so.
-	registryInterval = 1500 * time.Millisecond
+	registryInterval = 2500 * time.Millisecond
 	// fleetInterval spaces reads of the fleet's rows, which entitle to the use of
 	// primaries for leadership.EvidenceLifetime.
 	fleetInterval = time.Second
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -117,8 +117,6 @@
 	// failingSince is the boot-time instant since when the store does not serve
 	// this instance, 0 while it does.
 	failingSince atomic.Int64
-	// servingSince is the boot-time instant since when it serves without a failure.
-	servingSince atomic.Int64
 }
 
 // New returns a Follower that knows nothing.
@@ -140,10 +138,6 @@
 // Serving tells whether the store served the last call of this instance.
 func (f *Follower) Serving() bool { return f.failingSince.Load() == 0 }
 
-// ServingSince is the boot-time instant of the first call that the store served
-// after the last one that it did not; 0 when none has failed.
-func (f *Follower) ServingSince() time.Duration { return time.Duration(f.servingSince.Load()) }
-
 // Poke makes the next read come at once.
 func (f *Follower) Poke() {
 	select {
@@ -247,7 +241,6 @@
 
 func (f *Follower) served() {
 	if since := f.failingSince.Swap(0); since != 0 {
-		f.servingSince.Store(int64(f.cfg.Clock()))
 		event.StoreBack.Emit(f.cfg.Log, zap.String("set", f.cfg.Set),
 			zap.Duration("failed_for", f.cfg.Clock()-time.Duration(since)))
 	}
--- a/internal/leadership/belief.go
+++ b/internal/leadership/belief.go
@@ -32,6 +32,17 @@
 // little, where another one may know more.
 func IsUncertain(err error) bool { return errors.Is(err, errNoEvidence) }
 
+// MovingFor is how long this instance has found the primary being replaced.
+func (b *Beliefs) MovingFor(name string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	since := b.serviceOf(name).movingSince
+	if since == 0 {
+		return 0
+	}
+	return b.clock() - since
+}
+
 // Leader is a primary that may be used.
 type Leader struct {
 	Endpoint string
@@ -64,7 +75,9 @@
 	// graceUntil is until when uses that began before may still be confirmed.
 	graceUntil time.Duration
 	uses       map[*Use]struct{}
-	last       Leader // as logged
+	// movingSince is when the primary was first found to be replaced; 0 when not.
+	movingSince time.Duration
+	last        Leader // as logged
 }
 
 // NewBeliefs returns beliefs that know nothing.
@@ -157,9 +170,14 @@
 		return Leader{}, errNoEvidence
 	}
 	record, ok := b.records.services[name]
-	if record.Phase == Moving || record.Epoch < b.serviceOf(name).stopped {
+	s := b.serviceOf(name)
+	if record.Phase == Moving || record.Epoch < s.stopped {
+		if s.movingSince == 0 {
+			s.movingSince = b.clock()
+		}
 		return Leader{}, errMoving
 	}
+	s.movingSince = 0
 	if ok {
 		return Leader{Endpoint: record.Endpoint, Term: record.Term, Epoch: record.Epoch}, nil
 	}
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -202,6 +202,9 @@
 func (c *Controller) start(ctx context.Context, t *tomb.Tomb, name string, why reason) {
 	record, _ := c.cfg.Beliefs.record(name)
 	h := &handover{c: c, service: name, why: why, began: c.cfg.Clock(), from: record}
+	if leader, err := c.cfg.Beliefs.Leader(name); err == nil {
+		h.old = leader.Endpoint
+	}
 	c.mu.Lock()
 	c.running[name] = h
 	c.mu.Unlock()
--- a/internal/leadership/handover.go
+++ b/internal/leadership/handover.go
@@ -25,6 +25,8 @@
 	lapseSlack = 400 * time.Millisecond
 	// stopRetry spaces questions to an instance that has not stopped yet.
 	stopRetry = 150 * time.Millisecond
+	// lapsePoll is how often it is looked whether the others have lapsed.
+	lapsePoll = 50 * time.Millisecond
 	// watchInterval spaces looks for an old primary that may come back.
 	watchInterval = 300 * time.Millisecond
 	// statusTimeout bounds a question to a server.
@@ -111,7 +113,7 @@
 		Holder: h.c.cfg.Self, Fence: current.duty.Fence + 1, Attempt: uuid.NewString(),
 	}
 	if next.Endpoint == "" {
-		next.Endpoint, _ = solePrimary(h.c.cfg.Registry(), h.service)
+		next.Endpoint = h.old
 	}
 	h.old = next.Endpoint
 	writes := []platform.Write{encodeRow(dutyKey, duty{Holder: next.Holder, Fence: next.Fence}), encodeRow(servicePrefix+h.service, next)}
@@ -221,19 +223,16 @@
 		}()
 	}
 	last, missing := h.written, len(h.members)
-	for missing > 0 {
-		timer := time.NewTimer(max(0, h.lapsesAt(last, missing)-h.c.cfg.Clock()))
+	ticker := time.NewTicker(lapsePoll)
+	defer ticker.Stop()
+	for missing > 0 && h.c.cfg.Clock() < h.lapsesAt(last, missing) {
 		select {
 		case <-stops:
-			timer.Stop()
 			last, missing = h.c.cfg.Clock(), missing-1
 		case a := <-found:
-			timer.Stop()
 			return &a, nil
-		case <-timer.C:
-			return nil, nil
+		case <-ticker.C:
 		case <-ctx.Done():
-			timer.Stop()
 			return nil, trace.Wrap(ctx.Err())
 		}
 	}
@@ -244,7 +243,13 @@
 // more. Too few to be a majority, also by a copy that does not show the newcomers,
 // they have what they had when the last of the others stopped.
 func (h *handover) lapsesAt(lastStop time.Duration, missing int) time.Duration {
-	if 2*missing < len(h.members)-h.c.cfg.Newcomers() {
+	newcomers := 0
+	for _, m := range h.members {
+		if m.NewcomerUntil > h.c.cfg.Clock() {
+			newcomers++
+		}
+	}
+	if 2*missing < len(h.members)-newcomers {
 		return max(h.written, lastStop) + EvidenceLifetime + lapseSlack
 	}
 	return h.written + LongestOutage + EvidenceLifetime + lapseSlack
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -35,7 +35,7 @@
 	cut       map[string]bool // instances that reach nothing but servers
 	loseNext  bool            // the answer of the next commit is lost
 	storeDown bool
-	newcomers int
+	newcomers map[string]time.Duration
 	orders    []Promotion
 	instances map[string]*instance
 }
@@ -72,8 +72,7 @@
 		controller, err := New(Config{
 			Self: name, Beliefs: i.beliefs, Refresh: i.refresh, Registry: f.registry,
 			Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
-			Newcomers: func() int { return f.newcomers },
-			Table:     i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
+			Table: i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
 		})
 		require.NoError(t, err)
 		i.controller = controller
@@ -98,7 +97,7 @@
 func (f *fleet) members() []Member {
 	var list []Member
 	for name := range f.instances {
-		list = append(list, Member{Name: name})
+		list = append(list, Member{Name: name, NewcomerUntil: f.newcomers[name]})
 	}
 	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return list
@@ -409,7 +408,7 @@
 		f := newFleet(t, "a", "b", "c", "d", "e")
 		time.Sleep(time.Second)
 		f.set(func() {
-			f.newcomers = 2
+			f.newcomers = map[string]time.Duration{"a": 2 * time.Hour, "b": 2 * time.Hour}
 			f.cut["d"], f.cut["e"], f.servers["s1"].down = true, true, true
 		})
 		time.Sleep(5 * time.Second)
@@ -471,8 +470,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "b")
 		time.Sleep(time.Second)
-		first := &handover{c: f.instances["a"].controller, service: "db", why: reasonSilent}
-		second := &handover{c: f.instances["b"].controller, service: "db", why: reasonSilent}
+		first := &handover{c: f.instances["a"].controller, service: "db", why: reasonSilent, old: "s1"}
+		second := &handover{c: f.instances["b"].controller, service: "db", why: reasonSilent, old: "s1"}
 		require.NoError(t, first.commitIntent(t.Context()))
 		require.NoError(t, f.instances["b"].refresh(t.Context()))
 		require.ErrorContains(t, second.commitIntent(t.Context()), "another instance was first")
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -49,6 +49,9 @@
 type Member struct {
 	Name    string
 	Address string
+	// NewcomerUntil is until when another instance may go by rows without the member,
+	// by the clock of this instance.
+	NewcomerUntil time.Duration
 }
 
 // Peers calls other instances.
@@ -87,21 +90,18 @@
 	Members func() []Member
 	// FreshMembers reads all that are registered from the store, also retired ones.
 	FreshMembers func(ctx context.Context) ([]Member, error)
-	// Newcomers is how many of them an instance that last read the store
-	// LongestOutage ago may not know of.
-	Newcomers func() int
-	Table     platform.Table
-	Servers   Servers
-	Promoter  Promoter
-	Peers     Peers
-	Health    Health
-	Clock     lease.Clock
-	Log       *zap.Logger
+	Table        platform.Table
+	Servers      Servers
+	Promoter     Promoter
+	Peers        Peers
+	Health       Health
+	Clock        lease.Clock
+	Log          *zap.Logger
 }
 
 // CheckAndSetDefaults validates the configuration.
 func (c *Config) CheckAndSetDefaults() error {
-	if c.Self == "" || c.Beliefs == nil || c.Refresh == nil || c.Registry == nil || c.Members == nil || c.FreshMembers == nil || c.Newcomers == nil ||
+	if c.Self == "" || c.Beliefs == nil || c.Refresh == nil || c.Registry == nil || c.Members == nil || c.FreshMembers == nil ||
 		c.Table == nil || c.Servers == nil || c.Promoter == nil || c.Peers == nil || c.Health == nil {
 		return trace.BadParameter("leadership: every port is required")
 	}
--- a/internal/pipeline/place.go
+++ b/internal/pipeline/place.go
@@ -15,7 +15,7 @@
 	handshakeCost = 12 * time.Millisecond
 	// distanceCost is a round trip to another failure domain, and what its bytes
 	// are worth.
-	distanceCost = 2 * time.Millisecond
+	distanceCost = 5 * time.Millisecond
 	// primaryCost keeps room at the primary for what only the primary can serve.
 	primaryCost = 15 * time.Millisecond
 	// stalenessMargin is taken off a route's bound for the way of the request.
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -75,8 +75,7 @@
 		use, err := cfg.Beliefs.Enter(r.Service)
 		if err != nil {
 			last = err
-			if leadership.IsUncertain(err) {
-				// Another instance may know the primary.
+			if leadership.IsUncertain(err) || cfg.Beliefs.MovingFor(r.Service) > movingPatience {
 				break
 			}
 			e.awaitChange(ctx, changed)
@@ -117,6 +116,11 @@
 	return e.outOfTime(last)
 }
 
+// movingPatience is how long after the beginning of a primary's replacement
+// statements wait for its end. Most end within it; one that does not waits for
+// instances that cannot be reached, and callers are told at once.
+const movingPatience = 3 * time.Second
+
 // silencePatience is how long the primary may be silent before statements for it
 // are refused at once: another instance may reach it, and the caller's next attempt
 // goes to another one.
