follow, edge: one instance of each failure domain reads the store for the others

Change: the first member by name of a failure domain follows the store; the others wait at it for its next copy, with their fingerprint, so that unchanged rows are not sent. The copy's instant is that of the reader's question, moved by what the reader has waited; an answer that lies unread while a machine is frozen only makes the copy older. A reader that does not answer, or that the store does not serve, is left for the next one, then for the store.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -50,6 +50,8 @@
 	// missing is since when registered endpoints have no entry; only the goroutine
 	// that follows the registry uses it.
 	missing map[string]time.Duration
+	// nearBad is until when an instance is not asked for its copies.
+	nearBad *blackboard.Table[string, time.Duration]
 
 	followers  map[string]*follow.Follower
 	fleet      *follow.Follower
@@ -78,6 +80,7 @@
 		health:        backend.NewHealth(cfg.Clock),
 		server:        peerlink.NewServer(),
 		client:        peerlink.NewClient(cfg.Dial),
+		nearBad:       blackboard.NewTable[string, time.Duration](),
 		missing:       make(map[string]time.Duration),
 		lookLimit:     rate.NewLimiter(rate.Every(lookInterval), 1),
 	}
@@ -99,7 +102,7 @@
 		{Set: setRegistry, Source: i.cfg.Ports.Registry, Interval: registryInterval, Apply: i.applyRegistry},
 		{Set: setFleet, Source: i.cfg.Ports.Fleet, Interval: fleetInterval, Apply: i.applyFleet},
 	} {
-		c.Peers, c.Clock, c.Log, c.Timeout = i.askRows, i.cfg.Clock, i.cfg.Log, storeTimeout
+		c.Peers, c.Near, c.Clock, c.Log, c.Timeout = i.askRows, i.nearRows, i.cfg.Clock, i.cfg.Log, storeTimeout
 		f, err := follow.New(c)
 		if err != nil {
 			return trace.Wrap(err)
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -31,17 +32,42 @@
 	recentAnswer = 300 * time.Millisecond
 	// probeTimeout bounds a probe of an endpoint on behalf of another instance.
 	probeTimeout = 450 * time.Millisecond
+	// longestWait bounds the wait of another instance for a newer copy.
+	longestWait = 2 * time.Second
+	// nearTimeout bounds the answer of the failure domain's reader, beyond its wait.
+	nearTimeout = 300 * time.Millisecond
+	// nearPause is how long a reader that failed is not asked.
+	nearPause = 3 * time.Second
 	// peersAsked is how many instances are asked for rows in one round.
 	peersAsked = 3
 )
 
+// nearAges are the ages up to which a reader's copy is worth taking: an interval
+// between its reads and a slow answer.
+var nearAges = map[string]time.Duration{
+	setConfiguration: math.MaxInt64, // read again only when it changes
+	setRegistry:      registryInterval + storeTimeout/2,
+	setFleet:         fleetInterval + storeTimeout/2,
+}
+
 type rowsRequest struct {
 	Set   string `json:"set"`
 	Above uint64 `json:"above"`
+	// Has is the fingerprint of the rows that need not be sent.
+	Has string `json:"has,omitempty"`
+	// Wait is how long to wait for a newer copy.
+	Wait time.Duration `json:"wait_ns,omitempty"`
 }
 
-// rowsAnswer has no rows when Version is not above the one asked about.
+// rowsAnswer has no rows when Version is not above the one asked about, or Same is
+// true.
 type rowsAnswer struct {
+	Same bool `json:"same,omitempty"`
+	// Serving tells whether the store serves the instance that answers.
+	Serving bool `json:"serving,omitempty"`
+	// Waited is how long the answer was held back, which the asker may add to the
+	// instant at which it asked.
+	Waited  time.Duration `json:"waited_ns,omitempty"`
 	Rows    []follow.Row  `json:"rows,omitempty"`
 	Version uint64        `json:"version"`
 	Age     time.Duration `json:"age_ns"`
@@ -107,17 +133,33 @@
 }
 
 // answerRows hands out this instance's copy of a set.
-func (i *Instance) answerRows(_ context.Context, m rowsRequest) (rowsAnswer, error) {
+func (i *Instance) answerRows(ctx context.Context, m rowsRequest) (rowsAnswer, error) {
 	follower, ok := i.followers[m.Set]
 	if !ok {
 		return rowsAnswer{}, trace.NotFound("there is no set %q", m.Set)
 	}
+	received := i.cfg.Clock()
+	changed := follower.Changed()
 	s := follower.State()
+	if s.Version <= m.Above && m.Wait > 0 {
+		timer := time.NewTimer(min(m.Wait, longestWait))
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		s = follower.State()
+	}
 	if !s.Known() {
 		return rowsAnswer{}, trace.NotFound("nothing is known of %q yet", m.Set)
 	}
-	answer := rowsAnswer{Version: s.Version, Age: s.Age(i.cfg.Clock())}
-	if s.Version > m.Above {
+	now := i.cfg.Clock()
+	answer := rowsAnswer{Version: s.Version, Age: s.Age(now), Serving: follower.Serving(), Waited: now - received}
+	switch {
+	case m.Has != "" && m.Has == s.Fingerprint():
+		answer.Same = true
+	case s.Version > m.Above:
 		answer.Rows = s.Rows
 	}
 	return answer, nil
@@ -151,6 +193,53 @@
 	return best.Rows, best.Version, best.Age, nil
 }
 
+// nearRows is the follow.NearSource: the next copy of the first instance by name of
+// the failure domain that answers and that the store serves.
+func (i *Instance) nearRows(ctx context.Context, set string, known follow.State, wait time.Duration) (follow.State, bool) {
+	for _, m := range i.members.Get() {
+		switch {
+		case m.FailureDomain != i.cfg.FailureDomain || m.Retired:
+			continue
+		case m.Name == i.cfg.Name:
+			return follow.State{}, false
+		}
+		if s, ok := i.rowsOf(ctx, m, set, known, wait); ok {
+			return s, true
+		}
+	}
+	return follow.State{}, false
+}
+
+// rowsOf asks one instance, which may wait for a newer copy.
+func (i *Instance) rowsOf(ctx context.Context, m member, set string, known follow.State, wait time.Duration) (follow.State, bool) {
+	if !i.nearUsable(m.Name) {
+		return follow.State{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+nearTimeout)
+	defer cancel()
+	sent := i.cfg.Clock()
+	var answer rowsAnswer
+	err := i.client.Call(ctx, m.Address, messageRows, rowsRequest{Set: set, Above: known.Version, Has: known.Fingerprint(), Wait: wait}, &answer)
+	if err != nil || !answer.Serving || answer.Version < known.Version || answer.Age > nearAges[set] {
+		i.nearFailed(m.Name)
+		return follow.State{}, false
+	}
+	s := follow.State{Rows: answer.Rows, Version: answer.Version, AsOf: sent + answer.Waited - answer.Age}
+	if answer.Same || answer.Version == known.Version {
+		s.Rows = known.Rows
+	}
+	return s, true
+}
+
+// nearUsable tells whether the instance is asked for its copies: one that failed to
+// give any is left alone for a while.
+func (i *Instance) nearUsable(name string) bool {
+	until, ok := i.nearBad.Get(name)
+	return !ok || i.cfg.Clock() > until
+}
+
+func (i *Instance) nearFailed(name string) { i.nearBad.Put(name, i.cfg.Clock()+nearPause) }
+
 // someAddresses picks instances to ask: registered ones and seeds.
 func (i *Instance) someAddresses() []string {
 	all := make(map[string]struct{})
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,12 +53,26 @@
 	AsOf time.Duration
 }
 
+// Fingerprint is equal for copies with the same rows.
+func (s State) Fingerprint() string {
+	var newest uint64
+	for _, row := range s.Rows {
+		newest = max(newest, row.Version)
+	}
+	return strconv.Itoa(len(s.Rows)) + "/" + strconv.FormatUint(newest, 10)
+}
+
 // Known tells whether anything was ever read.
 func (s State) Known() bool { return s.AsOf >= 0 }
 
 // Age is how old the copy is at least known to be current.
 func (s State) Age(now time.Duration) time.Duration { return now - s.AsOf }
 
+// NearSource waits for the next publication of the instance that reads the store for
+// its failure domain. It reports false when that is this instance itself, when the
+// other one does not answer, or when the store does not serve it.
+type NearSource func(ctx context.Context, set string, known State, wait time.Duration) (State, bool)
+
 // PeerSource asks another instance for its copy. Rows are nil when the other
 // instance's version is not above the one given; its age tells how old its copy is.
 type PeerSource func(ctx context.Context, set string, above uint64) (rows []Row, version uint64, age time.Duration, err error)
@@ -69,6 +84,8 @@
 	Source Source
 	// Peers asks some other instance; nil asks none.
 	Peers PeerSource
+	// Near follows the reader of the failure domain; nil always reads the store.
+	Near  NearSource
 	Clock lease.Clock
 	Log   *zap.Logger
 	// Interval is the time between two reads, or the longest wait of one Await.
@@ -149,6 +166,9 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if f.followNear(ctx) {
+			continue
+		}
 		if err := f.Refresh(ctx); err != nil {
 			f.failed(err)
 			f.askPeers(ctx)
@@ -161,6 +181,30 @@
 	return nil
 }
 
+// nearWait is the longest wait for the reader of the failure domain; its copies are
+// passed on as soon as it has them.
+const nearWait = time.Second
+
+// followNear takes over the next copy of the failure domain's reader. It reports
+// false when the store has to be read here.
+func (f *Follower) followNear(ctx context.Context) bool {
+	known := f.State()
+	if f.cfg.Near == nil || !known.Known() {
+		return false
+	}
+	select {
+	case <-f.poke:
+		return false
+	default:
+	}
+	s, ok := f.cfg.Near(ctx, f.cfg.Set, known, nearWait)
+	if !ok {
+		return false
+	}
+	f.publish(s)
+	return true
+}
+
 // Refresh reads the store once.
 func (f *Follower) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
@@ -189,6 +233,11 @@
 
 // wait passes the time until the next read.
 func (f *Follower) wait(ctx context.Context) {
+	if f.cfg.Near != nil {
+		if _, ok := f.cfg.Near(ctx, f.cfg.Set, f.State(), 0); ok {
+			return // the reader of the failure domain is followed from here on
+		}
+	}
 	waiter, ok := f.cfg.Source.(Waiter)
 	if !ok {
 		f.sleep(ctx, jitter(f.cfg.Interval))
