quota: divide a limit among twelve instances at most

With 79 instances each part of a limit is a third of an operation a second; most parts lie full and unused, and the twelve instances that are asked are drained ones. Change: a limit is divided among up to twelve homes, chosen by hash; the others borrow from those, near ones first, and lose within a second what they do not use.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -187,11 +188,11 @@
 
 // applyFleet takes over the fleet's own rows.
 func (i *Instance) applyFleet(s follow.State) {
-	before := len(i.members.Get())
+	before := i.memberNames()
 	members := decodeMembers(s.Rows, i.cfg.Log)
 	i.beliefs.Apply(s, i.membership(members))
 	i.members.Set(members)
-	if len(members) != before {
+	if !slices.Equal(before, i.memberNames()) {
 		i.divideLimits()
 	}
 }
@@ -201,7 +202,7 @@
 	for name, o := range i.configuration.Get().Organisations {
 		limits[name] = quota.Limit{Rate: o.Rate, Burst: o.Burst}
 	}
-	i.ledger.Configure(limits, i.memberCount(), i.cfg.Clock())
+	i.ledger.Configure(limits, i.cfg.Name, i.memberNames(), i.cfg.Clock())
 }
 
 // lookAgain reads primaries and registry anew, soon, however many requests ask for
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -170,6 +170,17 @@
 	return m
 }
 
+// memberNames are the instances among which limits are divided, retired ones too:
+// they may not know yet.
+func (i *Instance) memberNames() []string {
+	members := i.members.Get()
+	names := make([]string, len(members))
+	for n, m := range members {
+		names[n] = m.Name
+	}
+	return names
+}
+
 func (i *Instance) leadershipMembers() []leadership.Member {
 	return toLeadership(slices.DeleteFunc(slices.Clone(i.members.Get()), func(m member) bool { return m.Retired }))
 }
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -280,26 +280,31 @@
 // peers implements leadership.Peers.
 type peers struct{ client *peerlink.Client }
 
+// Stop implements leadership.Peers.
 func (p peers) Stop(ctx context.Context, m leadership.Member, service string, epoch uint64) error {
 	return p.client.Call(ctx, m.Address, messageStop, epochMessage{Service: service, Epoch: epoch}, &nothing{})
 }
 
+// Settled implements leadership.Peers.
 func (p peers) Settled(ctx context.Context, m leadership.Member) error {
 	return p.client.Call(ctx, m.Address, messageSettled, nothing{}, &nothing{})
 }
 
+// Reaches implements leadership.Peers.
 func (p peers) Reaches(ctx context.Context, m leadership.Member, endpoint string) (bool, error) {
 	var answer yesNo
 	err := p.client.Call(ctx, m.Address, messageReaches, endpointMessage{Endpoint: endpoint}, &answer)
 	return answer.Yes, err
 }
 
+// Vouch implements leadership.Peers.
 func (p peers) Vouch(ctx context.Context, m leadership.Member) (map[string]uint64, error) {
 	var answer epochsMessage
 	err := p.client.Call(ctx, m.Address, messageVouch, nothing{}, &answer)
 	return answer.Epochs, err
 }
 
+// Replacing implements leadership.Peers.
 func (p peers) Replacing(ctx context.Context, m leadership.Member, service string, epoch uint64) (bool, error) {
 	var answer yesNo
 	err := p.client.Call(ctx, m.Address, messageReplacing, epochMessage{Service: service, Epoch: epoch}, &answer)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -158,11 +158,14 @@
 	}
 	// One byte at a time: what follows the header belongs to the endpoint.
 	response, err := http.ReadResponse(bufio.NewReaderSize(oneByte{conn}, minReader), nil)
-	if err != nil || response.StatusCode != http.StatusSwitchingProtocols {
-		conn.Close()
-		return nil, trace.ConnectionProblem(err, "instance %s does not relay to %s", via, address)
+	if err == nil {
+		response.Body.Close() // it is empty; the connection goes on
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return conn, nil
+		}
 	}
-	return conn, nil
+	conn.Close()
+	return nil, trace.ConnectionProblem(err, "instance %s does not relay to %s", via, address)
 }
 
 // minReader is the smallest buffer that package bufio has.
--- a/internal/leadership/belief.go
+++ b/internal/leadership/belief.go
@@ -82,9 +82,11 @@
 
 // NewBeliefs returns beliefs that know nothing.
 func NewBeliefs(clock lease.Clock, log *zap.Logger, registry func() *catalog.Registry) *Beliefs {
-	return &Beliefs{clock: clock, log: log, registry: registry,
+	return &Beliefs{
+		clock: clock, log: log, registry: registry,
 		startedAt: clock(),
-		changed:   blackboard.NewCell(struct{}{}), services: make(map[string]*service)}
+		changed:   blackboard.NewCell(struct{}{}), services: make(map[string]*service),
+	}
 }
 
 // Apply takes over a copy of the rows, with what it says of the members. An
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -30,7 +30,7 @@
 			}
 			continue
 		}
-		err, settled := e.tryRead(ctx, r, organisation, list[0], run)
+		settled, err := e.tryRead(ctx, r, organisation, list[0], run)
 		if settled {
 			return err
 		}
@@ -41,7 +41,7 @@
 }
 
 // tryRead makes one attempt. It reports whether its result is final.
-func (e *execution) tryRead(ctx context.Context, r catalog.Route, organisation string, c candidate, run runner) (error, bool) {
+func (e *execution) tryRead(ctx context.Context, r catalog.Route, organisation string, c candidate, run runner) (settled bool, err error) {
 	at := attempt{after: c.after}
 	if c.primary {
 		use, err := e.s.p.cfg.Beliefs.Enter(r.Service)
@@ -49,18 +49,18 @@
 			if err == nil {
 				use.Exit()
 			}
-			return err, false
+			return false, err
 		}
 		defer use.Exit()
 		at.use = use
 	}
 	result, err := e.try(ctx, r, organisation, c.endpoint, at, run)
 	if err != nil {
-		return err, false
+		return false, err
 	}
 	if result.refused != nil && result.refused.Code == verdict.CodeBehind {
 		e.s.p.fresh.noteBehind(c.endpoint.ID, c.after, e.s.p.cfg.Clock())
-		return result.refused, false
+		return false, result.refused
 	}
 	return e.judge(result)
 }
@@ -101,7 +101,7 @@
 		result, err := e.try(ctx, r, organisation, endpoint, attempt{use: use}, run)
 		use.Exit()
 		if err == nil {
-			if err, settled := e.judge(result); settled {
+			if settled, err := e.judge(result); settled {
 				return err
 			}
 			err = result.failure()
@@ -175,22 +175,22 @@
 }
 
 // judge tells whether an outcome is final, and the error for the caller then.
-func (e *execution) judge(o outcome) (error, bool) {
+func (e *execution) judge(o outcome) (settled bool, err error) {
 	switch {
 	case o.refused == nil && o.err == nil:
-		return nil, true
+		return true, nil
 	case o.err != nil && o.sent && !o.harmless:
-		return unknown("the connection failed before the outcome was told").WithCause(o.err), true
+		return true, unknown("the connection failed before the outcome was told").WithCause(o.err)
 	case o.err != nil:
-		return o.err, false
+		return false, o.err
 	}
 	switch o.refused.Code {
 	case verdict.CodeReadOnlyTransaction, verdict.CodeMisrouted, verdict.CodeBehind, verdict.CodeTooManyConnections, verdict.CodeUndefinedPreparedStmt:
-		return o.refused, false
+		return false, o.refused
 	case verdict.CodeStatementFailed:
-		return o.refused, !o.harmless
+		return !o.harmless, o.refused
 	default:
-		return o.refused, true
+		return true, o.refused
 	}
 }
 
--- a/internal/pipeline/transaction.go
+++ b/internal/pipeline/transaction.go
@@ -128,9 +128,11 @@
 	sentAt := s.p.cfg.Clock()
 	answer, sent, err := tx.link.Run(ctx, e.needs(), request.Command{Statement: e.st})
 	switch {
-	case err == nil && tx.atPrimary && valid():
-		s.p.fresh.add(tx.route.Service, sentAt, answer.Position)
 	case err == nil:
+		if tx.atPrimary && valid() {
+			s.p.fresh.add(tx.route.Service, sentAt, answer.Position)
+		}
+		return e.settlePinned(answer, valid)
 	case sent && e.st.Kind == request.Commit:
 		s.dropLink()
 		s.tx = nil
@@ -139,7 +141,6 @@
 		s.failTransaction()
 		return answer, aborted("the connection of the transaction failed").WithCause(err)
 	}
-	return e.settlePinned(answer, valid)
 }
 
 // settlePinned draws the conclusions from a complete answer.
@@ -160,13 +161,12 @@
 		s.dropLink()
 	}
 	s.endTransaction()
-	if answer.Err != nil || !wrote {
-		return answer, nil
-	}
-	if !valid() {
-		return answer, unknown("the primary was replaced while the commit was under way")
+	if committed := answer.Err == nil && wrote; committed {
+		if !valid() {
+			return answer, unknown("the primary was replaced while the commit was under way")
+		}
+		s.floor = s.floor.Max(answer.Position)
 	}
-	s.floor = s.floor.Max(answer.Position)
 	return answer, nil
 }
 
--- a/internal/quota/admission.go
+++ b/internal/quota/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -144,11 +145,17 @@
 // reports whether anything was given.
 func (a *Admission) borrow(ctx context.Context) bool {
 	helped := false
+	asked := 0
 	for _, p := range nearFirst(a.cfg.Peers()) {
 		wants := a.cfg.Ledger.Wants(a.cfg.Clock())
-		if len(wants) == 0 || ctx.Err() != nil {
+		if len(wants) == 0 || ctx.Err() != nil || asked == maxAsked {
 			break
 		}
+		maps.DeleteFunc(wants, func(organisation string, _ float64) bool { return !a.cfg.Ledger.IsHome(organisation, p.Name) })
+		if len(wants) == 0 {
+			continue
+		}
+		asked++
 		asking, cancel := context.WithTimeout(ctx, askTimeout)
 		given, err := a.cfg.Ask(asking, p, wants)
 		cancel()
@@ -180,5 +187,5 @@
 			return 1
 		}
 	})
-	return ordered[:min(len(ordered), maxAsked)]
+	return ordered
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -1,16 +1,22 @@
 // Package quota keeps organisations within their rate and burst over all
-// instances. Each instance holds an equal part of every limit, as a token bucket,
-// and instances that have tokens to spare hand them to those that run short: the
-// giver subtracts before the receiver adds, so a lost message loses tokens and
-// never makes any. Nothing is kept: an instance that starts begins without
-// tokens. Its invariant: over any window, all instances together hand out no more
-// than the limit allows in that window.
+// instances. The limit of an organisation is divided among a few instances, its
+// homes, as token buckets of equal parts; in a small fleet every instance is one.
+// Instances that run short get tokens from those that have some to spare: the giver
+// subtracts before the receiver adds, so a lost message loses tokens and never makes
+// any, and what an instance that is no home does not use soon is lost as well.
+// Nothing is kept: an instance that starts begins without tokens. Its invariant:
+// over any window, all instances together hand out no more than the limit allows in
+// that window.
 package quota
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Limit is what an organisation may do over all instances.
@@ -29,6 +35,17 @@
 const (
 	// leastCapacity lets every instance admit a single operation at once.
 	leastCapacity = 1.5
+	// maxHomes is among how many instances a limit is divided: enough for several in
+	// each failure domain, and few enough that each part is more than an operation.
+	maxHomes = 12
+	// borrowedHalfLife is how fast unused tokens are lost at an instance that is no
+	// home, so that idle instances together hold next to nothing.
+	borrowedHalfLife = 500 * time.Millisecond
+	// leastWait keeps rounding from making a wait of nothing.
+	leastWait = time.Millisecond
+	// spareBorrowed is asked for beside what waits: the caller's next operation
+	// often follows within borrowedHalfLife.
+	spareBorrowed = 0.25
 	// slackUsed is the part of tolerance and slack that buckets of the least
 	// capacity may use up; the rest is for tokens on their way between buckets
 	// and for members that this instance has not heard of yet.
@@ -54,6 +71,8 @@
 	tokens   float64
 	capacity float64
 	rate     float64 // tokens per second
+	homes    []string
+	borrows  bool // this instance is no home
 	at       time.Duration
 	demand   float64 // operations per second, decaying
 	demandAt time.Duration
@@ -78,8 +97,29 @@
 	return max(0, rate), capacity
 }
 
-// Configure sets the limits and among how many instances they are divided.
-func (l *Ledger) Configure(limits map[string]Limit, members int, now time.Duration) {
+// IsHome tells whether an instance holds a part of the organisation's limit.
+func (l *Ledger) IsHome(organisation, instance string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a, ok := l.accounts[organisation]
+	return ok && slices.Contains(a.homes, instance)
+}
+
+// homesOf returns the instances among which the limit of an organisation is divided:
+// the same ones wherever it is asked with the same members.
+func homesOf(organisation string, members []string) []string {
+	if len(members) <= maxHomes {
+		return members
+	}
+	ordered := slices.Clone(members)
+	weight := func(member string) uint64 { return xxhash.Sum64String(organisation + "/" + member) }
+	slices.SortFunc(ordered, func(a, b string) int { return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a, b)) })
+	return ordered[:maxHomes]
+}
+
+// Configure sets the limits and the instances among which they are divided, of
+// which this one is self.
+func (l *Ledger) Configure(limits map[string]Limit, self string, members []string, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name := range l.accounts {
@@ -94,7 +134,12 @@
 			l.accounts[name] = a
 		}
 		a.refill(now)
-		a.rate, a.capacity = l.allowance.part(limit, members)
+		a.homes = homesOf(name, members)
+		a.rate, a.capacity = l.allowance.part(limit, len(a.homes))
+		a.borrows = !slices.Contains(a.homes, self)
+		if a.borrows {
+			a.rate = 0
+		}
 		a.tokens = min(a.tokens, a.capacity)
 	}
 }
@@ -102,6 +147,10 @@
 func (a *account) refill(now time.Duration) {
 	passed := (now - a.at).Seconds()
 	a.at = now
+	if a.borrows {
+		a.tokens *= math.Exp2(-max(0, passed) / borrowedHalfLife.Seconds())
+		return
+	}
 	if passed > 0 && a.tokens < a.capacity {
 		a.tokens = min(a.capacity, a.tokens+a.rate*passed)
 	}
@@ -139,9 +188,9 @@
 		return true, 0
 	}
 	if a.rate <= 0 {
-		return false, l.allowance.Window
+		return false, borrowedHalfLife
 	}
-	return false, time.Duration((1 - a.tokens) / a.rate * float64(time.Second))
+	return false, leastWait + time.Duration((1-a.tokens)/a.rate*float64(time.Second))
 }
 
 // Refund gives back the token of an operation that reached no endpoint.
@@ -174,6 +223,9 @@
 		if a.waiting > 0 {
 			need = max(need, float64(a.waiting)-a.tokens)
 		}
+		if a.borrows && a.waiting > 0 {
+			need = max(need, float64(a.waiting)+spareBorrowed-a.tokens)
+		}
 		if need > 0 && (a.waiting > 0 || a.tokens < 1) {
 			wants[name] = min(need, a.capacity+float64(a.waiting))
 		}
