--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,183 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/request"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// endpointStandin is an endpoint with a bound on its connections.
+type endpointStandin struct {
+	mu    sync.Mutex
+	open  int
+	limit int
+	dials int
+	sent  []request.Command
+	fail  error
+}
+
+type connStandin struct {
+	e      *endpointStandin
+	closed bool
+}
+
+func (e *endpointStandin) Dial(_ context.Context, _ catalog.Endpoint, _ string) (Conn, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dials++
+	if e.open >= e.limit {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeTooManyConnections, "full")
+	}
+	e.open++
+	return &connStandin{e: e}, nil
+}
+
+func (c *connStandin) Exchange(_ context.Context, commands []request.Command) ([]request.Answer, error) {
+	c.e.mu.Lock()
+	defer c.e.mu.Unlock()
+	if c.e.fail != nil {
+		return nil, c.e.fail
+	}
+	c.e.sent = append(c.e.sent, commands...)
+	return make([]request.Answer, len(commands)), nil
+}
+
+func (c *connStandin) Quiet() bool { return !c.closed }
+
+func (c *connStandin) Close() {
+	c.e.mu.Lock()
+	defer c.e.mu.Unlock()
+	if !c.closed {
+		c.closed = true
+		c.e.open--
+	}
+}
+
+var server = catalog.Endpoint{ID: "s1", Service: "db", Slots: 3}
+
+func newPools(t *testing.T, e *endpointStandin, members int) *Pools {
+	began := time.Now()
+	clock := func() time.Duration { return time.Since(began) + time.Hour }
+	p, err := NewPools(Config{
+		Dialer: e, Health: NewHealth(clock), Clock: clock, Members: func() int { return members },
+		MaxConnections: func(string) int { return e.limit },
+		Registry:       func() *catalog.Registry { return catalog.NewRegistry([]catalog.Endpoint{server}) },
+	})
+	require.NoError(t, err)
+	return p
+}
+
+func read() request.Command {
+	return request.Command{Statement: request.Statement{ID: "x", Kind: request.Read, Text: "READ 1"}}
+}
+
+// TestIdleConnectionOfAnotherOrganisationGivesWay: connections are few and belong to
+// one organisation each.
+func TestIdleConnectionOfAnotherOrganisationGivesWay(t *testing.T) {
+	e := &endpointStandin{limit: 1}
+	p := newPools(t, e, 1)
+	for _, organisation := range []string{"a", "a", "b", "a"} {
+		link, err := p.Acquire(t.Context(), server, organisation, 0)
+		require.NoError(t, err)
+		require.Equal(t, organisation, link.Organisation)
+		link.Release()
+	}
+	require.Equal(t, 3, e.dials)
+	require.Equal(t, 1, e.open)
+}
+
+// TestFullEndpointIsNotFlooded covers an endpoint whose connections others hold: many
+// waiting statements together dial it a few times a second.
+func TestFullEndpointIsNotFlooded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &endpointStandin{limit: 0}
+		p := newPools(t, e, 1)
+		e.limit = 0
+		var pending sync.WaitGroup
+		for range 10 {
+			pending.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, err := p.Acquire(ctx, server, "a", 0)
+				require.Equal(t, verdict.NotRun, verdict.Of(err))
+			})
+		}
+		pending.Wait()
+		require.LessOrEqual(t, e.dials, 12)
+	})
+}
+
+// TestWaitingStatementGetsTheReleasedConnection: nobody waits while a connection is
+// free, and a lower priority number goes first.
+func TestWaitingStatementGetsTheReleasedConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &endpointStandin{limit: 1}
+		p := newPools(t, e, 1)
+		held, err := p.Acquire(t.Context(), server, "a", 0)
+		require.NoError(t, err)
+		order := make(chan int, 2)
+		for _, priority := range []int{2, 1} {
+			go func() {
+				link, err := p.Acquire(t.Context(), server, "a", priority)
+				require.NoError(t, err)
+				order <- priority
+				link.Release()
+			}()
+			synctest.Wait()
+		}
+		held.Release()
+		require.Equal(t, 1, <-order)
+		require.Equal(t, 2, <-order)
+	})
+}
+
+// TestValuesAreThoseOfTheSession: values that a session lacks are cleared first, and
+// nothing is noted for a statement that was not sent (alpenpass scale-1: PINNED).
+func TestValuesAreThoseOfTheSession(t *testing.T) {
+	e := &endpointStandin{limit: 1}
+	p := newPools(t, e, 1)
+	run := func(values map[string]string) []request.Kind {
+		link, err := p.Acquire(t.Context(), server, "a", 0)
+		require.NoError(t, err)
+		defer link.Release()
+		e.sent = nil
+		_, _, err = link.Run(t.Context(), Needs{Values: values}, read())
+		require.NoError(t, err)
+		var kinds []request.Kind
+		for _, c := range e.sent {
+			kinds = append(kinds, c.Kind)
+		}
+		return kinds
+	}
+	require.Equal(t, []request.Kind{request.Set, request.Read}, run(map[string]string{"colour": "red"}))
+	require.Equal(t, []request.Kind{request.Read}, run(map[string]string{"colour": "red"}))
+	require.Equal(t, []request.Kind{request.Set, request.Read}, run(map[string]string{"colour": "blue"}))
+	require.Equal(t, []request.Kind{request.Reset, request.Read}, run(nil))
+	link, err := p.Acquire(t.Context(), server, "a", 0)
+	require.NoError(t, err)
+	link.Release() // acquired, and nothing sent
+	require.Equal(t, []request.Kind{request.Set, request.Read}, run(map[string]string{"colour": "red"}))
+}
+
+func TestFailedConnectionIsNotHandedOn(t *testing.T) {
+	e := &endpointStandin{limit: 2, fail: errors.New("reset")}
+	p := newPools(t, e, 1)
+	link, err := p.Acquire(t.Context(), server, "a", 0)
+	require.NoError(t, err)
+	_, sent, err := link.Run(t.Context(), Needs{}, read())
+	require.Error(t, err)
+	require.True(t, sent)
+	link.Release()
+	require.Zero(t, e.open)
+	require.Positive(t, p.cfg.Health.SilentFor("s1")+1)
+	require.False(t, p.cfg.Health.Usable("s1"))
+}
