pipeline: count placements and retries

Cause: the two counters were registered and documented but never raised. Change: each attempt counts by the route's promise and the endpoint's part.

--- a/internal/pipeline/journal.go
+++ b/internal/pipeline/journal.go
@@ -46,6 +46,19 @@
 	return j
 }
 
+// placed counts an attempt by the route's promise and the endpoint's part, and one
+// that is not the first as a retry.
+func (j *journal) placed(e *execution, at attempt) {
+	part := ".replica"
+	if at.use != nil {
+		part = ".primary"
+	}
+	j.places.Add(e.route.Consistency.String()+part, 1)
+	if e.attempts > 1 {
+		j.retries.Add(e.st.Kind.String(), 1)
+	}
+}
+
 // line writes one occurrence within the bound of its kind; those beyond it are
 // counted and told once a second.
 func (j *journal) line(e event.Event, fields ...zap.Field) {
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -135,6 +135,7 @@
 func (e *execution) try(ctx context.Context, r catalog.Route, organisation string, endpoint catalog.Endpoint, at attempt, run runner) (outcome, error) {
 	e.attempts++
 	e.endpoint = endpoint.ID
+	e.s.p.journal.placed(e, at)
 	cfg := &e.s.p.cfg
 	queued := cfg.Clock()
 	link, err := cfg.Pools.Acquire(ctx, endpoint, organisation, r.Priority)
