edge: a large copy is not passed on by the reader of a failure domain

The reader of oberstdorf passes some 300 kB to each of its neighbours, over a link of 10 Mbit/s on the small machines, and the question times out after 1.3 s, again and again. Change: a copy above 32 kB is only announced; each instance then reads the store itself, once for each change, with 2 s for the configuration. Instances that the store does not serve still get it from others, with the whole time of a call.

--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,205 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/backend"
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
+	"github.com/hornbeamlock/hornbeamlock/internal/lease"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/quota"
+)
+
+// rowsStandin is a set of rows that a test changes.
+type rowsStandin struct {
+	rows    []follow.Row
+	version uint64
+}
+
+func (r *rowsStandin) Read(context.Context) ([]follow.Row, uint64, error) {
+	return r.rows, r.version, nil
+}
+
+// nothingStandin stands for the ports that a test does not reach.
+type nothingStandin struct{}
+
+var errNothing = errors.New("not in this test")
+
+func (nothingStandin) Get(context.Context, ...string) ([]platform.Row, time.Time, error) {
+	return nil, time.Time{}, errNothing
+}
+
+func (nothingStandin) List(context.Context, string) ([]platform.Row, time.Time, error) {
+	return nil, time.Time{}, errNothing
+}
+
+func (nothingStandin) Commit(context.Context, []platform.Condition, []platform.Write) (platform.CommitResult, error) {
+	return platform.CommitResult{}, errNothing
+}
+
+func (nothingStandin) Dial(context.Context, catalog.Endpoint, string) (backend.Conn, error) {
+	return nil, errNothing
+}
+
+func (nothingStandin) Status(context.Context, catalog.Endpoint) (leadership.ServerStatus, error) {
+	return leadership.ServerStatus{}, errNothing
+}
+
+func (nothingStandin) StepDown(context.Context, catalog.Endpoint, uint64) error { return errNothing }
+
+func (nothingStandin) Promote(context.Context, leadership.Promotion) error { return errNothing }
+
+// newInstance returns an instance whose registry is the endpoints named by the rows'
+// keys.
+func newInstance(t *testing.T, configuration, registry, fleet *rowsStandin, clock lease.Clock) *Instance {
+	i, err := New(Config{
+		Name: "edge-1", FailureDomain: "a", PeerAddress: "127.0.0.1:1", Allowance: quota.Allowance{Window: time.Second}, Clock: clock,
+		Ports: Ports{
+			Configuration: configuration, Registry: registry, Fleet: fleet,
+			DecodeConfiguration: func(rows []follow.Row) (*catalog.Configuration, error) {
+				return &catalog.Configuration{Version: uint64(len(rows))}, nil
+			},
+			DecodeRegistry: func(rows []follow.Row, _ func(string, error)) *catalog.Registry {
+				var endpoints []catalog.Endpoint
+				for _, row := range rows {
+					endpoints = append(endpoints, catalog.Endpoint{ID: row.Key, Service: "db", Address: row.Key})
+				}
+				return catalog.NewRegistry(endpoints)
+			},
+			Table: nothingStandin{}, Dialer: nothingStandin{}, Servers: nothingStandin{}, Promoter: nothingStandin{},
+		},
+	})
+	require.NoError(t, err)
+	return i
+}
+
+// TestLargeCopiesAreNotPassedOn covers a configuration that has grown by a thousand
+// routes: the reader of a failure domain would fill its link by passing it on to all
+// (alpenpass-core-grown fresh-0e01: CONFIG 34).
+func TestLargeCopiesAreNotPassedOn(t *testing.T) {
+	configuration := &rowsStandin{rows: []follow.Row{{Key: "config", Value: []byte("small"), Version: 1}}, version: 1}
+	i := newInstance(t, configuration, &rowsStandin{}, &rowsStandin{}, nil)
+	follower := i.followers[setConfiguration]
+	require.NoError(t, follower.Refresh(t.Context()))
+	small := follower.State().Fingerprint()
+	answer, err := i.answerRows(t.Context(), rowsRequest{Set: setConfiguration, Has: "0/0"})
+	require.NoError(t, err)
+	require.Len(t, answer.Rows, 1)
+
+	configuration.rows = []follow.Row{{Key: "config", Value: make([]byte, 300<<10), Version: 2}}
+	configuration.version = 2
+	require.NoError(t, follower.Refresh(t.Context()))
+	answer, err = i.answerRows(t.Context(), rowsRequest{Set: setConfiguration, Above: 1, Has: small})
+	require.NoError(t, err)
+	require.True(t, answer.Large)
+	require.Empty(t, answer.Rows)
+
+	// An instance that the store does not serve gets it all the same.
+	answer, err = i.answerRows(t.Context(), rowsRequest{Set: setConfiguration, Above: 1})
+	require.NoError(t, err)
+	require.Len(t, answer.Rows, 1)
+}
+
+// TestEntriesThatLapsed covers entries that lapsed in an outage of the store: they are
+// back within two seconds of its return, or gone.
+func TestEntriesThatLapsed(t *testing.T) {
+	now := time.Hour
+	registry := &rowsStandin{rows: []follow.Row{{Key: "s1"}, {Key: "s2"}}, version: 1}
+	i := newInstance(t, &rowsStandin{}, registry, &rowsStandin{}, func() time.Duration { return now })
+	read := func() []string {
+		registry.version++
+		require.NoError(t, i.followers[setRegistry].Refresh(t.Context()))
+		var names []string
+		for _, e := range i.registry.Get().ByService["db"] {
+			names = append(names, e.ID)
+		}
+		return names
+	}
+	require.Equal(t, []string{"s1", "s2"}, read())
+	registry.rows = nil
+	require.Equal(t, []string{"s1", "s2"}, read())
+	now += time.Second
+	registry.rows = []follow.Row{{Key: "s1"}}
+	require.Equal(t, []string{"s1", "s2"}, read())
+	now += missingGrace
+	require.Equal(t, []string{"s1"}, read())
+}
+
+func TestDecodeMembers(t *testing.T) {
+	members := decodeMembers([]follow.Row{
+		{Key: "member/b", Value: []byte(`{"name":"x","address":"127.0.0.1:2","retired":true}`), Version: 7},
+		{Key: "member/a", Value: []byte("{")}, {Key: "leader/@duty", Value: []byte("{}")},
+	}, zap.NewNop())
+	require.Len(t, members, 2, "an unreadable row still counts as an instance")
+	require.Equal(t, "a", members[0].Name)
+	require.Equal(t, member{Name: "b", Address: "127.0.0.1:2", Retired: true, version: 7}, members[1])
+}
+
+// TestRelay covers an instance that is cut off from an endpoint that another one
+// reaches.
+func TestRelay(t *testing.T) {
+	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { endpoint.Close() })
+	go func() {
+		for {
+			conn, err := endpoint.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	address := endpoint.Addr().String()
+	helper := NewRelay((&net.Dialer{}).DialContext, lease.BootClock, zap.NewNop())
+	peer := &http.Server{Handler: helper.serve(func(a string) bool { return a == address }), ReadHeaderTimeout: time.Second}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = peer.Serve(listener) }()
+	t.Cleanup(func() { peer.Close() })
+
+	cutOff := NewRelay(func(ctx context.Context, network, a string) (net.Conn, error) {
+		if a == address {
+			return nil, errNothing
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, a)
+	}, lease.BootClock, zap.NewNop())
+	cutOff.members = func() []string { return []string{listener.Addr().String()} }
+	cutOff.reaches = func(context.Context, string, string) (bool, error) { return true, nil }
+	for range 2 {
+		conn, err := cutOff.Dial(t.Context(), "tcp", address)
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "hello\n")
+		require.NoError(t, err)
+		answer := make([]byte, 6)
+		_, err = io.ReadFull(conn, answer)
+		require.NoError(t, err)
+		require.Equal(t, "hello\n", string(answer))
+		conn.Close()
+	}
+	cutOff.reaches = func(context.Context, string, string) (bool, error) { return false, nil }
+	cutOff.forget(address)
+	_, err = cutOff.Dial(t.Context(), "tcp", address)
+	require.ErrorIs(t, err, errNothing)
+
+	response, err := http.Get("http://" + listener.Addr().String() + "/relay?address=127.0.0.1:9")
+	require.NoError(t, err)
+	response.Body.Close()
+	require.Equal(t, http.StatusNotFound, response.StatusCode, "only endpoints are relayed to")
+	require.False(t, strings.Contains(response.Status, "101"))
+}
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -36,6 +36,10 @@
 	longestWait = 2 * time.Second
 	// nearTimeout bounds the answer of the failure domain's reader, beyond its wait.
 	nearTimeout = 300 * time.Millisecond
+	// maxPassedBytes is the largest copy that a reader passes on to its failure domain:
+	// a configuration with a thousand routes, sent to each of seventeen instances, would
+	// fill a link of 10 Mbit/s for seconds.
+	maxPassedBytes = 32 << 10
 	// nearPause is how long a reader that failed is not asked.
 	nearPause = 3 * time.Second
 	// peersAsked is how many instances are asked for rows in one round.
@@ -63,6 +67,8 @@
 // true.
 type rowsAnswer struct {
 	Same bool `json:"same,omitempty"`
+	// Large tells that there is a newer copy that is too large to pass on.
+	Large bool `json:"large,omitempty"`
 	// Serving tells whether the store serves the instance that answers.
 	Serving bool `json:"serving,omitempty"`
 	// Waited is how long the answer was held back, which the asker may add to the
@@ -159,18 +165,27 @@
 	switch {
 	case m.Has != "" && m.Has == s.Fingerprint():
 		answer.Same = true
+	case m.Has != "" && sizeOf(s.Rows) > maxPassedBytes:
+		answer.Large = true
 	case s.Version > m.Above:
 		answer.Rows = s.Rows
 	}
 	return answer, nil
 }
 
+// sizeOf is the size of the rows' values.
+func sizeOf(rows []follow.Row) int {
+	size := 0
+	for _, row := range rows {
+		size += len(row.Value)
+	}
+	return size
+}
+
 // askRows is the follow.PeerSource: the newest copy of some other instances.
 func (i *Instance) askRows(ctx context.Context, set string, above uint64) ([]follow.Row, uint64, time.Duration, error) {
 	addresses := i.someAddresses()
 	answers := make(chan rowsAnswer, len(addresses))
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout/2)
-	defer cancel()
 	for _, address := range addresses {
 		go func() {
 			var answer rowsAnswer
@@ -220,6 +235,9 @@
 	sent := i.cfg.Clock()
 	var answer rowsAnswer
 	err := i.client.Call(ctx, m.Address, messageRows, rowsRequest{Set: set, Above: known.Version, Has: known.Fingerprint(), Wait: wait}, &answer)
+	if err == nil && answer.Large {
+		return follow.State{}, false // the store is read here, this once
+	}
 	if err != nil || !answer.Serving || answer.Version < known.Version || answer.Age > nearAges[set] {
 		i.nearFailed(m.Name)
 		return follow.State{}, false
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -71,6 +71,9 @@
 	// storeTimeout bounds one call: a store sixty times slower than usual answers
 	// within a quarter of it.
 	storeTimeout = time.Second
+	// configurationTimeout bounds a read of the configuration: several hundred
+	// kilobytes over a link of 10 Mbit/s that others use as well.
+	configurationTimeout = 2 * time.Second
 )
 
 // CheckAndSetDefaults validates the configuration.
