--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -140,7 +140,8 @@
 func TestDecodeMembers(t *testing.T) {
 	members := decodeMembers([]follow.Row{
 		{Key: "member/b", Value: []byte(`{"name":"x","address":"127.0.0.1:2","retired":true}`), Version: 7},
-		{Key: "member/a", Value: []byte("{")}, {Key: "leader/@duty", Value: []byte("{}")},
+		{Key: "member/a", Value: []byte("{")},
+		{Key: "leader/@duty", Value: []byte("{}")},
 	}, zap.NewNop())
 	require.Len(t, members, 2, "an unreadable row still counts as an instance")
 	require.Equal(t, "a", members[0].Name)
