edge: a large copy is read from the store at once, not asked for by name

One that is told of a large copy went on to the next instance by name, which had it no more than itself. Change: such an answer ends the round; the store is read. Test without the bench, failing before: TestLargeCopyIsReadFromTheStoreAtOnce.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
 	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
 	"github.com/hornbeamlock/hornbeamlock/internal/lease"
+	"github.com/hornbeamlock/hornbeamlock/internal/peerlink"
 	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 	"github.com/hornbeamlock/hornbeamlock/internal/quota"
 )
@@ -112,6 +114,33 @@
 	require.Len(t, answer.Rows, 1)
 }
 
+// TestLargeCopyIsReadFromTheStoreAtOnce: an instance that is told of one asks no other
+// instance, each of which would wait for its own (alpenpass-core-grown fresh-0e01: one
+// after the other by name, 0.34 s apart).
+func TestLargeCopyIsReadFromTheStoreAtOnce(t *testing.T) {
+	i := newInstance(t, &rowsStandin{}, &rowsStandin{}, &rowsStandin{}, nil)
+	asked := 0
+	reader := func(answer rowsAnswer) string {
+		s := peerlink.NewServer()
+		peerlink.Handle(s, messageRows, func(context.Context, rowsRequest) (rowsAnswer, error) {
+			asked++
+			return answer, nil
+		})
+		server := httptest.NewServer(s)
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	large := rowsAnswer{Large: true, Version: 9, Serving: true}
+	i.members.Set([]member{
+		{Name: "a", FailureDomain: "a", Address: reader(large)},
+		{Name: "b", FailureDomain: "a", Address: reader(rowsAnswer{Version: 9, Serving: true})},
+		{Name: "edge-1", FailureDomain: "a"},
+	})
+	_, ok := i.nearRows(t.Context(), setConfiguration, follow.State{Version: 8}, 0)
+	require.False(t, ok)
+	require.Equal(t, 1, asked)
+}
+
 // TestEntriesThatLapsed covers entries that lapsed in an outage of the store: they are
 // back within two seconds of its return, or gone.
 func TestEntriesThatLapsed(t *testing.T) {
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -218,17 +218,32 @@
 		case m.Name == i.cfg.Name:
 			return follow.State{}, false
 		}
-		if s, ok := i.rowsOf(ctx, m, set, known, wait); ok {
+		switch s, outcome := i.rowsOf(ctx, m, set, known, wait); outcome {
+		case nearTaken:
 			return s, true
+		case nearTooLarge:
+			return follow.State{}, false
 		}
 	}
 	return follow.State{}, false
 }
 
+// nearOutcome is what became of a question to a reader.
+type nearOutcome uint8
+
+const (
+	// nearUnusable: the next instance by name may be the reader.
+	nearUnusable nearOutcome = iota
+	// nearTaken: there is a copy.
+	nearTaken
+	// nearTooLarge: the store has to be read, this once.
+	nearTooLarge
+)
+
 // rowsOf asks one instance, which may wait for a newer copy.
-func (i *Instance) rowsOf(ctx context.Context, m member, set string, known follow.State, wait time.Duration) (follow.State, bool) {
+func (i *Instance) rowsOf(ctx context.Context, m member, set string, known follow.State, wait time.Duration) (follow.State, nearOutcome) {
 	if !i.nearUsable(m.Name) {
-		return follow.State{}, false
+		return follow.State{}, nearUnusable
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+nearTimeout)
 	defer cancel()
@@ -236,17 +251,17 @@
 	var answer rowsAnswer
 	err := i.client.Call(ctx, m.Address, messageRows, rowsRequest{Set: set, Above: known.Version, Has: known.Fingerprint(), Wait: wait}, &answer)
 	if err == nil && answer.Large {
-		return follow.State{}, false // the store is read here, this once
+		return follow.State{}, nearTooLarge
 	}
 	if err != nil || !answer.Serving || answer.Version < known.Version || answer.Age > nearAges[set] {
 		i.nearFailed(m.Name)
-		return follow.State{}, false
+		return follow.State{}, nearUnusable
 	}
 	s := follow.State{Rows: answer.Rows, Version: answer.Version, AsOf: sent + answer.Waited - answer.Age}
 	if answer.Same || answer.Version == known.Version {
 		s.Rows = known.Rows
 	}
-	return s, true
+	return s, nearTaken
 }
 
 // nearUsable tells whether the instance is asked for its copies: one that failed to
