gateway: the failover test waits for the promoted server before it pauses the primary

A write is acknowledged by a majority, so the second server may lack the last record when the test pauses the primary; a paused primary sends it nothing, and the wait for the second server to hold all records cannot end. Run as 24 processes at once, 12 times each, with the race detector: 9 processes failed, all at that line.

Change: the test waits for replication before the pause. Nothing that it checks of the gateway is changed.

Conclusion: the order of the test, not the product.

--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -230,6 +230,9 @@
 	exec(t, inside, "INSERT INTO passes (id, holder) VALUES (1, 'Anna')")
 	exec(t, asking, "DELETE FROM passes")
 	exec(t, reading, "DELETE FROM passes")
+	// A majority has acknowledged the last write, the second server perhaps not, and
+	// a paused primary sends it nothing.
+	require.NoError(t, r.group.AwaitReplicated(patience))
 	old.Pause()
 	defer old.Resume()
 	r.pausedServers = 1
