pipeline: a read that an endpoint may have run is not told as not run

Cause: a read that was sent and not answered is tried elsewhere. When the later attempts were refused or time ran out, the caller and event 9020 were told that it had not run, and the token of its organisation was given back, although an endpoint may have run it: the promise was untrue and a quota window could be exceeded.

Change: an execution keeps the outcome of the latest attempt that an endpoint may have run; no later refusal turns it into one that has not run, and its token stays spent. A BEGIN without an answer still counts as nothing sent, since no statement of the transaction has reached the endpoint.

Conclusion: found in a reading; callers repeat such reads as before.

--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -29,6 +29,9 @@
 	attempts     int
 	queued       time.Duration
 	admitted     bool
+	// reached is the outcome of the latest attempt after which an endpoint may have
+	// run the statement; nil while surely none has.
+	reached *verdict.Error
 }
 
 // attempt is a place where a statement may run now.
@@ -159,7 +162,14 @@
 	} else {
 		err = e.placePrimary(ctx, e.route, e.organisation, run)
 	}
-	if err != nil && verdict.Of(err) == verdict.NotRun && e.admitted {
+	if err == nil || verdict.Of(err) != verdict.NotRun {
+		return answer, err
+	}
+	if e.reached != nil {
+		// No later refusal makes it a statement that has not run.
+		return answer, e.reached.WithRetryAfter(verdict.As(err, verdict.NotRun).RetryAfter)
+	}
+	if e.admitted {
 		e.s.p.cfg.Admission.Refund(e.organisation)
 	}
 	return answer, err
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -180,8 +180,9 @@
 	switch {
 	case o.refused == nil && o.err == nil:
 		return true, nil
-	case o.err != nil && o.sent && !o.harmless:
-		return true, unknown("the connection failed before the outcome was told").WithCause(o.err)
+	case o.err != nil && o.sent:
+		e.reached = unknown("the connection failed before the outcome was told").WithCause(o.err)
+		return !o.harmless, e.reached
 	case o.err != nil:
 		return false, o.err
 	}
@@ -189,6 +190,7 @@
 	case verdict.CodeReadOnlyTransaction, verdict.CodeMisrouted, verdict.CodeBehind, verdict.CodeTooManyConnections, verdict.CodeUndefinedPreparedStmt:
 		return false, o.refused
 	case verdict.CodeStatementFailed:
+		e.reached = o.refused
 		return !o.harmless, o.refused
 	default:
 		return true, o.refused
--- a/internal/pipeline/transaction.go
+++ b/internal/pipeline/transaction.go
@@ -183,11 +183,12 @@
 // beginAt begins the transaction on a connection.
 func (e *execution) beginAt(ctx context.Context, at attempt) outcome {
 	tx := e.s.tx
-	answer, sent, err := at.link.Run(ctx, backend.Needs{Values: e.s.values}, request.Command{Statement: tx.begin, After: at.after})
+	answer, _, err := at.link.Run(ctx, backend.Needs{Values: e.s.values}, request.Command{Statement: tx.begin, After: at.after})
 	switch {
 	case err != nil:
-		// A transaction that has begun without a statement keeps nothing.
-		return outcome{err: err, sent: sent, harmless: true}
+		// A transaction that has begun without a statement keeps nothing, and none of
+		// its statements has reached the endpoint.
+		return outcome{err: err, harmless: true}
 	case answer.Err != nil:
 		return outcome{refused: answer.Err, harmless: true}
 	}
--- /dev/null
+++ b/internal/pipeline/verdict_test.go
@@ -0,0 +1,85 @@
+package pipeline
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/request"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// TestNotRunIsTrue holds that a statement which an endpoint may have run is neither
+// told nor logged as not run, and that its token stays spent; and that one which
+// surely has not run is told so and gets its token back.
+func TestNotRunIsTrue(t *testing.T) {
+	busy := verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow, "busy")
+	behind := verdict.New(verdict.NotRun, verdict.CodeBehind, "behind")
+	failed := verdict.New(verdict.Ran, verdict.CodeStatementFailed, "failed")
+	reset := errors.New("connection reset")
+	for _, c := range []struct {
+		name     string
+		answers  map[string]behaviour
+		want     verdict.Verdict
+		refunded int
+		event    int
+	}{
+		{"all endpoints are silent", map[string]behaviour{"p": silent, "r1": silent, "r2": silent}, verdict.MayHaveRun, 0, event.RequestUnknown.Number},
+		{"one is silent, the others refuse", map[string]behaviour{"p": refuses(busy), "r1": silent, "r2": refuses(busy)}, verdict.MayHaveRun, 0, event.RequestUnknown.Number},
+		{"all connections fail after the send", map[string]behaviour{"p": refuses(reset), "r1": refuses(reset), "r2": refuses(reset)}, verdict.MayHaveRun, 0, event.RequestUnknown.Number},
+		{"the last one refuses", map[string]behaviour{"p": refuses(busy), "r1": refuses(reset), "r2": refuses(reset)}, verdict.MayHaveRun, 0, event.RequestUnknown.Number},
+		{"one has run it and failed, another is behind", map[string]behaviour{"p": refuses(failed), "r1": refuses(behind), "r2": refuses(behind)}, verdict.Ran, 0, event.RequestUnknown.Number},
+		{"all refuse", map[string]behaviour{"p": refuses(busy), "r1": refuses(busy), "r2": refuses(busy)}, verdict.NotRun, 1, event.RequestRefused.Number},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				r.servers.answers = c.answers
+				s := r.open("own")
+				// What replicas must have applied is known from a read at the primary.
+				r.fresh.add("db", r.clock(), oneCommit)
+				answer := s.Handle(t.Context(), readOf("x"))
+				require.NotNil(t, answer.Err)
+				require.Equal(t, c.want, answer.Err.Verdict, answer.Err.Error())
+				require.Equal(t, c.refunded, r.admit.refunded)
+				require.Equal(t, 1, r.logged.FilterField(zapNumber(c.event)).Len(), "lines: %v", r.logged.All())
+			})
+		})
+	}
+}
+
+// TestUnknownWriteIsNotRepeated holds that a write without an answer is neither sent
+// again nor told as not run.
+func TestUnknownWriteIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.servers.answers["p"] = silent
+		answer := r.open("own").Handle(t.Context(), writeOf("x"))
+		require.Equal(t, verdict.MayHaveRun, answer.Err.Verdict)
+		require.Equal(t, 1, r.servers.count("p"))
+		require.Zero(t, r.servers.count("r1")+r.servers.count("r2"))
+		require.Zero(t, r.admit.refunded)
+	})
+}
+
+// TestTransactionOfALostConnectionIsAborted holds that statements of a transaction
+// whose connection fails are told as rolled back, but for its commit.
+func TestTransactionOfALostConnectionIsAborted(t *testing.T) {
+	for kind, want := range map[request.Kind]verdict.Verdict{request.Write: verdict.NotRun, request.Commit: verdict.MayHaveRun} {
+		t.Run(kind.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				s := r.open("own")
+				require.Nil(t, s.Handle(t.Context(), request.Statement{ID: "1", Kind: request.Begin, Text: "BEGIN"}).Err)
+				r.servers.answers["p"] = inTransaction
+				require.Nil(t, s.Handle(t.Context(), writeOf("2")).Err)
+				r.servers.answers["p"] = refuses(errors.New("connection reset"))
+				answer := s.Handle(t.Context(), request.Statement{ID: "3", Kind: kind, Text: "x"})
+				require.Equal(t, want, answer.Err.Verdict)
+			})
+		})
+	}
+}
