pool: a connection that is being closed takes no other one's place

Connections are closed before they are counted as closed, and the decision to close one more counted them as open.

Change: connections that are being closed are counted apart in that decision; what is reported to the share stays as it was.

Conclusion: a fault of the product, found by a test that failed once.

--- a/internal/pool/endpointpool.go
+++ b/internal/pool/endpointpool.go
@@ -27,7 +27,10 @@
 
 	mu   sync.Mutex
 	idle []*endpoint.Conn // guarded by mu; the last used is the last
-	open int              // guarded by mu; idle, leased and being opened
+	open int              // guarded by mu; idle, leased, being opened and being closed
+	// closing counts those of open that are being closed: they are still reported as
+	// in use, and take no other connection's place. Guarded by mu.
+	closing int
 	// doubtedAt is when a connection was found silent: those used last before
 	// are probed before use. Guarded by mu.
 	doubtedAt time.Time
@@ -64,6 +67,11 @@
 func (p *endpointPool) count(change int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.countLocked(change)
+}
+
+// countLocked is count for a caller that holds mu.
+func (p *endpointPool) countLocked(change int) int {
 	p.open += change
 	if reporter, ok := p.share().(blackboard.UseReporter); ok {
 		reporter.SetUsed(p.open)
@@ -185,19 +193,31 @@
 	keep := p.wanted()
 	limit := p.limit()
 	p.mu.Lock()
-	if keep && p.open <= limit {
+	if keep && p.open-p.closing <= limit {
 		p.idle = append(p.idle, conn)
 		p.mu.Unlock()
 		return
 	}
+	p.closing++
 	p.mu.Unlock()
-	p.forget(conn)
+	p.close(conn)
 }
 
 // forget closes a connection that was taken out of the pool.
 func (p *endpointPool) forget(conn *endpoint.Conn) {
+	p.mu.Lock()
+	p.closing++
+	p.mu.Unlock()
+	p.close(conn)
+}
+
+// close closes a connection that is counted as closing.
+func (p *endpointPool) close(conn *endpoint.Conn) {
 	conn.Close()
-	p.count(-1)
+	p.mu.Lock()
+	p.closing--
+	p.countLocked(-1)
+	p.mu.Unlock()
 	p.pools.metrics.closed.Add(1)
 }
 
--- a/internal/pool/maintain.go
+++ b/internal/pool/maintain.go
@@ -77,14 +77,14 @@
 func (p *Pools) sweep() {
 	for _, pool := range p.all() {
 		for _, conn := range pool.surplus() {
-			pool.forget(conn)
+			pool.close(conn)
 		}
 		pool.queue.Wake()
 	}
 }
 
 // surplus takes out the idle connections that have been idle for too long, that
-// exceed the share, or whose endpoint takes no new work.
+// exceed the share, or whose endpoint takes no new work. They count as closing.
 func (p *endpointPool) surplus() []*endpoint.Conn {
 	limit := p.limit()
 	if !p.wanted() {
@@ -94,11 +94,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
-	for n < len(p.idle) && (p.open-n > limit || p.idle[n].UsedAt().Before(oldest)) {
+	for n < len(p.idle) && (p.open-p.closing-n > limit || p.idle[n].UsedAt().Before(oldest)) {
 		n++
 	}
 	surplus := append([]*endpoint.Conn(nil), p.idle[:n]...)
 	p.idle = append(p.idle[:0], p.idle[n:]...)
+	p.closing += n
 	return surplus
 }
 
@@ -106,7 +107,7 @@
 func (p *Pools) closeAll() {
 	for _, pool := range p.all() {
 		for _, conn := range pool.surplus() {
-			pool.forget(conn)
+			pool.close(conn)
 		}
 	}
 }
