edge: an instance that has started anew in place is no newcomer

Every process that starts registered anew, so that all were newcomers to the others for 16 s; newcomers make no majority, and the one instance that was gone for good was waited for as long as the longest outage of the store.

Change: a row keeps the instant of its first registration when the same instance starts again at the same address. Whoever goes by older rows knows it under that address, and the new process vouches only by rows read since its start.

Measured: TestRestartInPlaceIsNoNewcomer; the first case failed before (the instant was that of the restart).

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -233,3 +233,28 @@
 	require.Equal(t, http.StatusNotFound, response.StatusCode, "only endpoints are relayed to")
 	require.False(t, strings.Contains(response.Status, "101"))
 }
+
+// TestRestartInPlaceIsNoNewcomer covers a fleet whose processes are all killed at once:
+// were each a newcomer afterwards, none would count towards a majority, and a primary
+// that an instance which is gone may still use could be replaced only after 11 s
+// (alpenpass-core-grown trouble-3).
+func TestRestartInPlaceIsNoNewcomer(t *testing.T) {
+	now := time.UnixMilli(50_000)
+	self := member{Name: "edge-1", Address: "127.0.0.1:1"}
+	for _, c := range []struct {
+		name   string
+		before platform.Row
+		want   int64
+	}{
+		{"killed and started again", platform.Row{Revision: 3, Value: []byte(`{"address":"127.0.0.1:1","registered_ms":20000}`)}, 20_000},
+		{"never registered", platform.Row{}, 50_000},
+		{"at another address", platform.Row{Revision: 3, Value: []byte(`{"address":"127.0.0.1:2","registered_ms":20000}`)}, 50_000},
+		{"retired in between", platform.Row{Revision: 3, Value: []byte(`{"address":"127.0.0.1:1","registered_ms":20000,"retired":true}`)}, 50_000},
+		{"a row that cannot be read", platform.Row{Revision: 3, Value: []byte(`{`)}, 50_000},
+		{"a row without an instant", platform.Row{Revision: 3, Value: []byte(`{"address":"127.0.0.1:1"}`)}, 50_000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, registeredSince(c.before, self, now))
+		})
+	}
+}
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -96,7 +96,7 @@
 		return trace.Wrap(err)
 	}
 	self := i.self()
-	self.RegisteredMs = now.UnixMilli()
+	self.RegisteredMs = registeredSince(rows[0], self, now)
 	conditions := []platform.Condition{{Key: key, Revision: rows[0].Revision}}
 	if _, err := i.cfg.Ports.Table.Commit(ctx, conditions, []platform.Write{memberWrite(self)}); err != nil {
 		return trace.Wrap(err)
@@ -104,6 +104,16 @@
 	return trace.Wrap(i.fleet.Refresh(ctx))
 }
 
+// registeredSince is since when rows have shown the member at its address. One that has
+// started anew in place is no newcomer: whoever goes by older rows knows it.
+func registeredSince(row platform.Row, self member, now time.Time) int64 {
+	var before member
+	if row.Revision == 0 || json.Unmarshal(row.Value, &before) != nil || before.Address != self.Address || before.Retired || before.RegisteredMs == 0 {
+		return now.UnixMilli()
+	}
+	return before.RegisteredMs
+}
+
 func (i *Instance) noteRegistered() {
 	if !i.registered.Swap(true) {
 		event.EdgeRegistered.Emit(i.cfg.Log, zap.String("incarnation", i.incarnation), zap.String("address", i.cfg.PeerAddress))
