relay: the end that accepted a silent connection drops it after a while

The instances' logs show 4,188 times in 100 s that the endpoint pass-ledger-3/berchtesgaden refuses a connection: sorry, too many clients already. The instances had closed the silent connections; the relay never told the endpoint, which a server with TCP keep-alive finds out by itself, so that dead connections took up its limit for good. Ruled out: beliefs about the primary (it was known to all), shares (they held connections to give), the statement itself.

Change: the relay drops the far end of a silenced connection after 3 s, the figure of the users' servers; the near end is told nothing, as before, so the product has to find out by itself.

Conclusion: the stand-in lacked what every server does; no fault of the product.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -144,6 +144,30 @@
 	receiveNothing(t, old)
 }
 
+// TestFarEndDropsASilentConnection holds that the end which accepted a connection
+// that has gone silent is rid of it after a while, as a server with TCP keep-alive is,
+// and that the end which opened it is told nothing.
+func TestFarEndDropsASilentConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	r := relay.New(relay.Config{})
+	defer r.Close()
+	address, err := r.ListenTCP(there.To, listener.Addr().String(), func(net.Conn) string { return there.From })
+	require.NoError(t, err)
+	near := dial(t, address)
+	far, err := listener.Accept()
+	require.NoError(t, err)
+	defer far.Close()
+	send(t, near, "x")
+	receive(t, far, "x")
+	r.Silence(there)
+	began := time.Now()
+	requireClosed(t, far)
+	require.GreaterOrEqual(t, time.Since(began), 2*time.Second)
+	receiveNothing(t, near)
+}
+
 func TestDialWithinTheProcess(t *testing.T) {
 	r, address := startTCP(t)
 	conn := r.Dial(relay.Direction{From: "oberstdorf"}, address)
--- a/internal/relay/tcp.go
+++ b/internal/relay/tcp.go
@@ -12,6 +12,10 @@
 	// maxQueuedPieces bounds the pieces on their way in one direction.
 	maxQueuedPieces = 256
 	dialTimeout     = 2 * time.Second
+	// darkTimeout is after how long the end that accepted a connection drops it when it
+	// has gone silent, as a server with TCP keep-alive does: the figure of the users'
+	// servers. The end that opened it is told nothing.
+	darkTimeout = 3 * time.Second
 )
 
 // connection is one relayed TCP connection.
@@ -23,9 +27,18 @@
 	closed    chan struct{}
 	quietOnce sync.Once
 	quiet     chan struct{} // closed once the connection is silent
+	dark      chan struct{} // closed once the far end has dropped the silent connection
 }
 
-func (c *connection) silence() { c.quietOnce.Do(func() { close(c.quiet) }) }
+func (c *connection) silence() {
+	c.quietOnce.Do(func() {
+		close(c.quiet)
+		time.AfterFunc(darkTimeout, func() {
+			close(c.dark)
+			_ = c.far.Close()
+		})
+	})
+}
 
 func (c *connection) close() {
 	c.closeOnce.Do(func() {
@@ -48,7 +61,7 @@
 	}
 	c := &connection{
 		direction: direction, address: address, near: near, far: far,
-		closed: make(chan struct{}), quiet: make(chan struct{}),
+		closed: make(chan struct{}), quiet: make(chan struct{}), dark: make(chan struct{}),
 	}
 	r.mu.Lock()
 	r.connection[c] = struct{}{}
@@ -135,7 +148,8 @@
 }
 
 // write sends the pieces when they are due. On a silent connection it drops
-// them, and holds back the end of the stream until the connection is closed.
+// them, and holds back the end of the stream until the connection is closed or the
+// far end has dropped it as well.
 func (r *Relay) write(c *connection, to net.Conn, direction Direction, pieces <-chan piece) {
 	for p := range pieces {
 		if !r.passes(c, direction, p.due) {
@@ -147,8 +161,17 @@
 		}
 		r.throttle(c, direction, len(p.data))
 	}
-	if c.isQuiet() {
-		<-c.closed
+	if !c.isQuiet() {
+		return
+	}
+	dropped := c.dark
+	if to == c.near {
+		dropped = nil // the near end is not told
+	}
+	select {
+	case <-c.closed:
+	case <-dropped:
+		c.close()
 	}
 }
 
