pipeline: endpoints that fail part of their work get less, and a busy one is passed over

Cause: on grown deployments servers fail or refuse part of their statements while their status looks good (srv_grey, srv_lying_health, srv_flap). Only lost connections counted against an endpoint, so that it got its full part of the reads, and a refusal as busy was told to the caller at once, although it means that nothing has run.

Change: the part of an endpoint's latest statements that failed or were refused counts in the choice of endpoints and fades by half in 2 s, so that it gets work again by degrees. A statement that was refused as busy is tried again, at another endpoint for reads, three times at most.

Measured: three tests failed before (reads failed, 50 of 100 statements went to the failing replica, a write was refused at the first busy answer).

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -8,11 +8,13 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/request"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
 // Conn is a connection to an endpoint. One goroutine uses it at a time.
@@ -69,11 +71,12 @@
 	}
 	done := l.pool.health.begin(l.Endpoint.ID)
 	answers, err := l.conn.Exchange(ctx, append(commands, command))
-	done(err)
 	if err != nil {
+		done(err, false)
 		l.broken = true
 		return answer, true, err
 	}
+	done(nil, slices.ContainsFunc(answers, cannotServe))
 	for _, a := range answers[:len(answers)-1] {
 		if a.Err != nil {
 			l.broken = true
@@ -85,6 +88,12 @@
 	return answer, true, nil
 }
 
+// cannotServe tells whether an answer says that the endpoint fails statements which
+// another one may serve.
+func cannotServe(a request.Answer) bool {
+	return a.Err != nil && (a.Err.Code == verdict.CodeStatementFailed || a.Err.Code == verdict.CodeCannotConnectNow)
+}
+
 // align returns the commands that give the connection the session's values.
 func (l *Link) align(values map[string]string) []request.Command {
 	var commands []request.Command
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -15,6 +16,12 @@
 	initialLatency = 20 * time.Millisecond
 	// retryFailing is how often a failing endpoint is tried again.
 	retryFailing = 150 * time.Millisecond
+	// failingWeight is the weight of the latest statement in the part of an endpoint's
+	// statements that fail: a few are enough to tell, one is not.
+	failingWeight = 0.15
+	// failingHalfLife is how fast that part is forgotten while an endpoint is avoided,
+	// so that it gets work again by degrees.
+	failingHalfLife = 2 * time.Second
 )
 
 // Health tells from real traffic how the endpoints answer.
@@ -31,6 +38,8 @@
 	failingSince time.Duration // 0 while it answers
 	triedAt      time.Duration
 	latency      time.Duration // mean of the statements
+	failing      float64       // part of the statements that fail, as of failingAt
+	failingAt    time.Duration
 	nextUse      uint64
 	underWay     map[uint64]time.Duration // start of each statement
 }
@@ -50,18 +59,20 @@
 	return c
 }
 
-// begin notes a statement; the function returned notes its end.
-func (h *Health) begin(endpoint string) func(err error) {
+// begin notes a statement; the function returned notes its end: err when there was no
+// complete answer, and whether the answer was that the endpoint cannot serve.
+func (h *Health) begin(endpoint string) func(err error, failed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c := h.of(endpoint)
 	c.nextUse++
 	use, began := c.nextUse, h.clock()
 	c.underWay[use] = began
-	return func(err error) {
+	return func(err error, failed bool) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		delete(c.underWay, use)
+		c.judge(err != nil || failed, h.clock())
 		if err != nil {
 			h.fail(c)
 			return
@@ -72,6 +83,17 @@
 	}
 }
 
+// judge counts a statement into the part of those that fail.
+func (c *condition) judge(failed bool, now time.Duration) {
+	c.failing *= math.Exp2(-(now - c.failingAt).Seconds() / failingHalfLife.Seconds())
+	c.failingAt = now
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	c.failing += failingWeight * (outcome - c.failing)
+}
+
 // fail notes a failure. The caller holds mu.
 func (h *Health) fail(c *condition) {
 	now := h.clock()
@@ -138,11 +160,21 @@
 	return true
 }
 
-// Load returns the endpoint's mean latency and how many statements of this
-// instance are under way there.
-func (h *Health) Load(endpoint string) (latency time.Duration, underWay int) {
+// Load is what an endpoint's statements of this instance show.
+type Load struct {
+	// Latency is their mean.
+	Latency time.Duration
+	// UnderWay is how many have no answer yet.
+	UnderWay int
+	// Failing is the part of the latest that failed, 0 to 1.
+	Failing float64
+}
+
+// Load returns the endpoint's load.
+func (h *Health) Load(endpoint string) Load {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c := h.of(endpoint)
-	return c.latency, len(c.underWay)
+	faded := math.Exp2(-(h.clock() - c.failingAt).Seconds() / failingHalfLife.Seconds())
+	return Load{Latency: c.latency, UnderWay: len(c.underWay), Failing: c.failing * faded}
 }
--- a/internal/pipeline/config.go
+++ b/internal/pipeline/config.go
@@ -28,6 +28,10 @@
 	retryPause = 15 * time.Millisecond
 	// maxAttempts bounds the attempts of one statement.
 	maxAttempts = 12
+	// maxBusy is how many endpoints may refuse a statement as busy before its caller is
+	// told: as many as a service has, so that a load beyond all of them is multiplied
+	// by no more.
+	maxBusy = 3
 	// retryHint is told to callers when no better forecast is at hand.
 	retryHint = 100 * time.Millisecond
 )
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -27,6 +27,7 @@
 	organisation string
 	endpoint     string
 	attempts     int
+	busy         int // endpoints that were busy
 	queued       time.Duration
 	admitted     bool
 	// reached is the outcome of the latest attempt after which an endpoint may have
--- /dev/null
+++ b/internal/pipeline/outlier_test.go
@@ -0,0 +1,102 @@
+package pipeline
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/request"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// sometimes answers every nth statement in another way.
+func sometimes(n int, other behaviour) behaviour {
+	count := 0
+	return func(ctx context.Context, command request.Command) (request.Answer, error) {
+		count++
+		if count%n == 0 {
+			return other(ctx, command)
+		}
+		return served(ctx, command)
+	}
+}
+
+// TestEndpointThatFailsPartOfItsWork covers a server that fails or refuses part of
+// its statements while its health looks good (srv_grey): reads are served elsewhere,
+// and most of them go elsewhere at once.
+func TestEndpointThatFailsPartOfItsWork(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  *verdict.Error
+	}{
+		{"fails", verdict.New(verdict.Ran, verdict.CodeStatementFailed, "failed")},
+		{"busy", verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow, "busy")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				s := r.open("own")
+				r.servers.answers["r1"] = sometimes(2, refuses(c.err))
+				for n := range 100 {
+					r.renew()
+					answer := s.Handle(t.Context(), readOf(strconv.Itoa(n)))
+					require.Nil(t, answer.Err)
+					time.Sleep(10 * time.Millisecond)
+				}
+				require.Less(t, r.servers.count("r1"), 30, "half of what goes there fails")
+				require.Positive(t, r.servers.count("r1"), "the near replica is preferred")
+			})
+		})
+	}
+}
+
+// TestEndpointThatHasRecoveredGetsWorkAgain holds that an endpoint which has failed is
+// not avoided for good.
+func TestEndpointThatHasRecoveredGetsWorkAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		s := r.open("own")
+		r.servers.answers["r1"] = refuses(verdict.New(verdict.Ran, verdict.CodeStatementFailed, "failed"))
+		read := func(count int) {
+			for n := range count {
+				r.renew()
+				require.Nil(t, s.Handle(t.Context(), readOf(strconv.Itoa(n))).Err)
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		read(30)
+		delete(r.servers.answers, "r1")
+		time.Sleep(10 * time.Second)
+		before := r.servers.count("r1")
+		read(20)
+		require.Greater(t, r.servers.count("r1")-before, 10, "the near replica is preferred again")
+	})
+}
+
+// TestBusyPrimaryIsTriedAgain covers a primary that refuses part of its work: a write
+// that surely has not run is sent again, a few times at most.
+func TestBusyPrimaryIsTriedAgain(t *testing.T) {
+	busy := refuses(verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow, "busy"))
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		s := r.open("own")
+		turn := 0
+		r.servers.answers["p"] = func(ctx context.Context, command request.Command) (request.Answer, error) {
+			turn++
+			if turn == 1 {
+				return busy(ctx, command)
+			}
+			return served(ctx, command)
+		}
+		require.Nil(t, s.Handle(t.Context(), writeOf("1")).Err)
+		require.Equal(t, 2, turn)
+		r.servers.answers["p"] = busy
+		answer := s.Handle(t.Context(), writeOf("2"))
+		require.Equal(t, verdict.NotRun, answer.Err.Verdict)
+		require.Equal(t, 2+maxBusy, r.servers.count("p"))
+	})
+}
--- a/internal/pipeline/place.go
+++ b/internal/pipeline/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/hornbeamlock/hornbeamlock/internal/backend"
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
@@ -18,6 +19,10 @@
 	distanceCost = 5 * time.Millisecond
 	// primaryCost keeps room at the primary for what only the primary can serve.
 	primaryCost = 15 * time.Millisecond
+	// failureCost is what an attempt that fails costs the caller: its time at a usual
+	// endpoint, and the same again elsewhere, several times over, since a caller that
+	// is told of the failure starts from the beginning.
+	failureCost = 300 * time.Millisecond
 	// stalenessMargin is taken off a route's bound for the way of the request.
 	stalenessMargin = 100 * time.Millisecond
 )
@@ -43,13 +48,14 @@
 	// usable, behind and load tell of an endpoint.
 	usable func(endpoint string) bool
 	behind func(endpoint string) bool
-	load   func(endpoint string) (latency time.Duration, underWay int)
+	load   func(endpoint string) backend.Load
 	idle   func(endpoint string) bool
 	domain string
 }
 
 // candidates orders the endpoints that may answer a read, the cheapest first:
-// the expected wait by what this instance has seen, a new connection, the way.
+// the expected wait and the failures by what this instance has seen, a new
+// connection, the way.
 func (p readPlan) candidates() []candidate {
 	var list []candidate
 	for _, e := range p.endpoints {
@@ -70,8 +76,8 @@
 }
 
 func (p readPlan) cost(e catalog.Endpoint) time.Duration {
-	latency, underWay := p.load(e.ID)
-	cost := latency * time.Duration(1+underWay)
+	load := p.load(e.ID)
+	cost := load.Latency*time.Duration(1+load.UnderWay) + time.Duration(load.Failing*float64(failureCost))
 	if !p.idle(e.ID) {
 		cost += handshakeCost
 	}
--- a/internal/pipeline/place_test.go
+++ b/internal/pipeline/place_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamlock/hornbeamlock/internal/backend"
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
@@ -21,7 +22,7 @@
 		},
 		primary: "p", after: position.Position{Term: 1, Offset: 5}, afterKnown: true, domain: "a",
 		usable: always, behind: never, idle: always,
-		load: func(string) (time.Duration, int) { return 20 * time.Millisecond, 0 },
+		load: func(string) backend.Load { return backend.Load{Latency: 20 * time.Millisecond} },
 	}
 }
 
@@ -42,11 +43,20 @@
 	}{
 		{"a quiet day: the near replica first, the primary last", func(*readPlan) {}, []string{"r1", "r2", "p"}},
 		{"one replica is busy", func(p *readPlan) {
-			p.load = func(id string) (time.Duration, int) {
+			p.load = func(id string) backend.Load {
 				if id == "r1" {
-					return 40 * time.Millisecond, 2
+					return backend.Load{Latency: 40 * time.Millisecond, UnderWay: 2}
 				}
-				return 20 * time.Millisecond, 0
+				return backend.Load{Latency: 20 * time.Millisecond}
+			}
+		}, []string{"r2", "p", "r1"}},
+		{"a replica fails part of its statements though it answers", func(p *readPlan) {
+			p.load = func(id string) backend.Load {
+				load := backend.Load{Latency: 20 * time.Millisecond}
+				if id == "r1" {
+					load.Failing = 0.4
+				}
+				return load
 			}
 		}, []string{"r2", "p", "r1"}},
 		{"few connections: one that is open beats one that has to be opened", func(p *readPlan) {
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -189,6 +189,9 @@
 	switch o.refused.Code {
 	case verdict.CodeReadOnlyTransaction, verdict.CodeMisrouted, verdict.CodeBehind, verdict.CodeTooManyConnections, verdict.CodeUndefinedPreparedStmt:
 		return false, o.refused
+	case verdict.CodeCannotConnectNow:
+		e.busy++
+		return e.busy == maxBusy, o.refused
 	case verdict.CodeStatementFailed:
 		e.reached = o.refused
 		return !o.harmless, o.refused
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -80,10 +80,10 @@
 	open, peak atomic.Int64
 	// slowClose holds up the next close after its connection has ended.
 	slowClose atomic.Pointer[chan struct{}]
-	mu         sync.Mutex
-	conns      []*countedConn
-	group      *database.Group
-	now        atomic.Int64
+	mu        sync.Mutex
+	conns     []*countedConn
+	group     *database.Group
+	now       atomic.Int64
 }
 
 func (r *rig) dial(ctx context.Context, address string) (net.Conn, error) {
