edge: one instance keeps an endpoint's connections and runs the others' reads

An endpoint takes 73 connections, each of one organisation, from 69 instances that serve 77 organisations: each has one, and closes that of another organisation for nearly every statement. A new connection takes 12 ms of one of five slots, about as long as a third of a statement, and 11,389 were refused for being too many.

Change: where an instance's part is below four connections, one instance of the endpoint's failure domain, the same for all by a hash, keeps two thirds of them and runs the reads of the others, which it gets as a message between instances. Writes and transactions go over own connections as before, opened for them and closed at once, so that the loss of an instance makes no outcome unknown. A keeper that fails, leaves or does not reach the endpoint is passed over for a second; a read that it has not sent goes out over an own connection in the same attempt.

Measured: tests of the keeper (unchanged texts, rows and refusals; four ways to fail; agreement on keepers) and of the pipeline (only reads; what becomes of lost ones).

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -76,7 +76,7 @@
 		l.broken = true
 		return answer, true, err
 	}
-	done(nil, slices.ContainsFunc(answers, cannotServe))
+	done(nil, slices.ContainsFunc(answers, CannotServe))
 	for _, a := range answers[:len(answers)-1] {
 		if a.Err != nil {
 			l.broken = true
@@ -88,9 +88,9 @@
 	return answer, true, nil
 }
 
-// cannotServe tells whether an answer says that the endpoint fails statements which
+// CannotServe tells whether an answer says that the endpoint fails statements which
 // another one may serve.
-func cannotServe(a request.Answer) bool {
+func CannotServe(a request.Answer) bool {
 	return a.Err != nil && (a.Err.Code == verdict.CodeStatementFailed || a.Err.Code == verdict.CodeCannotConnectNow)
 }
 
--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -160,6 +160,16 @@
 	return true
 }
 
+// Observe notes a statement that was answered over a connection of another instance.
+// It says nothing of whether this instance reaches the endpoint.
+func (h *Health) Observe(endpoint string, took time.Duration, failed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.of(endpoint)
+	c.latency += time.Duration(latencyWeight * float64(took-c.latency))
+	c.judge(failed, h.clock())
+}
+
 // Load is what an endpoint's statements of this instance show.
 type Load struct {
 	// Latency is their mean.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -52,8 +52,28 @@
 	MaxConnections func(service string) int
 	// Registry tells which endpoints may be used.
 	Registry func() *catalog.Registry
+	// Sharing tells which instance keeps an endpoint's connections; nil means that
+	// each keeps its own.
+	Sharing func(e catalog.Endpoint) Sharing
 }
 
+// Sharing is which instance keeps an endpoint's connections.
+type Sharing uint8
+
+const (
+	// Apart means that each instance keeps its own.
+	Apart Sharing = iota
+	// KeptHere means that this instance keeps them for others.
+	KeptHere
+	// KeptElsewhere means that another one does: this instance opens one for what
+	// cannot go there, and closes it at once.
+	KeptElsewhere
+)
+
+// keptPart is the part of an endpoint's connections for the instance that keeps them;
+// the rest is for transactions and writes of all instances, which few are at a time.
+const keptPart = 2.0 / 3
+
 // Pools are the connections to all endpoints.
 type Pools struct {
 	cfg Config
@@ -70,6 +90,9 @@
 	if cfg.Clock == nil {
 		cfg.Clock = lease.BootClock
 	}
+	if cfg.Sharing == nil {
+		cfg.Sharing = func(catalog.Endpoint) Sharing { return Apart }
+	}
 	return &Pools{cfg: cfg, pools: make(map[string]*pool)}, nil
 }
 
@@ -113,7 +136,7 @@
 func (p *Pools) Acquire(ctx context.Context, e catalog.Endpoint, organisation string, priority int) (*Link, error) {
 	q := p.poolOf(e.ID)
 	for {
-		part, most := p.limits(e)
+		part, most, _ := p.limits(e)
 		link, victim, dial, w := q.take(e, organisation, priority, part, most)
 		if victim != nil {
 			victim.conn.Close()
@@ -150,12 +173,20 @@
 	return slices.ContainsFunc(q.idle, func(l *Link) bool { return l.Organisation == organisation })
 }
 
-// limits returns this instance's part of an endpoint's connections, and how many
-// it may have while there is room.
-func (p *Pools) limits(e catalog.Endpoint) (part, most int) {
+// limits returns this instance's part of an endpoint's connections, how many it may
+// have while there is room, and how many it keeps while they are idle.
+func (p *Pools) limits(e catalog.Endpoint) (part, most, keep int) {
 	total := max(1, p.cfg.MaxConnections(e.Service))
-	part = max(1, total/max(1, p.cfg.Members()))
-	return part, min(total, max(part, e.Slots+spareConnections))
+	switch p.cfg.Sharing(e) {
+	case KeptHere:
+		part = max(1, int(float64(total)*keptPart))
+		return part, part, part
+	case KeptElsewhere:
+		return 1, min(total, e.Slots+spareConnections), 0
+	default:
+		part = max(1, total/max(1, p.cfg.Members()))
+		return part, min(total, max(part, e.Slots+spareConnections)), part
+	}
 }
 
 func noRoom(e catalog.Endpoint) error {
@@ -275,7 +306,7 @@
 }
 
 func (q *pool) release(l *Link) {
-	if l.broken || l.open {
+	if _, _, keep := q.pools.limits(l.Endpoint); l.broken || l.open || keep == 0 {
 		l.conn.Close()
 		q.mu.Lock()
 		defer q.mu.Unlock()
@@ -329,9 +360,9 @@
 	now := q.pools.cfg.Clock()
 	q.idle = slices.DeleteFunc(q.idle, func(l *Link) bool {
 		known, registered := registry.Endpoints[q.id]
-		part, _ := q.pools.limits(l.Endpoint)
+		_, _, keep := q.pools.limits(l.Endpoint)
 		unfit := all || !registered || known.Draining || known.StartedAt != l.Endpoint.StartedAt
-		if unfit || now-l.idleSince > idleLimit || q.open > part {
+		if unfit || now-l.idleSince > idleLimit || q.open > keep {
 			q.open--
 			closing = append(closing, l)
 			return true
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -54,6 +54,11 @@
 	// nearBad is until when an instance is not asked for its copies.
 	nearBad *blackboard.Table[string, time.Duration]
 
+	// keepers are the instances that keep the connections, by endpoint; keeperBad is
+	// until when that of an endpoint is passed over.
+	keepers   *blackboard.Cell[map[string]member]
+	keeperBad *blackboard.Table[string, time.Duration]
+
 	followers  map[string]*follow.Follower
 	fleet      *follow.Follower
 	beliefs    *leadership.Beliefs
@@ -82,6 +87,8 @@
 		server:        peerlink.NewServer(),
 		client:        peerlink.NewClient(cfg.Dial),
 		nearBad:       blackboard.NewTable[string, time.Duration](),
+		keepers:       blackboard.NewCell[map[string]member](nil),
+		keeperBad:     blackboard.NewTable[string, time.Duration](),
 		missing:       make(map[string]time.Duration),
 		lookLimit:     rate.NewLimiter(rate.Every(lookInterval), 1),
 	}
@@ -137,14 +144,14 @@
 func (i *Instance) buildPipeline() (err error) {
 	i.pools, err = backend.NewPools(backend.Config{
 		Dialer: i.cfg.Ports.Dialer, Health: i.health, Clock: i.cfg.Clock, Members: i.memberCount, Registry: i.registry.Get,
-		MaxConnections: func(service string) int { return i.configuration.Get().Services[service].MaxConnections },
+		MaxConnections: i.maxConnections, Sharing: i.sharing,
 	})
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	i.pipeline, err = pipeline.New(pipeline.Config{
 		FailureDomain: i.cfg.FailureDomain, Configuration: i.configuration.Get, Registry: i.registry.Get,
-		Beliefs: i.beliefs, Admission: i.admission, Pools: i.pools, Health: i.health, LookAgain: i.lookAgain,
+		Beliefs: i.beliefs, Admission: i.admission, Pools: i.pools, Health: i.health, LookAgain: i.lookAgain, Borrow: i.borrow,
 		Clock: i.cfg.Clock, Log: i.cfg.Log, Metrics: i.cfg.Metrics,
 	})
 	return trace.Wrap(err)
@@ -185,6 +192,7 @@
 	}
 	i.configuration.Set(c)
 	i.divideLimits()
+	i.assignKeepers()
 	event.ConfigurationApplied.Emit(i.cfg.Log, zap.Uint64("version", c.Version),
 		zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)))
 }
@@ -195,6 +203,7 @@
 	members := decodeMembers(s.Rows, i.cfg.Log)
 	i.beliefs.Apply(s, i.membership(members))
 	i.members.Set(members)
+	i.assignKeepers()
 	if !slices.Equal(before, i.memberNames()) {
 		i.divideLimits()
 	}
--- /dev/null
+++ b/internal/edge/keeper_test.go
@@ -0,0 +1,208 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/backend"
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/request"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// countingDialer is an endpoint that answers with what it was sent.
+type countingDialer struct {
+	mu     sync.Mutex
+	dials  int
+	sent   []request.Command
+	answer request.Answer
+	fail   error
+}
+
+func (d *countingDialer) Dial(context.Context, catalog.Endpoint, string) (backend.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dials++
+	return countingConn{d}, nil
+}
+
+type countingConn struct{ d *countingDialer }
+
+func (c countingConn) Exchange(_ context.Context, commands []request.Command) ([]request.Answer, error) {
+	c.d.mu.Lock()
+	defer c.d.mu.Unlock()
+	c.d.sent = append(c.d.sent, commands...)
+	if c.d.fail != nil {
+		return nil, c.d.fail
+	}
+	answers := make([]request.Answer, len(commands))
+	answers[len(answers)-1] = c.d.answer
+	return answers, nil
+}
+
+func (countingConn) Quiet() bool { return true }
+func (countingConn) Close()      {}
+
+// keeperRig is an instance that is no keeper, and the keeper of the endpoint s1.
+type keeperRig struct {
+	asker, keeper *Instance
+	// atAsker and atKeeper are the endpoint as each of them reaches it.
+	atAsker, atKeeper *countingDialer
+	server            *httptest.Server
+	endpoint          catalog.Endpoint
+}
+
+func newKeeperRig(t *testing.T) *keeperRig {
+	r := &keeperRig{
+		atAsker: &countingDialer{}, atKeeper: &countingDialer{},
+		endpoint: catalog.Endpoint{ID: "s1", Service: "db", FailureDomain: "b", Slots: 5},
+	}
+	build := func(name string, dialer backend.Dialer) *Instance {
+		i := newInstance(t, &rowsStandin{}, &rowsStandin{}, &rowsStandin{}, nil)
+		i.cfg.Name = name
+		i.cfg.Ports.Dialer = dialer
+		require.NoError(t, i.buildPipeline())
+		i.configuration.Set(&catalog.Configuration{Version: 1, Services: map[string]catalog.Service{"db": {Name: "db", MaxConnections: 7}}})
+		i.registry.Set(catalog.NewRegistry([]catalog.Endpoint{r.endpoint}))
+		return i
+	}
+	r.asker, r.keeper = build("a1", r.atAsker), build("b1", r.atKeeper)
+	r.server = httptest.NewServer(r.keeper.Handler())
+	t.Cleanup(r.server.Close)
+	members := []member{
+		{Name: "a1", FailureDomain: "a", Address: "127.0.0.1:1"},
+		{Name: "b1", FailureDomain: "b", Address: strings.TrimPrefix(r.server.URL, "http://")},
+	}
+	for _, i := range []*Instance{r.asker, r.keeper} {
+		i.members.Set(members)
+		i.assignKeepers()
+	}
+	return r
+}
+
+func (r *keeperRig) read(t *testing.T, needs backend.Needs, text string) (request.Answer, bool, error) {
+	run, ok := r.asker.borrow(r.endpoint, "shop", 1)
+	require.True(t, ok)
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	return run(ctx, needs, request.Command{
+		Statement: request.Statement{ID: "1", Kind: request.Read, Text: text}, After: position.Position{Term: 2, Offset: 7},
+	})
+}
+
+// TestReadAtKeeper holds that a read reaches the endpoint as the caller wrote it, over
+// a connection that the keeper keeps, and that its answer comes back unchanged.
+func TestReadAtKeeper(t *testing.T) {
+	r := newKeeperRig(t)
+	r.atKeeper.answer = request.Answer{Rows: []string{"ab", "\xff\x00"}, Signature: "7.1\xfe", Position: position.Position{Term: 2, Offset: 9}}
+	for range 10 {
+		answer, sent, err := r.read(t, backend.Needs{Values: map[string]string{"colour": "red"}}, "READ 1")
+		require.NoError(t, err)
+		require.True(t, sent)
+		require.Equal(t, r.atKeeper.answer, answer)
+	}
+	require.Equal(t, 1, r.atKeeper.dials, "the keeper keeps the connection")
+	require.Zero(t, r.atAsker.dials)
+	last := r.atKeeper.sent[len(r.atKeeper.sent)-1]
+	require.Equal(t, "READ 1", last.Text)
+	require.Equal(t, position.Position{Term: 2, Offset: 7}, last.After)
+	require.Equal(t, request.Set, r.atKeeper.sent[0].Kind, "the session's values are set first")
+}
+
+func TestPreparedReadAtKeeper(t *testing.T) {
+	r := newKeeperRig(t)
+	_, _, err := r.read(t, backend.Needs{Prepared: &request.Prepared{Shape: "q1"}}, "EXECUTE s1 1")
+	require.NoError(t, err)
+	require.Equal(t, request.Prepare, r.atKeeper.sent[0].Kind)
+	require.Equal(t, "q1", r.atKeeper.sent[0].Prepared.Shape)
+	require.Equal(t, r.atKeeper.sent[0].Alias, r.atKeeper.sent[1].Alias)
+}
+
+// TestRefusalAtKeeper holds that the endpoint's own refusal comes back with its verdict.
+func TestRefusalAtKeeper(t *testing.T) {
+	r := newKeeperRig(t)
+	refused := verdict.New(verdict.NotRun, verdict.CodeBehind, "behind").WithRetryAfter(time.Second)
+	r.atKeeper.answer = request.Answer{Err: refused}
+	answer, sent, err := r.read(t, backend.Needs{}, "READ 1")
+	require.NoError(t, err)
+	require.True(t, sent)
+	require.Equal(t, refused, answer.Err)
+}
+
+// TestKeeperThatFailsIsPassedOver covers the ways in which a keeper can be of no use:
+// what it tells of the read is true, and the next ones go over own connections.
+func TestKeeperThatFailsIsPassedOver(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(r *keeperRig)
+		sent   bool
+	}{
+		{"gone", func(r *keeperRig) { r.server.Close() }, false},
+		{"leaving", func(r *keeperRig) { r.keeper.Drain() }, false},
+		{"does not know the endpoint", func(r *keeperRig) { r.keeper.registry.Set(catalog.NewRegistry(nil)) }, false},
+		{"its connection fails", func(r *keeperRig) { r.atKeeper.fail = errors.New("reset") }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newKeeperRig(t)
+			c.change(r)
+			_, sent, err := r.read(t, backend.Needs{}, "READ 1")
+			require.Error(t, err)
+			require.Equal(t, c.sent, sent)
+			_, ok := r.asker.borrow(r.endpoint, "shop", 1)
+			require.False(t, ok)
+		})
+	}
+}
+
+// TestNotTextIsNotPassedOn: a statement that the message would change is not sent.
+func TestNotTextIsNotPassedOn(t *testing.T) {
+	r := newKeeperRig(t)
+	_, sent, err := r.read(t, backend.Needs{}, "READ \xff")
+	require.ErrorIs(t, err, errNotText)
+	require.False(t, sent)
+	require.Empty(t, r.atKeeper.sent)
+}
+
+// TestKeepersAreAgreedOn holds that instances with the same members choose the same
+// keepers, in the failure domains of the endpoints where there are instances, spread
+// over them; and that there are none where each instance has connections of its own.
+func TestKeepersAreAgreedOn(t *testing.T) {
+	r := newKeeperRig(t)
+	var members []member
+	var endpoints []catalog.Endpoint
+	for n := range 60 {
+		domain := string(rune('a' + n%3))
+		members = append(members, member{Name: "i" + strconv.Itoa(n), Address: "x", FailureDomain: domain, Retired: n == 7})
+	}
+	for n := range 30 {
+		endpoints = append(endpoints, catalog.Endpoint{ID: "s" + strconv.Itoa(n), Service: "db", FailureDomain: string(rune('a' + n%4))})
+	}
+	used := make(map[string]int)
+	for _, i := range []*Instance{r.asker, r.keeper} {
+		i.registry.Set(catalog.NewRegistry(endpoints))
+		i.members.Set(members)
+		i.assignKeepers()
+	}
+	require.Equal(t, r.asker.keepers.Get(), r.keeper.keepers.Get())
+	for _, e := range endpoints {
+		m := r.asker.keepers.Get()[e.ID]
+		require.False(t, m.Retired)
+		used[m.Name]++
+		if e.FailureDomain != "d" {
+			require.Equal(t, e.FailureDomain, m.FailureDomain)
+		}
+	}
+	require.Greater(t, len(used), 15)
+	r.asker.members.Set(members[:1])
+	r.asker.assignKeepers()
+	require.Empty(t, r.asker.keepers.Get())
+}
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -25,6 +25,7 @@
 	messagePing      = "ping"
 	messageVouch     = "vouch"
 	messageDirect    = "direct"
+	messageRead      = "read"
 )
 
 const (
@@ -125,6 +126,7 @@
 		return yesNo{Yes: i.controller.Replacing(m.Service, m.Epoch)}, nil
 	})
 	i.serveRelay()
+	peerlink.Handle(i.server, messageRead, i.answerRead)
 	peerlink.Handle(i.server, messagePing, func(context.Context, nothing) (nothing, error) { return nothing{}, nil })
 	peerlink.Handle(i.server, messageVouch, func(context.Context, nothing) (epochsMessage, error) {
 		epochs, ok := i.beliefs.Vouch()
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -24,6 +24,7 @@
 	})
 	now := i.withMissing(before, read)
 	i.registry.Set(now)
+	i.assignKeepers()
 	i.logRegistry(before, now)
 }
 
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -99,6 +99,12 @@
 		Number: 9023, Name: "edge.lines_dropped", Level: zapcore.WarnLevel,
 		Text: "request lines beyond the bound per second were not written", Fields: []string{"kind", "count"},
 	}
+	KeeperSilent = Event{
+		Number: 9024, Name: "edge.keeper_silent", Level: zapcore.InfoLevel,
+		Text:   "the instance that keeps an endpoint's connections does not run reads there; they go over own connections for a while",
+		Fields: []string{"member", "endpoint", "error"},
+		Action: "Nothing, unless it lasts: then look at the member's log.",
+	}
 	EdgeRegistered = Event{
 		Number: 9030, Name: "edge.member_registered", Level: zapcore.InfoLevel,
 		Text: "this instance is registered in the platform's store", Fields: []string{"incarnation", "address"},
@@ -113,6 +119,6 @@
 	StoreFailing, StoreBack, ConfigurationApplied, ConfigurationUnreadable,
 	RegistryChanged, RegistryEntryIgnored, ReadinessChanged, EndpointRelayed, SessionsShed,
 	HandoverBegun, HandoverStopped, HandoverPromoted, HandoverDone, HandoverFailed,
-	LeaderChanged, LeaderDown, RequestRefused, RequestUnknown, RequestLate, LinesDropped,
+	LeaderChanged, LeaderDown, RequestRefused, RequestUnknown, RequestLate, LinesDropped, KeeperSilent,
 	EdgeRegistered, EdgeRemoved,
 }
--- a/internal/pipeline/config.go
+++ b/internal/pipeline/config.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
 	"github.com/hornbeamlock/hornbeamlock/internal/lease"
 	"github.com/hornbeamlock/hornbeamlock/internal/metrics"
+	"github.com/hornbeamlock/hornbeamlock/internal/request"
 )
 
 // Times of a request.
@@ -42,6 +43,10 @@
 	Refund(organisation string)
 }
 
+// Exchange runs one statement on a connection with what it needs. Sent is false when
+// the endpoint has surely not seen it.
+type Exchange func(ctx context.Context, needs backend.Needs, command request.Command) (answer request.Answer, sent bool, err error)
+
 // Config describes a Pipeline.
 type Config struct {
 	FailureDomain string
@@ -51,6 +56,9 @@
 	Admission     Admission
 	Pools         *backend.Pools
 	Health        *backend.Health
+	// Borrow returns a way to run a read at the endpoint over a connection that
+	// another instance keeps; false when none does, or that one does not answer.
+	Borrow func(e catalog.Endpoint, organisation string, priority int) (Exchange, bool)
 	// LookAgain asks for newer copies of primaries and registry, after an endpoint
 	// has contradicted the present ones.
 	LookAgain func()
@@ -64,6 +72,9 @@
 	if c.Configuration == nil || c.Registry == nil || c.Beliefs == nil || c.Admission == nil || c.Pools == nil || c.Health == nil {
 		return trace.BadParameter("pipeline: every port is required")
 	}
+	if c.Borrow == nil {
+		c.Borrow = func(catalog.Endpoint, string, int) (Exchange, bool) { return nil, false }
+	}
 	if c.LookAgain == nil {
 		c.LookAgain = func() {}
 	}
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -37,6 +37,9 @@
 
 // attempt is a place where a statement may run now.
 type attempt struct {
+	// run sends a statement there; link is the own connection, nil when run uses that
+	// of another instance.
+	run   Exchange
 	link  *backend.Link
 	after position.Position
 	use   *leadership.Use // nil at a replica
@@ -192,7 +195,7 @@
 		return outcome{err: errUncertain, harmless: true}
 	}
 	sentAt := e.s.p.cfg.Clock()
-	answer, sent, err := at.link.Run(ctx, e.needs(), request.Command{Statement: e.st, After: at.after})
+	answer, sent, err := at.run(ctx, e.needs(), request.Command{Statement: e.st, After: at.after})
 	switch {
 	case err != nil:
 		return outcome{err: err, sent: sent, harmless: harmless}
--- a/internal/pipeline/journal.go
+++ b/internal/pipeline/journal.go
@@ -25,6 +25,7 @@
 	outcomes *expvar.Map
 	places   *expvar.Map
 	retries  *expvar.Map
+	shared   *expvar.Map
 	dropped  *expvar.Map
 	limits   map[int]*rate.Limiter
 	tell     *rate.Limiter
@@ -36,6 +37,7 @@
 		outcomes: set.Labelled("pipeline_requests_total"),
 		places:   set.Labelled("pipeline_placements_total"),
 		retries:  set.Labelled("pipeline_retries_total"),
+		shared:   set.Labelled("pipeline_borrowed_total"),
 		dropped:  set.Labelled("pipeline_lines_dropped_total"),
 		limits:   make(map[int]*rate.Limiter),
 		tell:     rate.NewLimiter(rate.Every(time.Second), 1),
@@ -59,6 +61,9 @@
 	}
 }
 
+// borrowed counts an attempt over a connection of another instance.
+func (j *journal) borrowed(e *execution) { j.shared.Add(e.st.Kind.String(), 1) }
+
 // line writes one occurrence within the bound of its kind; those beyond it are
 // counted and told once a second.
 func (j *journal) line(e event.Event, fields ...zap.Field) {
--- a/internal/pipeline/place.go
+++ b/internal/pipeline/place.go
@@ -93,9 +93,14 @@
 	now := cfg.Clock()
 	plan := readPlan{
 		endpoints: cfg.Registry().ByService[r.Service], tried: tried, domain: cfg.FailureDomain,
-		usable: cfg.Health.Usable, load: cfg.Health.Load,
-		idle: func(endpoint string) bool { return cfg.Pools.HasIdle(endpoint, organisation) },
+		load: cfg.Health.Load,
 	}
+	borrows := func(endpoint string) bool {
+		_, ok := cfg.Borrow(cfg.Registry().Endpoints[endpoint], organisation, r.Priority)
+		return ok && s.tx == nil
+	}
+	plan.usable = func(endpoint string) bool { return borrows(endpoint) || cfg.Health.Usable(endpoint) }
+	plan.idle = func(endpoint string) bool { return borrows(endpoint) || cfg.Pools.HasIdle(endpoint, organisation) }
 	if leader, err := cfg.Beliefs.Leader(r.Service); err == nil {
 		plan.primary = leader.Endpoint
 	}
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -88,7 +88,7 @@
 			e.pause(ctx, retryPause)
 			continue
 		}
-		if !cfg.Health.Usable(use.Endpoint) {
+		if _, borrows := e.borrow(r, organisation, endpoint); !borrows && !cfg.Health.Usable(use.Endpoint) {
 			// Others try it: a statement that waits for its turn there holds nothing.
 			use.Exit()
 			last = errSilent
@@ -137,6 +137,12 @@
 	e.endpoint = endpoint.ID
 	e.s.p.journal.placed(e, at)
 	cfg := &e.s.p.cfg
+	if borrowed, ok := e.borrow(r, organisation, endpoint); ok {
+		at.run = borrowed
+		if result := e.runBorrowed(ctx, at, run); result.err == nil || result.sent {
+			return result, nil
+		}
+	}
 	queued := cfg.Clock()
 	link, err := cfg.Pools.Acquire(ctx, endpoint, organisation, r.Priority)
 	e.queued += cfg.Clock() - queued
@@ -148,7 +154,7 @@
 		ctx, cancel = context.WithTimeout(ctx, attemptTime(ctx))
 		defer cancel()
 	}
-	at.link = link
+	at.run, at.link = link.Run, link
 	result := run(ctx, at)
 	if !result.keep {
 		link.Release()
@@ -156,6 +162,24 @@
 	return result, nil
 }
 
+// borrow returns a way to the endpoint over a connection of another instance. Only
+// reads outside transactions take it: what another instance keeps back or loses is
+// sent again, and no outcome becomes unknown by it.
+func (e *execution) borrow(r catalog.Route, organisation string, endpoint catalog.Endpoint) (Exchange, bool) {
+	if e.s.tx != nil || !reads(e.st) {
+		return nil, false
+	}
+	return e.s.p.cfg.Borrow(endpoint, organisation, r.Priority)
+}
+
+// runBorrowed makes an attempt over a connection of another instance.
+func (e *execution) runBorrowed(ctx context.Context, at attempt, run runner) outcome {
+	ctx, cancel := context.WithTimeout(ctx, attemptTime(ctx))
+	defer cancel()
+	e.s.p.journal.borrowed(e)
+	return run(ctx, at)
+}
+
 // attemptTime is how long one attempt of a read may take, so that a silent
 // connection leaves time for another.
 func attemptTime(ctx context.Context) time.Duration {
--- a/internal/pipeline/transaction.go
+++ b/internal/pipeline/transaction.go
@@ -183,7 +183,7 @@
 // beginAt begins the transaction on a connection.
 func (e *execution) beginAt(ctx context.Context, at attempt) outcome {
 	tx := e.s.tx
-	answer, _, err := at.link.Run(ctx, backend.Needs{Values: e.s.values}, request.Command{Statement: tx.begin, After: at.after})
+	answer, _, err := at.run(ctx, backend.Needs{Values: e.s.values}, request.Command{Statement: tx.begin, After: at.after})
 	switch {
 	case err != nil:
 		// A transaction that has begun without a statement keeps nothing, and none of
