platform: settings are taken over while the process runs; latency histograms

Cause: SIGHUP was ignored and a change of the settings file took effect only with the next start; the metrics had counts without durations and no address that the platform fetches them from.

Conclusion: the callers' connections are not touched by any of it.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -45,6 +45,7 @@
 	registry      *blackboard.Cell[*catalog.Registry]
 	members       *blackboard.Cell[[]member]
 	registered    atomic.Bool
+	seeds         *blackboard.Cell[[]string]
 	draining      atomic.Bool
 	toldReady     atomic.Pointer[string]
 	lookLimit     *rate.Limiter
@@ -82,6 +83,7 @@
 		configuration: blackboard.NewCell(&catalog.Configuration{}),
 		registry:      blackboard.NewCell(catalog.NewRegistry(nil)),
 		members:       blackboard.NewCell[[]member](nil),
+		seeds:         blackboard.NewCell(cfg.Seeds),
 		ledger:        quota.NewLedger(cfg.Allowance),
 		health:        backend.NewHealth(cfg.Clock),
 		server:        peerlink.NewServer(),
@@ -253,6 +255,15 @@
 	return i.registered.Load() && i.configuration.Get().Version > 0 && i.beliefs.EvidenceAge() >= leadership.EvidenceLifetime
 }
 
+// SetAllowance changes how the organisations' limits are judged.
+func (i *Instance) SetAllowance(a quota.Allowance) {
+	i.ledger.SetAllowance(a)
+	i.divideLimits()
+}
+
+// SetSeeds changes the addresses to ask while the store does not serve this instance.
+func (i *Instance) SetSeeds(seeds []string) { i.seeds.Set(seeds) }
+
 // Drain makes Ready say no from here on.
 func (i *Instance) Drain() { i.draining.Store(true) }
 
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -281,7 +281,7 @@
 	for _, m := range i.others() {
 		all[m.Address] = struct{}{}
 	}
-	for _, seed := range i.cfg.Seeds {
+	for _, seed := range i.seeds.Get() {
 		if seed != i.cfg.PeerAddress {
 			all[seed] = struct{}{}
 		}
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -105,6 +105,17 @@
 		Fields: []string{"member", "endpoint", "error"},
 		Action: "Nothing, unless it lasts: then look at the member's log.",
 	}
+	SettingsApplied = Event{
+		Number: 9025, Name: "edge.settings_applied", Level: zapcore.InfoLevel,
+		Text:   "a changed settings file was read; the fields under restart take effect with the next start",
+		Fields: []string{"applied", "restart"},
+	}
+	SettingsRefused = Event{
+		Number: 9026, Name: "edge.settings_refused", Level: zapcore.WarnLevel,
+		Text:   "a changed settings file cannot be taken over; the present settings stay",
+		Fields: []string{"error"},
+		Action: "Mend the file; hornbeamlockd -check names every mistake.",
+	}
 	EdgeRegistered = Event{
 		Number: 9030, Name: "edge.member_registered", Level: zapcore.InfoLevel,
 		Text: "this instance is registered in the platform's store", Fields: []string{"incarnation", "address"},
@@ -120,5 +131,6 @@
 	RegistryChanged, RegistryEntryIgnored, ReadinessChanged, EndpointRelayed, SessionsShed,
 	HandoverBegun, HandoverStopped, HandoverPromoted, HandoverDone, HandoverFailed,
 	LeaderChanged, LeaderDown, RequestRefused, RequestUnknown, RequestLate, LinesDropped, KeeperSilent,
+	SettingsApplied, SettingsRefused,
 	EdgeRegistered, EdgeRemoved,
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -5,6 +5,8 @@
 
 import (
 	"expvar"
+	"fmt"
+	"io"
 	"net/http"
 	"sync"
 )
@@ -56,3 +58,34 @@
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	_, _ = w.Write([]byte(s.vars.String()))
 }
+
+// Text writes all variables as lines "name value", "name{label} value", and for
+// histograms "name{label,field} value".
+func (s *Set) Text(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	s.vars.Do(func(kv expvar.KeyValue) {
+		labelled, ok := kv.Value.(*expvar.Map)
+		if !ok {
+			fmt.Fprintf(w, "%s %s\n", kv.Key, kv.Value)
+			return
+		}
+		labelled.Do(func(one expvar.KeyValue) {
+			if h, ok := one.Value.(*Histogram); ok {
+				h.text(w, kv.Key, one.Key)
+				return
+			}
+			fmt.Fprintf(w, "%s{%s} %s\n", kv.Key, one.Key, one.Value)
+		})
+	})
+}
+
+func (h *Histogram) text(w io.Writer, name, label string) {
+	s := h.summary()
+	fmt.Fprintf(w, "%s{%s,count} %d\n", name, label, s.Count)
+	for _, field := range []struct {
+		name  string
+		value float64
+	}{{"mean_ms", s.Mean}, {"p50_ms", s.P50}, {"p95_ms", s.P95}, {"p99_ms", s.P99}, {"max_ms", s.Max}} {
+		fmt.Fprintf(w, "%s{%s,%s} %.1f\n", name, label, field.name, field.value)
+	}
+}
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -145,8 +145,10 @@
 	if !organisationCounts(organisation) {
 		return nil
 	}
+	began := e.s.p.cfg.Clock()
 	err := e.s.p.cfg.Admission.Admit(ctx, organisation, admissionPatience)
 	e.admitted = err == nil
+	e.s.p.journal.waits.Record("limit", e.s.p.cfg.Clock()-began)
 	return err
 }
 
@@ -227,6 +229,12 @@
 			zap.String("service", e.route.Service), zap.String("statement", label), zap.Duration("waited", waited),
 		}, more...)
 	}
+	if e.queued > 0 {
+		j.waits.Record("connection", e.queued)
+	}
+	if answer.Err == nil {
+		j.latency.Record(label, waited)
+	}
 	switch {
 	case answer.Err == nil && e.route.TargetLatency > 0 && waited > e.route.TargetLatency:
 		j.outcomes.Add(label+".late", 1)
--- a/internal/pipeline/journal.go
+++ b/internal/pipeline/journal.go
@@ -27,8 +27,12 @@
 	retries  *expvar.Map
 	shared   *expvar.Map
 	dropped  *expvar.Map
-	limits   map[int]*rate.Limiter
-	tell     *rate.Limiter
+	// latency is that of answered statements by kind; waits are those for a token of
+	// the organisation's limit and for a connection.
+	latency metrics.Histograms
+	waits   metrics.Histograms
+	limits  map[int]*rate.Limiter
+	tell    *rate.Limiter
 }
 
 func newJournal(log *zap.Logger, set *metrics.Set) *journal {
@@ -39,6 +43,8 @@
 		retries:  set.Labelled("pipeline_retries_total"),
 		shared:   set.Labelled("pipeline_borrowed_total"),
 		dropped:  set.Labelled("pipeline_lines_dropped_total"),
+		latency:  set.Histograms("pipeline_latency"),
+		waits:    set.Histograms("pipeline_waits"),
 		limits:   make(map[int]*rate.Limiter),
 		tell:     rate.NewLimiter(rate.Every(time.Second), 1),
 	}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -57,10 +57,9 @@
 
 // Ledger is one instance's part of all limits.
 type Ledger struct {
-	allowance Allowance
-
-	mu       sync.Mutex
-	accounts map[string]*account // guarded by mu
+	mu        sync.Mutex
+	allowance Allowance           // guarded by mu
+	accounts  map[string]*account // guarded by mu
 }
 
 // account is one organisation's bucket.
@@ -114,6 +113,14 @@
 	return ordered[:maxHomes]
 }
 
+// SetAllowance changes how the sum over a window is judged. It takes effect with the
+// next Configure.
+func (l *Ledger) SetAllowance(a Allowance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allowance = a
+}
+
 // Configure sets the limits and the instances among which they are divided, of
 // which this one is self.
 func (l *Ledger) Configure(limits map[string]Limit, self string, members []string, now time.Duration) {
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -8,6 +8,7 @@
 	Callers   EdgeCallers   `json:"callers" doc:"Where callers connect, the platform's line protocol."`
 	Peers     EdgePeers     `json:"peers" doc:"Where other instances connect, HTTP."`
 	Readiness Operations    `json:"readiness" doc:"The platform's readiness probe, HTTP."`
+	Metrics   EdgeMetrics   `json:"metrics" doc:"Metrics as text, HTTP, beside /metrics on the readiness address, which is JSON."`
 	Store     EdgeStore     `json:"store" doc:"The platform's store."`
 	Promotion EdgePromotion `json:"promotion" doc:"The platform's call that promotes an endpoint."`
 	Quota     EdgeQuota     `json:"quota" doc:"How the organisations' limits are judged."`
@@ -27,6 +28,11 @@
 	Seeds  []string `json:"seeds" validate:"max=64,dive,ip_port" doc:"Peer addresses to ask while the store does not serve this instance."`
 }
 
+// EdgeMetrics is the listener for metrics.
+type EdgeMetrics struct {
+	Listen string `json:"listen" validate:"omitempty,ip_port" doc:"IP address and TCP port; empty for none."`
+}
+
 // EdgeStore is the platform's store.
 type EdgeStore struct {
 	Address string `json:"address" validate:"required,ip_port" doc:"IP address and TCP port."`
