follow: those who look for a change together share one read of the store

Change: an instance that is made to look asks the reader of its failure domain for a copy that was read after the question; those who ask at the same time share one read. One that has no reader, or whose reader does not answer, reads the store as before.

Measured: TestLooksShareOneRead: 20 instances at once cause fewer than 20 reads, and no copy is older than its question.

Conclusion: fewer calls at the same age of what is known.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,9 +30,12 @@
 type rowsStandin struct {
 	rows    []follow.Row
 	version uint64
+	reads   atomic.Int64
 }
 
 func (r *rowsStandin) Read(context.Context) ([]follow.Row, uint64, error) {
+	r.reads.Add(1)
+	time.Sleep(time.Millisecond)
 	return r.rows, r.version, nil
 }
 
@@ -136,11 +141,41 @@
 		{Name: "b", FailureDomain: "a", Address: reader(rowsAnswer{Version: 9, Serving: true})},
 		{Name: "edge-1", FailureDomain: "a"},
 	})
-	_, ok := i.nearRows(t.Context(), setConfiguration, follow.State{Version: 8}, 0)
+	_, ok := i.nearRows(t.Context(), setConfiguration, follow.State{Version: 8}, 0, false)
 	require.False(t, ok)
 	require.Equal(t, 1, asked)
 }
 
+// TestLooksShareOneRead covers a primary that is replaced in a large fleet: all
+// instances of a failure domain are told at once, and look for the outcome through its
+// reader, which reads the store once or twice.
+func TestLooksShareOneRead(t *testing.T) {
+	fleet := &rowsStandin{rows: []follow.Row{{Key: "leader/x", Version: 1}}, version: 1}
+	reader := newInstance(t, &rowsStandin{}, &rowsStandin{}, fleet, nil)
+	require.NoError(t, reader.fleet.Refresh(t.Context()))
+	server := httptest.NewServer(reader.Handler())
+	t.Cleanup(server.Close)
+	known := reader.fleet.State()
+	before := fleet.reads.Load()
+	fleet.rows[0].Version, fleet.version = 2, 2
+	var pending sync.WaitGroup
+	for range 20 {
+		pending.Go(func() {
+			i := newInstance(t, &rowsStandin{}, &rowsStandin{}, &rowsStandin{}, nil)
+			i.members.Set([]member{
+				{Name: "a", FailureDomain: "a", Address: strings.TrimPrefix(server.URL, "http://")}, {Name: "edge-1", FailureDomain: "a"},
+			})
+			asked := i.cfg.Clock()
+			s, ok := i.nearRows(t.Context(), setFleet, known, 0, true)
+			if !ok || s.Version != 2 || s.AsOf < asked {
+				t.Errorf("%v: version %d, %s before it was asked for", ok, s.Version, asked-s.AsOf)
+			}
+		})
+	}
+	pending.Wait()
+	require.Less(t, fleet.reads.Load()-before, int64(20))
+}
+
 // TestEntriesThatLapsed covers entries that lapsed in an outage of the store: they are
 // back within two seconds of its return, or gone.
 func TestEntriesThatLapsed(t *testing.T) {
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -62,6 +62,8 @@
 	Has string `json:"has,omitempty"`
 	// Wait is how long to wait for a newer copy.
 	Wait time.Duration `json:"wait_ns,omitempty"`
+	// Fresh asks for a copy that is read from the store now.
+	Fresh bool `json:"fresh,omitempty"`
 }
 
 // rowsAnswer has no rows when Version is not above the one asked about, or Same is
@@ -147,6 +149,11 @@
 		return rowsAnswer{}, trace.NotFound("there is no set %q", m.Set)
 	}
 	received := i.cfg.Clock()
+	if m.Fresh {
+		if err := follower.RefreshSince(ctx, received); err != nil {
+			return rowsAnswer{}, trace.Wrap(err)
+		}
+	}
 	changed := follower.Changed()
 	s := follower.State()
 	if s.Version <= m.Above && m.Wait > 0 {
@@ -212,7 +219,7 @@
 
 // nearRows is the follow.NearSource: the next copy of the first instance by name of
 // the failure domain that answers and that the store serves.
-func (i *Instance) nearRows(ctx context.Context, set string, known follow.State, wait time.Duration) (follow.State, bool) {
+func (i *Instance) nearRows(ctx context.Context, set string, known follow.State, wait time.Duration, fresh bool) (follow.State, bool) {
 	for _, m := range i.members.Get() {
 		switch {
 		case m.FailureDomain != i.cfg.FailureDomain || m.Retired:
@@ -220,7 +227,7 @@
 		case m.Name == i.cfg.Name:
 			return follow.State{}, false
 		}
-		switch s, outcome := i.rowsOf(ctx, m, set, known, wait); outcome {
+		switch s, outcome := i.rowsOf(ctx, m, known, rowsRequest{Set: set, Above: known.Version, Has: known.Fingerprint(), Wait: wait, Fresh: fresh}); outcome {
 		case nearTaken:
 			return s, true
 		case nearTooLarge:
@@ -243,19 +250,19 @@
 )
 
 // rowsOf asks one instance, which may wait for a newer copy.
-func (i *Instance) rowsOf(ctx context.Context, m member, set string, known follow.State, wait time.Duration) (follow.State, nearOutcome) {
+func (i *Instance) rowsOf(ctx context.Context, m member, known follow.State, question rowsRequest) (follow.State, nearOutcome) {
 	if !i.nearUsable(m.Name) {
 		return follow.State{}, nearUnusable
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+nearTimeout)
+	ctx, cancel := context.WithTimeout(ctx, question.Wait+nearTimeout)
 	defer cancel()
 	sent := i.cfg.Clock()
 	var answer rowsAnswer
-	err := i.client.Call(ctx, m.Address, messageRows, rowsRequest{Set: set, Above: known.Version, Has: known.Fingerprint(), Wait: wait}, &answer)
+	err := i.client.Call(ctx, m.Address, messageRows, question, &answer)
 	if err == nil && answer.Large {
 		return follow.State{}, nearTooLarge
 	}
-	if err != nil || !answer.Serving || answer.Version < known.Version || answer.Age > nearAges[set] {
+	if err != nil || !answer.Serving || answer.Version < known.Version || answer.Age > nearAges[question.Set] {
 		i.nearFailed(m.Name)
 		return follow.State{}, nearUnusable
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -69,9 +69,10 @@
 func (s State) Age(now time.Duration) time.Duration { return now - s.AsOf }
 
 // NearSource waits for the next publication of the instance that reads the store for
-// its failure domain. It reports false when that is this instance itself, when the
-// other one does not answer, or when the store does not serve it.
-type NearSource func(ctx context.Context, set string, known State, wait time.Duration) (State, bool)
+// its failure domain, or, when fresh is true, for one that it reads from the store after
+// it was asked. It reports false when that is this instance itself, when the other one
+// does not answer, or when the store does not serve it.
+type NearSource func(ctx context.Context, set string, known State, wait time.Duration, fresh bool) (State, bool)
 
 // PeerSource asks another instance for its copy. Rows are nil when the other
 // instance's version is not above the one given; its age tells how old its copy is.
@@ -130,7 +131,9 @@
 	cfg   Config
 	state *blackboard.Cell[State]
 	mu    sync.Mutex // orders publications
-	poke  chan struct{}
+	// refreshing is held by RefreshSince.
+	refreshing sync.Mutex
+	poke       chan struct{}
 	// failingSince is the boot-time instant since when the store does not serve
 	// this instance, 0 while it does.
 	failingSince atomic.Int64
@@ -192,12 +195,13 @@
 	if f.cfg.Near == nil || !known.Known() {
 		return false
 	}
+	wait, poked := nearWait, false
 	select {
 	case <-f.poke:
-		return false
+		wait, poked = 0, true
 	default:
 	}
-	s, ok := f.cfg.Near(ctx, f.cfg.Set, known, nearWait)
+	s, ok := f.cfg.Near(ctx, f.cfg.Set, known, wait, poked)
 	if !ok {
 		return false
 	}
@@ -218,6 +222,17 @@
 	return nil
 }
 
+// RefreshSince reads the store unless a copy read since then is there. Those who ask at
+// the same time share one read.
+func (f *Follower) RefreshSince(ctx context.Context, since time.Duration) error {
+	f.refreshing.Lock()
+	defer f.refreshing.Unlock()
+	if f.State().AsOf >= since {
+		return nil
+	}
+	return f.Refresh(ctx)
+}
+
 // publish replaces the copy unless the new one is older.
 func (f *Follower) publish(s State) {
 	f.mu.Lock()
@@ -234,7 +249,7 @@
 // wait passes the time until the next read.
 func (f *Follower) wait(ctx context.Context) {
 	if f.cfg.Near != nil {
-		if _, ok := f.cfg.Near(ctx, f.cfg.Set, f.State(), 0); ok {
+		if _, ok := f.cfg.Near(ctx, f.cfg.Set, f.State(), 0, false); ok {
 			return // the reader of the failure domain is followed from here on
 		}
 	}
