pipeline: an instance that is cut off sends callers elsewhere

Line 9020 has the field elsewhere.

Measured: TestIsolation, TestIsolatedInstanceSendsCallersElsewhere.

--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -83,7 +83,7 @@
 	RequestRefused = Event{
 		Number: 9020, Name: "edge.request_refused", Level: zapcore.InfoLevel,
 		Text:   "request refused: it has not run",
-		Fields: []string{"request", "organisation", "database", "service", "statement", "cause", "waited", "evidence_age"},
+		Fields: []string{"request", "organisation", "database", "service", "statement", "cause", "elsewhere", "waited", "evidence_age"},
 	}
 	RequestUnknown = Event{
 		Number: 9021, Name: "edge.request_unknown", Level: zapcore.WarnLevel,
--- a/internal/pipeline/config.go
+++ b/internal/pipeline/config.go
@@ -35,12 +35,17 @@
 	maxBusy = 3
 	// retryHint is told to callers when no better forecast is at hand.
 	retryHint = 100 * time.Millisecond
+	// elsewhereHint is told to callers that another instance may serve at once: the
+	// time to connect to it.
+	elsewhereHint = 10 * time.Millisecond
 )
 
 // Admission lets operations in within their organisation's limit.
 type Admission interface {
 	Admit(ctx context.Context, organisation string, patience time.Duration) error
 	Refund(organisation string)
+	// Isolated tells whether this instance reaches few of the others.
+	Isolated() bool
 }
 
 // Exchange runs one statement on a connection with what it needs. Sent is false when
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -243,7 +243,7 @@
 		j.outcomes.Add(label+".answered", 1)
 	case answer.Err.Verdict == verdict.NotRun:
 		j.outcomes.Add(label+".refused", 1)
-		j.line(event.RequestRefused, fields(zap.String("cause", answer.Err.Error()), zap.Duration("evidence_age", e.s.p.cfg.Beliefs.EvidenceAge()))...)
+		j.line(event.RequestRefused, fields(zap.String("cause", answer.Err.Error()), zap.Bool("elsewhere", answer.Err.Elsewhere), zap.Duration("evidence_age", e.s.p.cfg.Beliefs.EvidenceAge()))...)
 	default:
 		j.outcomes.Add(label+".unknown", 1)
 		j.line(event.RequestUnknown, fields(zap.String("endpoint", e.endpoint), zap.String("cause", answer.Err.Error()),
--- a/internal/pipeline/rig_test.go
+++ b/internal/pipeline/rig_test.go
@@ -35,13 +35,17 @@
 type admissionStandin struct {
 	mu              sync.Mutex
 	spent, refunded int
+	isolated        bool
+	refuses         error
 }
 
+func (a *admissionStandin) Isolated() bool { return a.isolated }
+
 func (a *admissionStandin) Admit(context.Context, string, time.Duration) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.spent++
-	return nil
+	return a.refuses
 }
 
 func (a *admissionStandin) Refund(string) {
--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -81,7 +81,7 @@
 	e := &execution{s: s, st: st, began: s.p.cfg.Clock()}
 	answer, err := e.run(ctx)
 	if err != nil {
-		answer.Err = verdict.As(err, verdict.MayHaveRun)
+		answer.Err = s.sendElsewhere(verdict.As(err, verdict.MayHaveRun))
 		answer.Rows, answer.Signature = nil, ""
 	}
 	answer.Transaction = s.State()
@@ -89,6 +89,18 @@
 	return answer
 }
 
+// sendElsewhere marks a refusal for want of tokens, connections or a primary at an
+// instance that is cut off from most of the others: they have what it lacks.
+func (s *Session) sendElsewhere(refused *verdict.Error) *verdict.Error {
+	switch refused.Code {
+	case verdict.CodeConfigurationLimit, verdict.CodeCannotConnectNow, verdict.CodeTooManyConnections:
+		if refused.Verdict == verdict.NotRun && s.p.cfg.Admission.Isolated() {
+			return refused.WithElsewhere(elsewhereHint)
+		}
+	}
+	return refused
+}
+
 // State is the transaction state that the caller is told.
 func (s *Session) State() request.Transaction {
 	switch {
--- a/internal/pipeline/verdict_test.go
+++ b/internal/pipeline/verdict_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -83,3 +84,21 @@
 		})
 	}
 }
+
+// TestIsolatedInstanceSendsCallersElsewhere covers an instance that is cut off from the
+// others, which hold the tokens that it lacks (alpenpass-core-grown scale-2).
+func TestIsolatedInstanceSendsCallersElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.admit.refuses = verdict.New(verdict.NotRun, verdict.CodeConfigurationLimit, "beyond its rate").WithRetryAfter(time.Second)
+		s := r.open("own")
+		require.False(t, s.Handle(t.Context(), readOf("1")).Err.Elsewhere)
+		r.admit.isolated = true
+		refused := s.Handle(t.Context(), readOf("2")).Err
+		require.True(t, refused.Elsewhere)
+		require.Equal(t, elsewhereHint, refused.RetryAfter)
+		r.admit.refuses = nil
+		r.servers.answers["p"] = silent
+		require.False(t, s.Handle(t.Context(), writeOf("3")).Err.Elsewhere, "it may have run")
+	})
+}
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -28,25 +28,36 @@
 	longestPause = 640 * time.Millisecond
 	// silentPause is how long an instance that did not answer is passed over.
 	silentPause = time.Second
+	// leastSilent is how many silent instances make this one isolated at least: fewer
+	// may have died.
+	leastSilent = 3
 )
 
 // lenders is what is known of the other instances as givers of tokens, and of the
 // organisations for which none had any.
 type lenders struct {
 	mu sync.Mutex
-	// silentUntil is until when an instance is passed over; guarded by mu.
-	silentUntil map[string]time.Duration
+	// known are the instances that were asked; guarded by mu.
+	known map[string]lender
 	// pauses are those of organisations; guarded by mu.
 	pauses map[string]pause
 }
 
+// lender is what is known of one instance.
+type lender struct {
+	askedAt time.Duration
+	silent  bool
+	// until is until when a silent one is passed over.
+	until time.Duration
+}
+
 // pause is the time until the next round for an organisation.
 type pause struct {
 	until, length time.Duration
 }
 
 func newLenders() lenders {
-	return lenders{silentUntil: make(map[string]time.Duration), pauses: make(map[string]pause)}
+	return lenders{known: make(map[string]lender), pauses: make(map[string]pause)}
 }
 
 // silent tells whether an instance did not answer when it was last asked, and whether
@@ -54,19 +65,36 @@
 func (l *lenders) silent(name string, now time.Duration) (silent, tooEarly bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	until, silent := l.silentUntil[name]
-	return silent, now < until
+	known := l.known[name]
+	return known.silent, now < known.until
 }
 
 // answered notes whether an instance has answered.
 func (l *lenders) answered(name string, ok bool, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if ok {
-		delete(l.silentUntil, name)
-		return
+	known := lender{askedAt: now, silent: !ok}
+	if !ok {
+		known.until = now + silentPause
 	}
-	l.silentUntil[name] = now + silentPause
+	l.known[name] = known
+}
+
+// isolated tells whether most of the instances that were asked lately were silent.
+func (l *lenders) isolated(now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	asked, silent := 0, 0
+	for _, known := range l.known {
+		if now-known.askedAt > 2*silentPause {
+			continue
+		}
+		asked++
+		if known.silent {
+			silent++
+		}
+	}
+	return silent >= leastSilent && 2*silent > asked
 }
 
 // due takes the organisations out of wants whose pause is not over, and returns how
@@ -99,6 +127,10 @@
 	}
 }
 
+// Isolated tells whether this instance gets no answers from most of the others, so that
+// callers are served better elsewhere.
+func (a *Admission) Isolated() bool { return a.lenders.isolated(a.cfg.Clock()) }
+
 // Run borrows tokens from other instances whenever operations wait for some.
 func (a *Admission) Run(ctx context.Context) error {
 	for {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -243,6 +243,23 @@
 	})
 }
 
+// TestIsolation holds that an instance which is cut off from the others knows, that
+// they do not take themselves for cut off, and that it ends with the cut.
+func TestIsolation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, map[string]Limit{"shop": {Rate: 9, Burst: 9}})
+		time.Sleep(2 * time.Second)
+		drive := func() { f.drive(t, 20, 2*time.Second, func(n int) string { return f.names[n%9] }) }
+		f.cut["i0"] = true
+		drive()
+		require.True(t, f.admissions["i0"].Isolated())
+		require.False(t, f.admissions["i1"].Isolated())
+		f.cut["i0"] = false
+		drive()
+		require.False(t, f.admissions["i0"].Isolated())
+	})
+}
+
 // TestCutOffInstanceGoesOn covers a zone that is cut off: it serves its own part.
 func TestCutOffInstanceGoesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -69,6 +69,9 @@
 	Message string
 	// RetryAfter is when a repeated request may succeed; 0 means unknown.
 	RetryAfter time.Duration
+	// Elsewhere is true when another instance may serve the request at once: this one
+	// reaches too little.
+	Elsewhere bool
 	// Cause is the underlying error, for logs; callers never see it.
 	Cause error
 }
@@ -85,6 +88,13 @@
 	return &c
 }
 
+// WithElsewhere returns a copy of e that sends the caller to another instance.
+func (e *Error) WithElsewhere(retryAfter time.Duration) *Error {
+	c := *e
+	c.Elsewhere, c.RetryAfter = true, retryAfter
+	return &c
+}
+
 // WithCause returns a copy of e that wraps err.
 func (e *Error) WithCause(err error) *Error {
 	c := *e
