edge: an instance takes its parts of limits once the others know it; a fault soak

Instances that start together read the members right after their own registration, the first ones only few, and each takes the parts of so small a fleet until it reads again; an outage of the store at that moment makes it seconds.

Change: an instance that has registered for the first time only borrows until every other member says that it knows it, which makes one that does not look at once; after 1.5 s a majority is enough. One that has started anew in place of its row takes its parts at once. It is not ready while nobody has parts. Event 9032 says when.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 DEPLOYMENT ?= alpenpass
 FOR ?= 20s
 
-.PHONY: build test demo lint format generate faults docs-tables
+.PHONY: build test demo lint format generate faults soak docs-tables
 
 # Tests that KNOWN-RED.txt lists are passed over, and named.
 KNOWN_RED := $(shell awk -F' *[|] *' '!/^\#/ && NF {print $$1}' KNOWN-RED.txt | paste -sd'|' -)
@@ -34,3 +34,9 @@
 # Runs every fault case with real processes; about ten minutes.
 faults:
 	go test -timeout 60m ./test/faults -every
+
+# Plays the soak: processes under random faults, eight seconds for each seed.
+FIRST ?= 1
+SEEDS ?= 50
+soak:
+	go test -timeout 60m ./platform -run TestSoak -soak-first $(FIRST) -soak-seeds $(SEEDS)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -293,3 +293,59 @@
 		})
 	}
 }
+
+// TestNewcomerTakesNoPartsUntilOthersKnowIt covers instances that start at the same
+// time, of which the first ones read few others: each took the parts of a small fleet
+// (soak, seed 5: 176 operations in a window of 152).
+func TestNewcomerTakesNoPartsUntilOthersKnowIt(t *testing.T) {
+	var n newcomer
+	now := time.Hour
+	_, due := n.due(now, now)
+	require.False(t, due, "it has not registered")
+	n.begin(true, now)
+	require.False(t, n.isEstablished())
+	_, due = n.due(now-1, now+time.Second)
+	require.False(t, due, "it has not read the members since")
+	waited, due := n.due(now, now+time.Second)
+	require.True(t, due)
+	require.Equal(t, time.Second, waited)
+	a, b := member{Name: "a", Incarnation: "1"}, member{Name: "b", Incarnation: "1"}
+	n.note(a)
+	require.Equal(t, []member{b}, n.unaware([]member{a, b}))
+	a.Incarnation = "2"
+	require.Equal(t, []member{a, b}, n.unaware([]member{a, b}), "a has started anew and may know less")
+	n.establish()
+	require.True(t, n.isEstablished())
+	n.begin(false, now)
+	require.True(t, n.isEstablished(), "it started in place of an earlier process")
+}
+
+// tableStandin is a table with one row, taken for written when it is.
+type tableStandin struct {
+	nothingStandin
+	row platform.Row
+	now time.Time
+}
+
+func (s *tableStandin) Get(context.Context, ...string) ([]platform.Row, time.Time, error) {
+	return []platform.Row{s.row}, s.now, nil
+}
+
+func (s *tableStandin) Commit(context.Context, []platform.Condition, []platform.Write) (platform.CommitResult, error) {
+	return platform.CommitResult{Applied: true}, nil
+}
+
+// TestRestartInPlaceTakesItsParts covers a process that reads the members before it has
+// registered in place of its earlier row (alpenpass-core scale-1: after all processes
+// were killed, all operations were refused as beyond the rate).
+func TestRestartInPlaceTakesItsParts(t *testing.T) {
+	row := []byte(`{"name":"edge-1","address":"127.0.0.1:1","registered_ms":1000}`)
+	i := newInstance(t, &rowsStandin{}, &rowsStandin{}, &rowsStandin{rows: []follow.Row{{Key: "member/edge-1", Value: row, Version: 1}}, version: 1}, nil)
+	i.cfg.Ports.Table = &tableStandin{row: platform.Row{Key: "member/edge-1", Value: row, Revision: 1}, now: time.UnixMilli(100_000)}
+	i.configuration.Set(&catalog.Configuration{Version: 1, Organisations: map[string]catalog.Organisation{"shop": {Name: "shop", Rate: 1000, Burst: 100}}})
+	require.NoError(t, i.fleet.Refresh(t.Context()))
+	require.NoError(t, i.register(t.Context()))
+	require.Eventually(t, func() bool {
+		return i.admission.Admit(t.Context(), "shop", 0) == nil
+	}, 5*time.Second, time.Millisecond)
+}
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -46,6 +46,7 @@
 	members       *blackboard.Cell[[]member]
 	registered    atomic.Bool
 	seeds         *blackboard.Cell[[]string]
+	newcomer      newcomer
 	draining      atomic.Bool
 	toldReady     atomic.Pointer[string]
 	lookLimit     *rate.Limiter
@@ -173,6 +174,7 @@
 	}
 	t.Go(func() error { return i.keepRegistered(ctx) })
 	t.Go(func() error { return i.watchMembers(ctx) })
+	t.Go(func() error { return i.settleIn(ctx) })
 	t.Go(func() error { return i.admission.Run(ctx) })
 	t.Go(func() error { return i.controller.Run(ctx) })
 	t.Go(func() error { return i.pools.Run(ctx) })
@@ -216,7 +218,11 @@
 	for name, o := range i.configuration.Get().Organisations {
 		limits[name] = quota.Limit{Rate: o.Rate, Burst: o.Burst}
 	}
-	i.ledger.Configure(limits, i.cfg.Name, i.memberNames(), i.cfg.Clock())
+	self := i.cfg.Name
+	if !i.newcomer.isEstablished() {
+		self = ""
+	}
+	i.ledger.Configure(limits, self, i.memberNames(), i.cfg.Clock())
 }
 
 // lookAgain reads primaries and registry anew, soon, however many requests ask for
@@ -240,6 +246,8 @@
 		reason = "no registry of endpoints"
 	case !i.registered.Load():
 		reason = "not registered"
+	case !i.mayAdmit():
+		reason = "no instance has taken its part of the limits"
 	case i.beliefs.EvidenceAge() >= leadership.EvidenceLifetime:
 		reason = "what is known of primaries is too old"
 	}
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -64,11 +64,13 @@
 	return members
 }
 
-// keepRegistered writes this instance's row whenever it is missing, as at the start.
+// keepRegistered writes this instance's row at the start, also in place of that of an
+// earlier start, and whenever it is missing.
 func (i *Instance) keepRegistered(ctx context.Context) error {
+	written := false
 	for ctx.Err() == nil {
 		changed := i.members.Changed()
-		if i.isListed() || i.draining.Load() {
+		if written && i.isListed() || i.draining.Load() {
 			i.noteRegistered()
 			select {
 			case <-changed:
@@ -80,7 +82,9 @@
 		if err := i.register(ctx); err != nil {
 			i.cfg.Log.Debug("this instance is not registered yet", zap.Error(err))
 			pause(ctx, registerPause)
+			continue
 		}
+		written = true
 	}
 	return nil
 }
@@ -97,11 +101,19 @@
 	}
 	self := i.self()
 	self.RegisteredMs = registeredSince(rows[0], self, now)
+	age := time.Duration(now.UnixMilli()-self.RegisteredMs) * time.Millisecond
+	i.newcomer.begin(age < newcomerFor, i.cfg.Clock())
 	conditions := []platform.Condition{{Key: key, Revision: rows[0].Revision}}
-	if _, err := i.cfg.Ports.Table.Commit(ctx, conditions, []platform.Write{memberWrite(self)}); err != nil {
+	if result, err := i.cfg.Ports.Table.Commit(ctx, conditions, []platform.Write{memberWrite(self)}); err != nil {
+		return trace.Wrap(err)
+	} else if !result.Applied {
+		return trace.CompareFailed("the row was changed meanwhile")
+	}
+	if err := i.fleet.Refresh(ctx); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(i.fleet.Refresh(ctx))
+	i.divideLimits()
+	return nil
 }
 
 // registeredSince is since when rows have shown the member at its address. One that has
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -26,6 +26,7 @@
 	messageVouch     = "vouch"
 	messageDirect    = "direct"
 	messageRead      = "read"
+	messageKnows     = "knows"
 )
 
 const (
@@ -95,6 +96,11 @@
 	Address string `json:"address"`
 }
 
+type memberMessage struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
 type yesNo struct {
 	Yes bool `json:"yes"`
 }
@@ -129,6 +135,7 @@
 	})
 	i.serveRelay()
 	peerlink.Handle(i.server, messageRead, i.answerRead)
+	peerlink.Handle(i.server, messageKnows, i.knows)
 	peerlink.Handle(i.server, messagePing, func(context.Context, nothing) (nothing, error) { return nothing{}, nil })
 	peerlink.Handle(i.server, messageVouch, func(context.Context, nothing) (epochsMessage, error) {
 		epochs, ok := i.beliefs.Vouch()
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -116,6 +116,11 @@
 		Fields: []string{"error"},
 		Action: "Mend the file; hornbeamlockd -check names every mistake.",
 	}
+	LimitsTaken = Event{
+		Number: 9032, Name: "edge.limits_taken", Level: zapcore.InfoLevel,
+		Text:   "the others know this instance, which takes its parts of the organisations' limits",
+		Fields: []string{"waited", "unaware"},
+	}
 	EdgeRegistered = Event{
 		Number: 9030, Name: "edge.member_registered", Level: zapcore.InfoLevel,
 		Text: "this instance is registered in the platform's store", Fields: []string{"incarnation", "address"},
@@ -132,5 +137,5 @@
 	HandoverBegun, HandoverStopped, HandoverPromoted, HandoverDone, HandoverFailed,
 	LeaderChanged, LeaderDown, RequestRefused, RequestUnknown, RequestLate, LinesDropped, KeeperSilent,
 	SettingsApplied, SettingsRefused,
-	EdgeRegistered, EdgeRemoved,
+	EdgeRegistered, EdgeRemoved, LimitsTaken,
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -122,7 +122,7 @@
 }
 
 // Configure sets the limits and the instances among which they are divided, of
-// which this one is self.
+// which this one is self. An empty self has no part: it only borrows.
 func (l *Ledger) Configure(limits map[string]Limit, self string, members []string, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
