--- /dev/null
+++ b/internal/pipeline/journal_test.go
@@ -0,0 +1,68 @@
+package pipeline
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+var errBeyond = verdict.New(verdict.NotRun, verdict.CodeConfigurationLimit, "the organisation is beyond its rate")
+
+// TestFloodOfRefusalsIsBounded holds that the lines of a flood are bounded, that what
+// is not written is counted and told, and that no request waits for the log.
+func TestFloodOfRefusalsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.admit.refuses = errBeyond
+		s := r.open("own")
+		const seconds, perSecond = 10, 2000
+		for n := range seconds * perSecond {
+			began := time.Now()
+			s.Handle(t.Context(), readOf(strconv.Itoa(n)))
+			require.Zero(t, time.Since(began), "a refusal waits")
+			time.Sleep(time.Second / perSecond)
+		}
+		lines := r.logged.FilterField(zapNumber(event.RequestRefused.Number)).Len()
+		require.LessOrEqual(t, lines, lineBurst+seconds*linesPerSecond+1)
+		require.GreaterOrEqual(t, lines, lineBurst)
+		told := r.logged.FilterField(zapNumber(event.LinesDropped.Number)).Len()
+		require.LessOrEqual(t, told, seconds+1)
+		require.Positive(t, told)
+		dropped := r.cfg.Metrics.Labelled("pipeline_lines_dropped_total").Get(event.RequestRefused.Name).String()
+		require.Equal(t, strconv.Itoa(seconds*perSecond-lines), dropped)
+	})
+}
+
+// BenchmarkRefusedRequest is what a refused request costs with its line, as long as
+// lines are written, and beyond their bound.
+func BenchmarkRefusedRequest(b *testing.B) {
+	for name, core := range map[string]zapcore.Core{
+		"log": zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(io.Discard), zap.InfoLevel),
+		"off": zapcore.NewNopCore(),
+	} {
+		b.Run(name, func(b *testing.B) {
+			r := newRig(b)
+			r.admit.refuses = errBeyond
+			r.journal.log = zap.New(core)
+			for _, limit := range r.journal.limits {
+				limit.SetLimit(1 << 30)
+				limit.SetBurst(1 << 30)
+			}
+			s := r.open("own")
+			b.ResetTimer()
+			for range b.N {
+				s.Handle(context.Background(), readOf("1"))
+			}
+		})
+	}
+}
--- a/internal/pipeline/rig_test.go
+++ b/internal/pipeline/rig_test.go
@@ -23,7 +23,7 @@
 // replicas r1 and r2. Use it inside a synctest bubble.
 type rig struct {
 	*Pipeline
-	t       *testing.T
+	t       testing.TB
 	clock   func() time.Duration
 	admit   *admissionStandin
 	servers *serversStandin
@@ -132,7 +132,7 @@
 	"primary": {Database: "primary", Service: "db", Consistency: catalog.Primary, Timeout: time.Second},
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	began := time.Now()
 	r := &rig{t: t, admit: &admissionStandin{}}
 	r.clock = func() time.Duration { return time.Since(began) + time.Hour }
