hornbeamctl: show edge instances

Cause: hornbeamctl knew nothing of edge instances; their state was to be read from the metrics of each one. Conclusion: nothing of the daemon is changed.

--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -16,7 +16,7 @@
 		organisationList, organisationPut, organisationDelete,
 		keyList, keyCreate, keyWithdraw,
 		configShow, configHistory, configDiff, configApply, configWait,
-		fleetShow, drainInstance,
+		fleetShow, edgeShow, drainInstance,
 		demoCommand, versionCommand,
 	}
 }
