gateway: each cancel request is passed on to the endpoint

A cancel request that reaches the endpoint after the statement was sent and before it has begun there has no effect, as in PostgreSQL; the gateway passed on only the first request of a statement, so that the driver's further ones, every 50 ms, did nothing until the statement's time was over.

Change: every cancel request is passed on while the statement is under way.

Measured: TestCancelIsPassedOnAgain loses the first request on its way and failed before; it passes after, and the tests of cancelling passed 5 times with the race detector.

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -16,7 +16,7 @@
 	conn *endpoint.Conn
 	// rerouted ends the waiting for a connection to the primary; may be nil.
 	rerouted context.CancelFunc
-	// cancelled is true once a cancel request came; it is not repeated then.
+	// cancelled is true once a cancel request came: the statement is not tried again.
 	cancelled bool
 }
 
@@ -81,11 +81,12 @@
 }
 
 // cancelStatement ends the statement under way: at the endpoint if it runs there,
-// else by ending its waiting.
+// else by ending its waiting. Each request is passed on: one that reaches the endpoint
+// before the statement has begun there, or not at all, has no effect.
 func (c *caller) cancelStatement() {
 	c.mu.Lock()
 	r := c.running
-	if r == nil || r.cancelled {
+	if r == nil {
 		c.mu.Unlock()
 		return
 	}
--- a/internal/gateway/protocol_test.go
+++ b/internal/gateway/protocol_test.go
@@ -9,10 +9,13 @@
 	"crypto/tls"
 	"crypto/x509"
 	"database/sql"
+	"errors"
 	"fmt"
 	"math/big"
+	"net"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +25,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/gateway"
+	"github.com/hornbeamlock/hornbeamlock/internal/pool"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
@@ -178,6 +182,44 @@
 	}
 }
 
+// TestCancelIsPassedOnAgain covers a cancel request that has no effect at the endpoint:
+// the caller's next one is passed on as well.
+func TestCancelIsPassedOnAgain(t *testing.T) {
+	var lost atomic.Int64
+	r := newRig(t, options{units: 1, pool: func(c *pool.Config) {
+		dial := c.Dial
+		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if lost.Add(-1) == 0 {
+				return nil, errors.New("the cancel request is lost")
+			}
+			return dial(ctx, address)
+		}
+	}})
+	conn := r.connect("")
+	require.Zero(t, count(t, conn))
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "SELECT pg_sleep(30)")
+		done <- err
+	}()
+	r.awaitInFlight(1)
+	time.Sleep(200 * time.Millisecond) // it runs at the endpoint by then
+	lost.Store(1)
+	require.NoError(t, conn.PgConn().CancelRequest(context.Background()))
+	require.Eventually(t, func() bool { return lost.Load() <= 0 }, patience, time.Millisecond)
+	var reported *pgconn.PgError
+	require.Eventually(t, func() bool {
+		require.NoError(t, conn.PgConn().CancelRequest(context.Background()))
+		select {
+		case err := <-done:
+			return errors.As(err, &reported)
+		case <-time.After(20 * time.Millisecond):
+			return false
+		}
+	}, 5*time.Second, time.Millisecond)
+	require.Equal(t, verdict.CodeQueryCanceled, reported.Code)
+}
+
 func TestSettings(t *testing.T) {
 	r := newRig(t, options{units: 1})
 	a := r.connect("options='-c work_mem=1MB -c hornbeamlock.timeout=5s'")
