leadership: the test of an unlisted instance waits for what is read at the same instant

Change: the test waits until the instance's own reading is over; it checks the same. Conclusion: the order of the test, not the product.

--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -522,6 +522,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a")
 		time.Sleep(time.Second)
+		synctest.Wait() // what the instance reads at the same instant has been applied
 		f.instances["a"].beliefs.Apply(follow.State{AsOf: f.clock()}, Membership{Count: 1})
 		require.Empty(t, f.leader("a"))
 	})
