share: tokens follow demand that moves

States printed at each wrongful refusal showed the tokens free at an allocator of another failure domain, while the instance that demand had moved to had asked it before they came back, and doubled its pause since. The rest were refused after 300 ms with the units on their way through the table: noticing that demand has left takes about 100 ms, a look 50 ms, two commits the rest, 350 ms in all. Change: while demand is rising the pause between questions to other failure domains does not grow, and fruitless requests do not make callers be refused at once; a holder is asked to hand back every 60 ms at most instead of 250; statements wait 400 ms instead of 300 (limits.admission_wait).

--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -12,7 +12,10 @@
 
 // Defaults.
 const (
-	defaultMaxWait    = 300 * time.Millisecond
+	// defaultMaxWait is how long tokens take from an instance that demand has left, by
+	// way of the table: about 100 ms until it is noticed, a look, and two commits came
+	// to 350 ms.
+	defaultMaxWait    = 400 * time.Millisecond
 	defaultMaxAlone   = 50 * time.Millisecond
 	defaultMaxWaiting = 1024
 	defaultRetryRatio = 0.1
@@ -28,7 +31,7 @@
 	// Demand tells the share controller that tokens were asked for in vain, or,
 	// with 0, that they are still waited for; nil means that nobody is told.
 	Demand func(resource string, amount float64)
-	// MaxWait bounds the wait of a statement for its part; 0 means 300 ms.
+	// MaxWait bounds the wait of a statement for its part; 0 means 400 ms.
 	MaxWait time.Duration
 	// MaxWaitAlone bounds the wait while the rest of the fleet is known to have
 	// nothing left; 0 means 50 ms.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -148,7 +148,7 @@
 			IsolationLimit:    10 * time.Minute,
 		},
 		Limits: Limits{
-			AdmissionWait: 300 * time.Millisecond,
+			AdmissionWait: 400 * time.Millisecond,
 			SessionLease:  10 * time.Minute,
 			OpenRate:      100,
 			RetryRatio:    0.1,
--- a/internal/share/ask.go
+++ b/internal/share/ask.go
@@ -19,7 +19,8 @@
 	// askPause is the shortest time between requests for which callers wait.
 	askPause = 15 * time.Millisecond
 	// borrowLeast and borrowMost bound the pause between two times that other
-	// failure domains are asked to help out.
+	// failure domains are asked to help out: a few round trips, and few messages for
+	// an organisation that stays beyond its limit.
 	borrowLeast = 20 * time.Millisecond
 	borrowMost  = 2 * time.Second
 	// suspectTime is for how long an allocator that did not answer is passed over.
@@ -97,6 +98,10 @@
 	if helped {
 		a.borrowPause = 0
 	}
+	if a.demand.rising(now) {
+		// What is wanted may be about to come back from where demand has left.
+		a.borrowPause = 0
+	}
 	a.borrowPause = min(borrowMost, max(borrowLeast, 2*a.borrowPause))
 	a.borrowAfter = now + a.borrowPause
 }
@@ -331,6 +336,10 @@
 	switch {
 	case err == nil && (held >= want || held > a.heldBefore || a.topped || a.demand.missing == 0):
 		a.emptyCount, a.emptyUntil = 0, now+askPause
+	case a.demand.rising(now):
+		// Where demand has left, it takes some time to notice: callers wait for that.
+		a.emptyCount = min(a.emptyCount+1, emptyLast-1)
+		a.emptyUntil = now + backoff(1, backoffLast, random)
 	default:
 		a.emptyCount++
 		a.emptyUntil = now + backoff(a.emptyCount, backoffLast, random)
--- a/internal/share/recall.go
+++ b/internal/share/recall.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// recallEvery is how often one holder is asked to hand back at most.
-	recallEvery = 250 * time.Millisecond
+	// recallEvery is how often one holder is asked to hand back at most: about as
+	// often as a holder looks at its own demand, so that what it no longer needs is
+	// found at the next look.
+	recallEvery = 60 * time.Millisecond
 	// recallTimeout bounds the wait for a domain to hand back to the table.
 	recallTimeout = 200 * time.Millisecond
 	// recallFanOut is the most domains that are asked at once.
