follow: an outage of the store is probed by one follower; the reader is found later too

Change: the followers of an instance share what they know of an outage, and one of them tries again after an exponential delay of 250 ms to 1 s (cenkalti/backoff). One that waits for changes looks for a reader after each wait. Reads that instances ask a reader for are 100 ms apart. Conclusion: cost of an outage no longer grows with the sets.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -107,13 +107,14 @@
 }
 
 func (i *Instance) buildFollowers() error {
+	outage := follow.NewOutage()
 	i.followers = make(map[string]*follow.Follower)
 	for _, c := range []follow.Config{
 		{Set: setConfiguration, Source: i.cfg.Ports.Configuration, Interval: configurationWait, Timeout: configurationTimeout, Apply: i.applyConfiguration},
 		{Set: setRegistry, Source: i.cfg.Ports.Registry, Interval: registryInterval, Apply: i.applyRegistry},
 		{Set: setFleet, Source: i.cfg.Ports.Fleet, Interval: fleetInterval, Apply: i.applyFleet},
 	} {
-		c.Peers, c.Near, c.Clock, c.Log = i.askRows, i.nearRows, i.cfg.Clock, i.cfg.Log
+		c.Peers, c.Near, c.Outage, c.Clock, c.Log = i.askRows, i.nearRows, outage, i.cfg.Clock, i.cfg.Log
 		if c.Timeout == 0 {
 			c.Timeout = storeTimeout
 		}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -86,9 +86,11 @@
 	// Peers asks some other instance; nil asks none.
 	Peers PeerSource
 	// Near follows the reader of the failure domain; nil always reads the store.
-	Near  NearSource
-	Clock lease.Clock
-	Log   *zap.Logger
+	Near NearSource
+	// Outage is shared by the followers of one instance; nil makes one for this alone.
+	Outage *Outage
+	Clock  lease.Clock
+	Log    *zap.Logger
 	// Interval is the time between two reads, or the longest wait of one Await.
 	Interval time.Duration
 	// Timeout bounds one call to the store.
@@ -97,13 +99,16 @@
 	Apply func(State)
 }
 
-// Pauses between calls that fail.
 const (
-	// retryPause spaces calls to a store that fails: a few a second for each
-	// instance stay far below the store's rates at several hundred instances.
-	retryPause = 250 * time.Millisecond
+	// heldPause spaces looks whether the store is to be tried again, and questions to
+	// other instances meanwhile: several within the time that a copy entitles to the
+	// use of primaries.
+	heldPause = 250 * time.Millisecond
 	// minPeerAge is how old a copy gets before other instances are asked.
 	minPeerAge = 500 * time.Millisecond
+	// freshSpacing is the shortest time between reads that RefreshSince makes: ten a
+	// second for a failure domain, however many of its instances look for a change.
+	freshSpacing = 100 * time.Millisecond
 )
 
 // CheckAndSetDefaults validates the configuration.
@@ -117,6 +122,9 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
+	if c.Outage == nil {
+		c.Outage = NewOutage()
+	}
 	if c.Interval <= 0 {
 		c.Interval = time.Second
 	}
@@ -131,8 +139,8 @@
 	cfg   Config
 	state *blackboard.Cell[State]
 	mu    sync.Mutex // orders publications
-	// refreshing is held by RefreshSince.
-	refreshing sync.Mutex
+	// refreshing has room for the one call of RefreshSince that may read.
+	refreshing chan struct{}
 	poke       chan struct{}
 	// failingSince is the boot-time instant since when the store does not serve
 	// this instance, 0 while it does.
@@ -146,6 +154,7 @@
 	}
 	return &Follower{
 		cfg: cfg, state: blackboard.NewCell(State{AsOf: -1}), poke: make(chan struct{}, 1),
+		refreshing: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -172,10 +181,10 @@
 		if f.followNear(ctx) {
 			continue
 		}
-		if err := f.Refresh(ctx); err != nil {
+		if err := f.try(ctx); err != nil {
 			f.failed(err)
 			f.askPeers(ctx)
-			f.sleep(ctx, retryPause)
+			f.sleep(ctx, heldPause)
 			continue
 		}
 		f.served()
@@ -209,6 +218,16 @@
 	return true
 }
 
+// try reads the store unless it is known to fail and not yet to be tried again.
+func (f *Follower) try(ctx context.Context) error {
+	if !f.cfg.Outage.mayTry(f.cfg.Clock(), f.cfg.Timeout) {
+		return errHeld
+	}
+	err := f.Refresh(ctx)
+	f.cfg.Outage.tried(err, f.cfg.Clock())
+	return err
+}
+
 // Refresh reads the store once.
 func (f *Follower) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
@@ -223,13 +242,20 @@
 }
 
 // RefreshSince reads the store unless a copy read since then is there. Those who ask at
-// the same time share one read.
+// the same time, or shortly after the last read, share one.
 func (f *Follower) RefreshSince(ctx context.Context, since time.Duration) error {
-	f.refreshing.Lock()
-	defer f.refreshing.Unlock()
+	select {
+	case f.refreshing <- struct{}{}:
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+	defer func() { <-f.refreshing }()
 	if f.State().AsOf >= since {
 		return nil
 	}
+	if early := f.State().AsOf + freshSpacing - f.cfg.Clock(); early > 0 && f.State().Known() {
+		pause(ctx, early)
+	}
 	return f.Refresh(ctx)
 }
 
@@ -248,10 +274,8 @@
 
 // wait passes the time until the next read.
 func (f *Follower) wait(ctx context.Context) {
-	if f.cfg.Near != nil {
-		if _, ok := f.cfg.Near(ctx, f.cfg.Set, f.State(), 0, false); ok {
-			return // the reader of the failure domain is followed from here on
-		}
+	if f.hasReader(ctx) {
+		return // it is followed from here on
 	}
 	waiter, ok := f.cfg.Source.(Waiter)
 	if !ok {
@@ -260,7 +284,7 @@
 	}
 	for ctx.Err() == nil {
 		changed, err := f.await(ctx, waiter)
-		if changed || err != nil {
+		if changed || err != nil || f.hasReader(ctx) {
 			return
 		}
 		select {
@@ -271,6 +295,15 @@
 	}
 }
 
+// hasReader tells whether another instance reads the store for this one.
+func (f *Follower) hasReader(ctx context.Context) bool {
+	if f.cfg.Near == nil {
+		return false
+	}
+	_, ok := f.cfg.Near(ctx, f.cfg.Set, f.State(), 0, false)
+	return ok
+}
+
 func (f *Follower) await(ctx context.Context, waiter Waiter) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Interval+f.cfg.Timeout)
 	defer cancel()
@@ -320,6 +353,15 @@
 	}
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // jitter spreads the instances' calls by a tenth either way.
 func jitter(d time.Duration) time.Duration {
 	return d - d/10 + rand.N(d/5+1)
