leadership: a silent primary is noticed by the first to act; one late stop holds up nothing

Instances have two statements a second at a primary: the one that was first in rank had its first silent one at 34.97 s, another one at 33.9 s whose place in rank was too late to act. Ranks went by name, which begins with the failure domain: a cut of the first one delays all others by 3 s. The wait of 2.4 s began with the last stop of all members, 0.45 s after the intent. Change: whoever finds a primary silent tells the first six in rank, which look for themselves; rank goes by a hash of the name after the holder of the last fence number; the wait begins when those that have not stopped became too few to be a majority, since word of one reaches them after that only from members that say that they have stopped.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -139,7 +139,7 @@
 	i.controller, err = leadership.New(leadership.Config{
 		Self: i.cfg.Name, Beliefs: i.beliefs, Refresh: i.fleet.Refresh, Registry: i.registry.Get,
 		RegistrySettled: i.registrySettled, Members: i.leadershipMembers, FreshMembers: i.freshMembers,
-		Table: i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
+		Reaches: i.reaches, Table: i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
 		Peers: peers{i.client}, Health: i.health, Clock: i.cfg.Clock, Log: i.cfg.Log,
 	})
 	return trace.Wrap(err)
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -21,6 +21,7 @@
 	messageSettled   = "settled"
 	messageReaches   = "reaches"
 	messageReplacing = "replacing"
+	messageSuspect   = "suspect"
 	messageTokens    = "tokens"
 	messagePing      = "ping"
 	messageVouch     = "vouch"
@@ -88,6 +89,11 @@
 	Epoch   uint64 `json:"epoch"`
 }
 
+type suspectMessage struct {
+	Service  string `json:"service"`
+	Endpoint string `json:"endpoint"`
+}
+
 type endpointMessage struct {
 	Endpoint string `json:"endpoint"`
 }
@@ -133,6 +139,10 @@
 	peerlink.Handle(i.server, messageReplacing, func(_ context.Context, m epochMessage) (yesNo, error) {
 		return yesNo{Yes: i.controller.Replacing(m.Service, m.Epoch)}, nil
 	})
+	peerlink.Handle(i.server, messageSuspect, func(_ context.Context, m suspectMessage) (nothing, error) {
+		i.controller.Suspect(m.Service, m.Endpoint)
+		return nothing{}, nil
+	})
 	i.serveRelay()
 	peerlink.Handle(i.server, messageRead, i.answerRead)
 	peerlink.Handle(i.server, messageKnows, i.knows)
@@ -346,6 +356,11 @@
 	return answer.Yes, err
 }
 
+// Suspect implements leadership.Peers.
+func (p peers) Suspect(ctx context.Context, m leadership.Member, service, endpoint string) error {
+	return p.client.Call(ctx, m.Address, messageSuspect, suspectMessage{Service: service, Endpoint: endpoint}, &nothing{})
+}
+
 // Vouch implements leadership.Peers.
 func (p peers) Vouch(ctx context.Context, m leadership.Member) (map[string]uint64, error) {
 	var answer epochsMessage
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -1,12 +1,14 @@
 package leadership
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
@@ -25,8 +27,14 @@
 	// rankDelay is how much longer each next instance waits before it acts, so
 	// that usually one does: above the time from an intent to its being known.
 	rankDelay = 500 * time.Millisecond
-	// maxRanks bounds the delay of the last instance of a large fleet.
+	// maxRanks bounds the delay of the last instance of a large fleet. As many are told
+	// of a silent primary, so that some of them are on the same side of a cut.
 	maxRanks = 6
+	// suspectLife is how long the word of another instance that a primary is silent
+	// counts: until the questions to all others have ended, and an attempt or two.
+	suspectLife = 2 * time.Second
+	// suspectInterval spaces that word from one instance.
+	suspectInterval = time.Second
 	// missingBeforeReplacing is how long an entry is missing from the registry
 	// before its endpoint counts as gone.
 	missingBeforeReplacing = 500 * time.Millisecond
@@ -62,6 +70,16 @@
 	since map[string]need
 	// notBefore spaces the attempts; guarded by mu.
 	notBefore map[string]time.Duration
+	// suspects are the primaries that do not answer other instances; guarded by mu.
+	suspects map[string]suspect
+	// toldAt is when this instance last told of its own; guarded by mu.
+	toldAt map[string]time.Duration
+}
+
+// suspect is a primary that does not answer another instance.
+type suspect struct {
+	endpoint string
+	until    time.Duration
 }
 
 type need struct {
@@ -76,7 +94,7 @@
 	}
 	return &Controller{
 		cfg: cfg, running: make(map[string]*handover), since: make(map[string]need),
-		notBefore: make(map[string]time.Duration),
+		notBefore: make(map[string]time.Duration), suspects: make(map[string]suspect), toldAt: make(map[string]time.Duration),
 	}, nil
 }
 
@@ -119,6 +137,7 @@
 			if why := c.due(name); why != reasonNone {
 				c.start(ctx, t, name, why)
 			}
+			c.tellSuspect(ctx, t, name)
 		}
 		select {
 		case <-ticker.C:
@@ -175,29 +194,40 @@
 		return reasonGone, missingBeforeReplacing
 	case registered && e.Draining:
 		return reasonDraining, 0
-	case c.cfg.Health.SilentFor(leader.Endpoint) >= silenceBeforeAsking:
+	case c.cfg.Health.SilentFor(leader.Endpoint) >= silenceBeforeAsking, c.isSuspect(name, leader.Endpoint):
 		return reasonSilent, 0
 	default:
 		return reasonNone, 0
 	}
 }
 
-// rank is this instance's place among those that may act: the holder of the last
-// fence number first, so that the holder seldom changes, then by name.
+// rank is this instance's place among those that may act, maxRanks at most.
 func (c *Controller) rank() int {
-	holder := c.cfg.Beliefs.dutyHolder()
-	if holder == c.cfg.Self {
-		return 0
-	}
-	place := 0
-	for _, m := range c.cfg.Members() {
-		if m.Name == holder || m.Name < c.cfg.Self {
-			place++
-		}
+	place := slices.IndexFunc(c.ranked(), func(m Member) bool { return m.Name == c.cfg.Self })
+	if place < 0 {
+		return maxRanks
 	}
 	return min(place, maxRanks)
 }
 
+// ranked returns the members in the order in which they act: the holder of the last
+// fence number first, so that the holder seldom changes, then by a hash of the name:
+// names begin with those of failure domains, whose instances are cut off together.
+func (c *Controller) ranked() []Member {
+	holder := c.cfg.Beliefs.dutyHolder()
+	ordered := slices.Clone(c.cfg.Members())
+	slices.SortFunc(ordered, func(a, b Member) int {
+		if (a.Name == holder) != (b.Name == holder) {
+			if a.Name == holder {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	return ordered
+}
+
 // start begins a replacement beside the others.
 func (c *Controller) start(ctx context.Context, t *tomb.Tomb, name string, why reason) {
 	record, _ := c.cfg.Beliefs.record(name)
@@ -230,7 +260,8 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		if !c.goneForAll(ctx, h.service, leader.Endpoint) {
+		if c.cfg.Reaches(ctx, leader.Endpoint) || !c.goneForAll(ctx, h.service, leader.Endpoint) {
+			c.forgetSuspect(h.service)
 			return nil
 		}
 	case reasonAbandoned:
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -27,13 +28,17 @@
 	t     *testing.T
 	began time.Time
 
-	mu        sync.Mutex
-	rows      map[string]platform.Row
-	revision  uint64
-	servers   map[string]*server
-	draining  map[string]bool
-	cut       map[string]bool // instances that reach nothing but servers
-	loseNext  bool            // the answer of the next commit is lost
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	revision uint64
+	servers  map[string]*server
+	draining map[string]bool
+	cut      map[string]bool // instances that reach nothing but servers
+	loseNext bool            // the answer of the next commit is lost
+	// noticing are the instances that have statements at servers, nil for all; slow are
+	// those that take long to stop.
+	noticing  map[string]bool
+	slow      map[string]time.Duration
 	storeDown bool
 	newcomers map[string]time.Duration
 	orders    []Promotion
@@ -73,6 +78,7 @@
 			Self: name, Beliefs: i.beliefs, Refresh: i.refresh, Registry: f.registry,
 			Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
 			Table: i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
+			Reaches: func(_ context.Context, endpoint string) bool { return f.up(endpoint) },
 		})
 		require.NoError(t, err)
 		i.controller = controller
@@ -233,7 +239,8 @@
 		return err
 	}
 	i.f.instances[m.Name].controller.Stop(ctx, service, epoch)
-	return nil
+	sleep(ctx, i.f.slow[m.Name])
+	return ctx.Err()
 }
 
 func (i *instance) Settled(ctx context.Context, m Member) error {
@@ -247,7 +254,21 @@
 	if err := i.reach(m.Name); err != nil {
 		return false, err
 	}
-	return i.f.instances[m.Name].SilentFor(endpoint) == 0, nil
+	return i.f.up(endpoint), nil
+}
+
+func (i *instance) Suspect(_ context.Context, m Member, service, endpoint string) error {
+	if err := i.reach(m.Name); err != nil {
+		return err
+	}
+	i.f.instances[m.Name].controller.Suspect(service, endpoint)
+	return nil
+}
+
+func (f *fleet) up(endpoint string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.servers[endpoint].down
 }
 
 func (i *instance) Replacing(_ context.Context, m Member, service string, epoch uint64) (bool, error) {
@@ -271,7 +292,7 @@
 func (i *instance) SilentFor(endpoint string) time.Duration {
 	i.f.mu.Lock()
 	defer i.f.mu.Unlock()
-	if i.f.servers[endpoint].down {
+	if i.f.servers[endpoint].down && (i.f.noticing == nil || i.f.noticing[i.name]) {
 		return time.Second
 	}
 	return 0
@@ -309,6 +330,61 @@
 	})
 }
 
+// The pattern: a large fleet, in which one instance alone has a statement at the primary
+// that goes dark, and that one is the last to act.
+func TestSilenceThatOneInstanceNotices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
+		time.Sleep(time.Second)
+		ranked := f.instances["a"].controller.ranked()
+		f.set(func() {
+			f.noticing = map[string]bool{ranked[len(ranked)-1].Name: true}
+			f.servers["s1"].down = true
+		})
+		time.Sleep(700 * time.Millisecond)
+		require.Len(t, f.ordered(), 1)
+		require.Equal(t, ranked[0].Name, f.ordered()[0].Holder)
+	})
+}
+
+// A primary that some instances reach stays, whatever others say of it.
+func TestSuspectThatAnswersStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		time.Sleep(time.Second)
+		for _, i := range f.instances {
+			i.controller.Suspect("db", "s1")
+		}
+		time.Sleep(5 * time.Second)
+		require.Empty(t, f.ordered())
+		require.Equal(t, "s1", f.leader("a"))
+		require.Zero(t, f.instances["a"].beliefs.records.services["db"].Epoch, "nobody has intended to replace it")
+	})
+}
+
+// The pattern: a failure domain is cut off with the primary inside, and one of the
+// instances outside stops late. Those inside have no majority long before.
+func TestLateStopOfOneInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c", "d", "e")
+		time.Sleep(time.Second)
+		ranked := f.instances["a"].controller.ranked()
+		slow, away := ranked[2].Name, ranked[4].Name
+		f.slow = map[string]time.Duration{slow: 600 * time.Millisecond}
+		f.set(func() { f.cut[away], f.servers["s1"].down = true, true })
+		var movedAt time.Time
+		for len(f.ordered()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+			if movedAt.IsZero() && f.leader(ranked[1].Name) == "" {
+				movedAt = time.Now()
+			}
+		}
+		require.Less(t, time.Since(movedAt), EvidenceLifetime+lapseSlack+400*time.Millisecond)
+		require.GreaterOrEqual(t, time.Since(movedAt), EvidenceLifetime)
+		require.Empty(t, f.leader(away))
+	})
+}
+
 // TestUnreachableInstanceIsWaitedFor covers a zone that is cut off with the primary
 // inside, where connections are refused at the cut: the instances there go on using
 // it until their copies have lapsed (zanettin scale-2: ONE 11, STALE 53).
@@ -527,3 +603,22 @@
 		require.Empty(t, f.leader("a"))
 	})
 }
+
+// The pattern: names begin with those of failure domains, and one of them is cut off.
+func TestFirstInRankAreOfSeveralFailureDomains(t *testing.T) {
+	var names []string
+	for _, domain := range []string{"garmisch", "oberstdorf", "berchtesgaden", "tegernsee"} {
+		for n := range 17 {
+			names = append(names, "edge-"+domain+"-"+strconv.Itoa(n+1))
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, names...)
+		time.Sleep(time.Second)
+		domains := make(map[string]struct{})
+		for _, m := range f.instances[names[0]].controller.ranked()[:maxRanks] {
+			domains[strings.Split(m.Name, "-")[1]] = struct{}{}
+		}
+		require.Greater(t, len(domains), 1)
+	})
+}
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -62,6 +62,8 @@
 	Settled(ctx context.Context, m Member) error
 	// Reaches asks whether the member gets answers from the endpoint.
 	Reaches(ctx context.Context, m Member, endpoint string) (bool, error)
+	// Suspect tells the member that the service's primary does not answer this instance.
+	Suspect(ctx context.Context, m Member, service, endpoint string) error
 	// Vouch asks for the latest epochs that the member knows of.
 	Vouch(ctx context.Context, m Member) (map[string]uint64, error)
 	// Replacing asks whether the member is at work on the epoch.
@@ -91,18 +93,21 @@
 	// FreshMembers reads all that are registered from the store, also retired ones.
 	FreshMembers func(ctx context.Context) ([]Member, error)
 	Table        platform.Table
-	Servers      Servers
-	Promoter     Promoter
-	Peers        Peers
-	Health       Health
-	Clock        lease.Clock
-	Log          *zap.Logger
+	// Reaches tells whether an endpoint answers this instance, and probes it unless that
+	// is known.
+	Reaches  func(ctx context.Context, endpoint string) bool
+	Servers  Servers
+	Promoter Promoter
+	Peers    Peers
+	Health   Health
+	Clock    lease.Clock
+	Log      *zap.Logger
 }
 
 // CheckAndSetDefaults validates the configuration.
 func (c *Config) CheckAndSetDefaults() error {
 	if c.Self == "" || c.Beliefs == nil || c.Refresh == nil || c.Registry == nil || c.Members == nil || c.FreshMembers == nil ||
-		c.Table == nil || c.Servers == nil || c.Promoter == nil || c.Peers == nil || c.Health == nil {
+		c.Reaches == nil || c.Table == nil || c.Servers == nil || c.Promoter == nil || c.Peers == nil || c.Health == nil {
 		return trace.BadParameter("leadership: every port is required")
 	}
 	if c.RegistrySettled == nil {
--- a/internal/leadership/stop.go
+++ b/internal/leadership/stop.go
@@ -35,13 +35,17 @@
 			stops <- struct{}{}
 		}()
 	}
-	last, missing := h.written, len(h.members)
+	// minorityAt is when those that have not stopped became too few to be a majority.
+	minorityAt, missing := h.written, len(h.members)
 	ticker := time.NewTicker(lapsePoll)
 	defer ticker.Stop()
-	for missing > 0 && h.c.cfg.Clock() < h.lapsesAt(last, missing) {
+	for missing > 0 && h.c.cfg.Clock() < h.lapsesAt(minorityAt, missing) {
 		select {
 		case <-stops:
-			last, missing = h.c.cfg.Clock(), missing-1
+			if !h.isMinority(missing) {
+				minorityAt = h.c.cfg.Clock()
+			}
+			missing--
 		case a := <-found:
 			return &a, nil
 		case <-ticker.C:
@@ -53,19 +57,25 @@
 }
 
 // lapsesAt is when the members that have not stopped surely use the old primary no
-// more. Too few to be a majority, also by a copy that does not show the newcomers,
-// they have what they had when the last of the others stopped.
-func (h *handover) lapsesAt(lastStop time.Duration, missing int) time.Duration {
+// more. Since they became too few to be a majority the word of one reaches them only
+// from a member that has stopped, and says so.
+func (h *handover) lapsesAt(minorityAt time.Duration, missing int) time.Duration {
+	if h.isMinority(missing) {
+		return minorityAt + EvidenceLifetime + lapseSlack
+	}
+	return h.written + LongestOutage + EvidenceLifetime + lapseSlack
+}
+
+// isMinority tells whether so many members are less than half, also by a copy that
+// does not show the newcomers.
+func (h *handover) isMinority(missing int) bool {
 	newcomers := 0
 	for _, m := range h.members {
 		if m.NewcomerUntil > h.c.cfg.Clock() {
 			newcomers++
 		}
 	}
-	if 2*missing < len(h.members)-newcomers {
-		return max(h.written, lastStop) + EvidenceLifetime + lapseSlack
-	}
-	return h.written + LongestOutage + EvidenceLifetime + lapseSlack
+	return 2*missing < len(h.members)-newcomers
 }
 
 // stopOne asks the member until it has stopped or ctx ends.
--- /dev/null
+++ b/internal/leadership/suspect.go
@@ -0,0 +1,68 @@
+package leadership
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+)
+
+// In a large fleet an instance seldom has a statement at each primary, so that the one
+// that acts first would notice a silent primary a second or more after others. Whoever
+// notices it tells those that act first, which look for themselves.
+
+// Suspect notes that a primary does not answer another instance.
+func (c *Controller) Suspect(service, endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspects[service] = suspect{endpoint: endpoint, until: c.cfg.Clock() + suspectLife}
+}
+
+// isSuspect tells whether the primary lately did not answer another instance.
+func (c *Controller) isSuspect(service, endpoint string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, ok := c.suspects[service]
+	return ok && s.endpoint == endpoint && c.cfg.Clock() < s.until
+}
+
+func (c *Controller) forgetSuspect(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.suspects, service)
+}
+
+// tellSuspect tells the first instances in rank of a primary that does not answer this
+// one.
+func (c *Controller) tellSuspect(ctx context.Context, t *tomb.Tomb, service string) {
+	leader, err := c.cfg.Beliefs.Leader(service)
+	if err != nil || c.cfg.Health.SilentFor(leader.Endpoint) < silenceBeforeAsking || !c.mayTell(service) {
+		return
+	}
+	ranked := c.ranked()
+	for _, m := range ranked[:min(len(ranked), maxRanks)] {
+		if m.Name == c.cfg.Self {
+			continue
+		}
+		t.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			if err := c.cfg.Peers.Suspect(ctx, m, service, leader.Endpoint); err != nil {
+				c.cfg.Log.Debug("an instance was not told of a silent primary", zap.String("member", m.Name), zap.Error(err))
+			}
+			return nil
+		})
+	}
+}
+
+// mayTell spaces what this instance tells of one service.
+func (c *Controller) mayTell(service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.cfg.Clock()
+	if last, told := c.toldAt[service]; told && now-last < suspectInterval {
+		return false
+	}
+	c.toldAt[service] = now
+	return true
+}
