--- /dev/null
+++ b/internal/leadership/fleet_test.go
@@ -0,0 +1,317 @@
+package leadership
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
+)
+
+var errCut = errors.New("no way there")
+
+// fleet is a store, three servers of one service, and instances that use and
+// replace their primary.
+type fleet struct {
+	t     *testing.T
+	began time.Time
+
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	revision uint64
+	servers  map[string]*server
+	draining map[string]bool
+	cut      map[string]bool // instances that reach nothing but servers
+	loseNext bool            // the answer of the next commit is lost
+	// noticing are the instances that have statements at servers, nil for all; slow are
+	// those that take long to stop.
+	noticing  map[string]bool
+	slow      map[string]time.Duration
+	storeDown bool
+	newcomers map[string]time.Duration
+	orders    []Promotion
+	instances map[string]*instance
+}
+
+type server struct {
+	status ServerStatus
+	down   bool
+}
+
+type instance struct {
+	f          *fleet
+	name       string
+	beliefs    *Beliefs
+	controller *Controller
+}
+
+func (f *fleet) clock() time.Duration { return time.Since(f.began) }
+
+func newFleet(t *testing.T, names ...string) *fleet {
+	f := &fleet{
+		t: t, began: time.Now().Add(-time.Hour), rows: make(map[string]platform.Row),
+		servers: map[string]*server{
+			"s1": {status: ServerStatus{Primary: true, Term: 1, Received: position.Position{Term: 1, Offset: 9}}},
+			"s2": {status: ServerStatus{Term: 1, Received: position.Position{Term: 1, Offset: 9}}},
+			"s3": {status: ServerStatus{Term: 1, Received: position.Position{Term: 1, Offset: 8}}},
+		},
+		draining: make(map[string]bool), cut: make(map[string]bool), instances: make(map[string]*instance),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, name := range names {
+		i := &instance{f: f, name: name}
+		i.beliefs = NewBeliefs(f.clock, zap.NewNop(), f.registry)
+		controller, err := New(Config{
+			Self: name, Beliefs: i.beliefs, Refresh: i.refresh, Registry: f.registry,
+			Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
+			Table: i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
+			Reaches: func(_ context.Context, endpoint string) bool { return f.up(endpoint) },
+		})
+		require.NoError(t, err)
+		i.controller = controller
+		f.instances[name] = i
+	}
+	for _, i := range f.instances {
+		running.Go(func() { _ = i.controller.Run(ctx) })
+		running.Go(func() {
+			for ctx.Err() == nil {
+				_ = i.refresh(ctx)
+				sleep(ctx, time.Second)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return f
+}
+
+func (f *fleet) members() []Member {
+	var list []Member
+	for name := range f.instances {
+		list = append(list, Member{Name: name, NewcomerUntil: f.newcomers[name]})
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+func (f *fleet) registry() *catalog.Registry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []catalog.Endpoint
+	for _, id := range []string{"s1", "s2", "s3"} {
+		role := catalog.RoleReplica
+		if f.servers[id].status.Primary {
+			role = catalog.RolePrimary
+		}
+		list = append(list, catalog.Endpoint{ID: id, Service: "db", Role: role, Draining: f.draining[id]})
+	}
+	return catalog.NewRegistry(list)
+}
+
+// reach fails where the instance or the other side is cut off.
+func (i *instance) reach(other string) error {
+	i.f.mu.Lock()
+	defer i.f.mu.Unlock()
+	if i.f.cut[i.name] || i.f.cut[other] || other == "store" && i.f.storeDown {
+		return errCut
+	}
+	return nil
+}
+
+func (i *instance) refresh(ctx context.Context) error {
+	sent := i.f.clock()
+	rows, _, err := i.List(ctx, RowPrefix)
+	if err != nil {
+		return err
+	}
+	s := follow.State{AsOf: sent}
+	for _, row := range rows {
+		s.Rows = append(s.Rows, follow.Row{Key: row.Key, Value: row.Value, Version: row.Revision})
+	}
+	i.beliefs.Apply(s, Membership{Listed: true, Count: len(i.f.instances)})
+	return nil
+}
+
+func (i *instance) Get(_ context.Context, keys ...string) ([]platform.Row, time.Time, error) {
+	if err := i.reach("store"); err != nil {
+		return nil, time.Time{}, err
+	}
+	i.f.mu.Lock()
+	defer i.f.mu.Unlock()
+	var list []platform.Row
+	for _, key := range keys {
+		row := i.f.rows[key]
+		row.Key = key
+		list = append(list, row)
+	}
+	return list, time.Time{}, nil
+}
+
+func (i *instance) List(_ context.Context, prefix string) ([]platform.Row, time.Time, error) {
+	if err := i.reach("store"); err != nil {
+		return nil, time.Time{}, err
+	}
+	i.f.mu.Lock()
+	defer i.f.mu.Unlock()
+	var list []platform.Row
+	for key, row := range i.f.rows {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, row)
+		}
+	}
+	return list, time.Time{}, nil
+}
+
+func (i *instance) Commit(_ context.Context, conditions []platform.Condition, writes []platform.Write) (platform.CommitResult, error) {
+	if err := i.reach("store"); err != nil {
+		return platform.CommitResult{}, err
+	}
+	i.f.mu.Lock()
+	defer i.f.mu.Unlock()
+	for _, c := range conditions {
+		if i.f.rows[c.Key].Revision != c.Revision {
+			return platform.CommitResult{}, nil
+		}
+	}
+	i.f.revision++
+	for _, w := range writes {
+		i.f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: i.f.revision}
+	}
+	if i.f.loseNext {
+		i.f.loseNext = false
+		return platform.CommitResult{}, errCut
+	}
+	return platform.CommitResult{Applied: true, Revision: i.f.revision}, nil
+}
+
+func (i *instance) Status(_ context.Context, e catalog.Endpoint) (ServerStatus, error) {
+	i.f.mu.Lock()
+	defer i.f.mu.Unlock()
+	if s := i.f.servers[e.ID]; !s.down {
+		return s.status, nil
+	}
+	return ServerStatus{}, errCut
+}
+
+func (i *instance) StepDown(_ context.Context, e catalog.Endpoint, term uint64) error {
+	i.f.mu.Lock()
+	defer i.f.mu.Unlock()
+	s := i.f.servers[e.ID]
+	if s.down {
+		return errCut
+	}
+	if s.status.Term < term {
+		s.status.Primary, s.status.Term = false, term
+	}
+	return nil
+}
+
+func (i *instance) Promote(_ context.Context, p Promotion) error {
+	i.f.mu.Lock()
+	defer i.f.mu.Unlock()
+	i.f.orders = append(i.f.orders, p)
+	s := i.f.servers[p.Endpoint]
+	s.status.Primary = true
+	for _, other := range i.f.servers {
+		s.status.Term = max(s.status.Term, other.status.Term)
+	}
+	s.status.Term++
+	return nil
+}
+
+func (i *instance) Stop(ctx context.Context, m Member, service string, epoch uint64) error {
+	if err := i.reach(m.Name); err != nil {
+		return err
+	}
+	i.f.instances[m.Name].controller.Stop(ctx, service, epoch)
+	sleep(ctx, i.f.slow[m.Name])
+	return ctx.Err()
+}
+
+func (i *instance) Settled(ctx context.Context, m Member) error {
+	if err := i.reach(m.Name); err != nil {
+		return err
+	}
+	return i.f.instances[m.Name].refresh(ctx)
+}
+
+func (i *instance) Reaches(_ context.Context, m Member, endpoint string) (bool, error) {
+	if err := i.reach(m.Name); err != nil {
+		return false, err
+	}
+	return i.f.up(endpoint), nil
+}
+
+func (i *instance) Suspect(_ context.Context, m Member, service, endpoint string) error {
+	if err := i.reach(m.Name); err != nil {
+		return err
+	}
+	i.f.instances[m.Name].controller.Suspect(service, endpoint)
+	return nil
+}
+
+func (f *fleet) up(endpoint string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.servers[endpoint].down
+}
+
+func (i *instance) Replacing(_ context.Context, m Member, service string, epoch uint64) (bool, error) {
+	if err := i.reach(m.Name); err != nil {
+		return false, err
+	}
+	return i.f.instances[m.Name].controller.Replacing(service, epoch), nil
+}
+
+func (i *instance) Vouch(_ context.Context, m Member) (map[string]uint64, error) {
+	if err := i.reach(m.Name); err != nil {
+		return nil, err
+	}
+	epochs, ok := i.f.instances[m.Name].beliefs.Vouch()
+	if !ok {
+		return nil, errCut
+	}
+	return epochs, nil
+}
+
+func (i *instance) SilentFor(endpoint string) time.Duration {
+	i.f.mu.Lock()
+	defer i.f.mu.Unlock()
+	if i.f.servers[endpoint].down && (i.f.noticing == nil || i.f.noticing[i.name]) {
+		return time.Second
+	}
+	return 0
+}
+
+func (f *fleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fleet) ordered() []Promotion {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.orders)
+}
+
+func (f *fleet) leader(name string) string {
+	leader, err := f.instances[name].beliefs.Leader("db")
+	if err != nil {
+		return ""
+	}
+	return leader.Endpoint
+}
