--- a/internal/group/sample.go
+++ b/internal/group/sample.go
@@ -137,8 +137,9 @@
 // followProgress looks, by the statuses asked for since sentAt, whether a majority
 // takes the primary's log.
 func (w *watcher) followProgress(sentAt time.Time) {
-	statuses := make([]platform.ServerStatus, 0, len(w.servers))
-	for _, s := range w.sightsSince(sentAt) {
+	fresh := w.sightsSince(sentAt)
+	statuses := make([]platform.ServerStatus, 0, len(fresh))
+	for _, s := range fresh {
 		statuses = append(statuses, s.Status)
 	}
 	w.mu.Lock()
