A suspicion lapses without newer evidence, and is probed over a new connection

Cause: an endpoint counted as unresponsive for ever after a failure with no statement since, and statements unanswered on open connections decided that an instance does not reach it. Open connections may go silent for good while the endpoint is well, and a full endpoint's refusal counted as no answer. Change: a failure counts for suspicionLifetime (2 s). Whether an instance reaches an endpoint is decided by answers or failed connects of the last 300 ms, otherwise by a probe over a new connection that concurrent questions share; refusals for being full are answers. A few members are asked first, the rest only if none of them reaches the primary. Conclusion: a replacement needs present evidence from new connections of a majority.

--- a/internal/backend/health.go
+++ b/internal/backend/health.go
@@ -22,6 +22,9 @@
 	// failureHalfLife is the half-life of the failure rate, so that an endpoint that is
 	// avoided gradually receives statements again.
 	failureHalfLife = 2 * time.Second
+	// suspicionLifetime is how long a failure counts as evidence that an endpoint is
+	// unresponsive. Without a newer one, nothing is known of the endpoint any more.
+	suspicionLifetime = 2 * time.Second
 )
 
 // Health tracks the health of endpoints from the statements sent to them.
@@ -34,14 +37,17 @@
 
 // endpointHealth is the observed health of one endpoint.
 type endpointHealth struct {
-	lastAnswer    time.Duration
-	failingSince  time.Duration // 0 while it answers
-	lastTried     time.Duration // the latest failure or retry
-	latency       time.Duration // moving average over the statements
-	failureRate   float64       // fraction of the statements that fail, as of failureRateAt
-	failureRateAt time.Duration
-	lastID        uint64
-	inFlight      map[uint64]time.Duration // start time of each statement, by ID
+	lastAnswer   time.Duration
+	failingSince time.Duration // 0 while it answers
+	lastFailure  time.Duration
+	// connectFailedAt is when opening a connection last failed.
+	connectFailedAt time.Duration
+	lastTried       time.Duration // the latest failure or retry
+	latency         time.Duration // moving average over the statements
+	failureRate     float64       // fraction of the statements that fail, as of failureRateAt
+	failureRateAt   time.Duration
+	lastID          uint64
+	inFlight        map[uint64]time.Duration // start time of each statement, by ID
 }
 
 // NewHealth returns a Health without observations.
@@ -98,19 +104,28 @@
 // recordFailure records that the endpoint did not answer. The caller holds mu.
 func (h *Health) recordFailure(eh *endpointHealth) {
 	now := h.clock()
-	eh.lastTried = now
-	if eh.failingSince == 0 {
+	if !eh.suspected(now) {
 		eh.failingSince = now
 	}
+	eh.lastTried, eh.lastFailure = now, now
+}
+
+// suspected reports whether a recent failure shows that the endpoint does not answer.
+func (eh *endpointHealth) suspected(now time.Duration) bool {
+	return eh.failingSince != 0 && now-eh.lastFailure <= suspicionLifetime
 }
 
-// recordDial records the result of opening a connection.
+// ObserveProbe records the result of a probe of the endpoint: err is nil if it answered.
+func (h *Health) ObserveProbe(endpoint string, err error) { h.recordDial(endpoint, err) }
+
+// recordDial records the result of opening a connection: err is nil if the endpoint answered.
 func (h *Health) recordDial(endpoint string, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	eh := h.healthOf(endpoint)
 	if err != nil {
 		h.recordFailure(eh)
+		eh.connectFailedAt = eh.lastFailure
 		return
 	}
 	eh.lastAnswer, eh.failingSince = h.clock(), 0
@@ -118,8 +133,8 @@
 
 // UnresponsiveFor returns how long the endpoint has failed to answer: the time since the
 // first failure after its latest answer, or how long statements in flight have gone without
-// any answer. It is 0 while the endpoint answers, and while nothing is in flight unless the
-// latest attempt failed.
+// any answer. It is 0 while the endpoint answers, and while nothing is in flight unless an
+// attempt has failed within suspicionLifetime.
 func (h *Health) UnresponsiveFor(endpoint string) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -128,7 +143,7 @@
 		return 0
 	}
 	now := h.clock()
-	if eh.failingSince != 0 {
+	if eh.suspected(now) {
 		return now - eh.failingSince
 	}
 	var unresponsive time.Duration
@@ -146,6 +161,16 @@
 	return ok && eh.lastAnswer > 0 && h.clock()-eh.lastAnswer < d
 }
 
+// ConnectFailedWithin reports whether opening a connection to the endpoint has failed within
+// the last d, without an answer since. Statements that fail on an open connection do not
+// count: the connection may have gone silent while the endpoint is well.
+func (h *Health) ConnectFailedWithin(endpoint string, d time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	eh, ok := h.endpoints[endpoint]
+	return ok && eh.failingSince != 0 && eh.connectFailedAt > eh.lastAnswer && h.clock()-eh.connectFailedAt < d
+}
+
 // Usable reports whether to send statements to the endpoint that could go elsewhere. For a
 // failing endpoint it returns true once per failingRetryInterval, so that one caller retries
 // the endpoint.
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 	"gopkg.in/tomb.v2"
 
@@ -72,10 +73,12 @@
 	ledger      *quota.Ledger
 	admission   *quota.Admission
 	health      *backend.Health
-	pools       *backend.Pools
-	pipeline    *pipeline.Pipeline
-	server      *peerlink.Server
-	client      *peerlink.Client
+	// probes shares one probe of an endpoint among concurrent questions about it.
+	probes   singleflight.Group
+	pools    *backend.Pools
+	pipeline *pipeline.Pipeline
+	server   *peerlink.Server
+	client   *peerlink.Client
 }
 
 // New returns an Instance. It serves callers once Run is running and Ready returns true.
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -31,10 +31,6 @@
 )
 
 const (
-	// recentResponse is the age up to which an endpoint's last answer makes a probe unnecessary.
-	recentResponse = 300 * time.Millisecond
-	// probeTimeout bounds a probe of an endpoint on behalf of another instance.
-	probeTimeout = 450 * time.Millisecond
 	// maxRowsWait bounds how long a request for rows waits for a newer copy.
 	maxRowsWait = 2 * time.Second
 	// readerTimeout bounds a request to the domain reader, in addition to the requested wait.
@@ -326,25 +322,6 @@
 	return list[:min(len(list), peerFanout)]
 }
 
-// reaches reports whether an endpoint answers this instance. It probes the endpoint only if
-// its recent answers or failures do not decide.
-func (i *Instance) reaches(ctx context.Context, endpoint string) bool {
-	switch {
-	case i.health.AnsweredWithin(endpoint, recentResponse):
-		return true
-	case i.health.UnresponsiveFor(endpoint) > recentResponse:
-		return false
-	}
-	e, ok := i.registry.Get().Endpoints[endpoint]
-	if !ok {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	_, err := i.cfg.Ports.Servers.Status(ctx, e)
-	return err == nil
-}
-
 // peers implements leadership.Peers.
 type peers struct{ client *peerlink.Client }
 
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -41,6 +41,12 @@
 	joining   map[string]time.Duration
 	orders    []Promotion
 	instances map[string]*instance
+	// busy is an endpoint that leaves statements and the probes of a suspecting instance
+	// unanswered, but responds to others. ownProbes counts the questions whether the asking
+	// instance itself reaches an endpoint, reachRequests the requests to others.
+	busy          string
+	ownProbes     int
+	reachRequests int
 }
 
 type server struct {
@@ -76,7 +82,9 @@
 			Self: name, PrimaryView: i.view, Refresh: i.refresh, Registry: f.registry,
 			Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
 			Table: i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
-			Reaches: func(_ context.Context, endpoint string) bool { return f.isUp(endpoint) },
+			Reaches: func(_ context.Context, endpoint string) bool {
+				return f.isUp(endpoint) && !f.probeIsUnanswered(endpoint)
+			},
 		})
 		require.NoError(t, err)
 		i.controller = controller
@@ -252,6 +260,7 @@
 	if err := i.reach(m.Name); err != nil {
 		return false, err
 	}
+	i.f.set(func() { i.f.reachRequests++ })
 	return i.f.isUp(endpoint), nil
 }
 
@@ -269,6 +278,13 @@
 	return !f.servers[endpoint].down
 }
 
+func (f *fleet) probeIsUnanswered(endpoint string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ownProbes++
+	return f.busy == endpoint
+}
+
 func (i *instance) IsReplacing(_ context.Context, m Member, service string, epoch uint64) (bool, error) {
 	if err := i.reach(m.Name); err != nil {
 		return false, err
@@ -290,6 +306,9 @@
 func (i *instance) UnresponsiveFor(endpoint string) time.Duration {
 	i.f.mu.Lock()
 	defer i.f.mu.Unlock()
+	if i.f.busy == endpoint {
+		return time.Second
+	}
 	if i.f.servers[endpoint].down && (i.f.observers == nil || i.f.observers[i.name]) {
 		return time.Second
 	}
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -55,7 +55,8 @@
 		time.Sleep(5 * time.Second)
 		require.Empty(t, f.ordered())
 		require.Equal(t, "s1", f.primary("a"))
-		require.Zero(t, f.instances["a"].view.records.services["db"].Epoch, "an intent to replace it was committed")
+		record, _ := f.instances["a"].view.record("db")
+		require.Zero(t, record.Epoch, "an intent to replace it was committed")
 	})
 }
 
