share: tokens of several holdings are spent together

Cause: units of a limit come from up to four allocators, and each holding had to have a whole token by itself. A holding of few units has room for less than one, so its rate was lost for as long as it stayed apart; while the table is down holdings are not brought together at all. Change: without one holding that has enough, tokens of all valid holdings are spent together; the wait is that of all which still grow.

--- a/internal/escrow/bucket.go
+++ b/internal/escrow/bucket.go
@@ -41,6 +41,23 @@
 	return 0, true
 }
 
+// TakeUpTo spends the bucket's tokens at now, at most n, and returns how many it spent.
+func (b *Bucket) TakeUpTo(now time.Duration, n float64) float64 {
+	b.accrue(now)
+	spent := max(0, min(n, b.amount.Tokens))
+	b.amount.Tokens -= spent
+	return spent
+}
+
+// Growing returns the refill rate in tokens per second, or 0 while the bucket is full.
+func (b *Bucket) Growing(now time.Duration) float64 {
+	b.accrue(now)
+	if b.amount.Tokens >= b.limit.CapacityOf(b.amount.Units) {
+		return 0
+	}
+	return b.Rate()
+}
+
 // Wait returns the time until the bucket will have n tokens: 0 if it has them now,
 // and Never if they exceed its capacity or its rate is 0.
 func (b *Bucket) Wait(now time.Duration, n float64) time.Duration {
--- a/internal/share/account.go
+++ b/internal/share/account.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -86,21 +87,40 @@
 	return a.take(now, n)
 }
 
-// take spends from the first holding that has enough tokens. The caller holds mu.
+// take spends n tokens of the valid holdings together: allocators may each have granted less
+// than a whole token. It prefers one holding that has enough. Otherwise it returns the
+// minimum wait. The caller holds mu.
 func (a *Account) take(now time.Duration, n float64) (wait time.Duration, ok bool) {
-	wait = escrow.Never
+	var tokens, growing float64
 	for _, h := range a.holdings {
 		if !h.lease.Valid(now) {
 			continue
 		}
-		needed, taken := h.bucket.Take(now, n)
-		if taken {
+		if _, taken := h.bucket.Take(now, n); taken {
 			a.demand.lastUse = now
 			return 0, true
 		}
-		wait = min(wait, needed)
+		tokens += h.bucket.Amount(now).Tokens
+		growing += h.bucket.Growing(now)
+	}
+	switch {
+	case tokens >= n:
+		a.takeTogether(now, n)
+		a.demand.lastUse = now
+		return 0, true
+	case growing <= 0:
+		return escrow.Never, false
+	}
+	return time.Duration(math.Ceil((n-tokens)/growing*float64(time.Second))) + 1, false
+}
+
+// takeTogether spends n tokens of several holdings, which have as many. The caller holds mu.
+func (a *Account) takeTogether(now time.Duration, n float64) {
+	for _, h := range a.holdings {
+		if h.lease.Valid(now) {
+			n -= h.bucket.TakeUpTo(now, n)
+		}
 	}
-	return wait, false
 }
 
 // Wait returns how long until the instance has earned n tokens, if its holdings
--- a/internal/share/account_test.go
+++ b/internal/share/account_test.go
@@ -36,6 +36,37 @@
 	require.Zero(t, a.Rate())
 }
 
+// TestHoldingsAreSpentTogether covers an organisation whose units come from several
+// allocators, each with less than a token: with a separate whole token for each, their rate
+// would be lost as long as the holdings stay apart, as while the table is down.
+func TestHoldingsAreSpentTogether(t *testing.T) {
+	now := time.Hour
+	limit := escrow.Limit{Units: 100, Rate: 100, Burst: 50}
+	a := newAccount("limit", limit, func() time.Duration { return now })
+	for n, allocator := range []string{"a", "b", "c"} {
+		sequence := uint64(n + 1)
+		r := a.request(now, allocator, 1, sequence)
+		a.applyGrant(now, now, allocator, r, &peerv1.ShareGrant{
+			Granted: &peerv1.ShareAmount{Units: 1}, LeaseMs: 60_000, Sequence: sequence,
+		})
+	}
+	// Each holding has one unit: a token per second, and room for half a token.
+	taken := 0
+	for range 100 {
+		wait, ok := a.Take(time.Now(), 1)
+		if ok {
+			taken++
+			continue
+		}
+		require.Less(t, wait, time.Second)
+		now += wait
+	}
+	elapsed := (now - time.Hour).Seconds()
+	require.InDelta(t, 3*elapsed, taken, 1, "after %v s", elapsed)
+	require.Greater(t, taken, 30)
+	require.LessOrEqual(t, float64(taken), 3*elapsed+1e-6)
+}
+
 func TestLateGrantsAreIgnored(t *testing.T) {
 	limit := escrow.Limit{Units: 10, Rate: 10, Burst: 10}
 	cases := map[string]struct {
