quota, edge: choose holders without sorting the fleet for each organisation

Cause: with each member that joins or leaves, every instance hashed and sorted all members for each organisation, and hashed them for each endpoint, with a new string each time. A fleet of 195 that starts at once does that 195 times on each of its machines. Change: package rendezvous computes the same weights into one buffer and keeps only the lightest members; quota and the connection owners use it. Conclusion: the first of the costs at the start of a large fleet.

--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -7,7 +7,6 @@
 	"time"
 	"unicode/utf8"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
@@ -15,6 +14,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/pipeline"
+	"github.com/hornbeamlock/hornbeamlock/internal/rendezvous"
 	"github.com/hornbeamlock/hornbeamlock/internal/request"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
@@ -70,7 +70,9 @@
 func (i *Instance) assignOwners() {
 	owners := make(map[string]member)
 	members := i.members.Get()
+	weigher := rendezvous.NewWeigher("")
 	for id, e := range i.registry.Get().Endpoints {
+		weigher.SetItem(id)
 		if i.maxConnections(e.Service) >= minConnectionsPerInstance*len(members) {
 			continue // each instance has its own connections
 		}
@@ -81,7 +83,7 @@
 			if m.Retired || m.Address == "" {
 				continue
 			}
-			sameDomain, weight := m.FailureDomain == e.FailureDomain, xxhash.Sum64String(id+"/"+m.Name)
+			sameDomain, weight := m.FailureDomain == e.FailureDomain, weigher.Weight(m.Name)
 			if best.Name == "" || sameDomain && !bestSameDomain || sameDomain == bestSameDomain && weight > bestWeight {
 				best, bestWeight, bestSameDomain = m, weight, sameDomain
 			}
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -77,14 +77,14 @@
 func TestSilentConnectionsAreNoEvidence(t *testing.T) {
 	cases := []struct {
 		name    string
-		servers probedServers
+		servers *probedServers
 		reached bool
 	}{
-		{name: "answers a probe", servers: probedServers{delay: 20 * time.Millisecond}, reached: true},
-		{name: "is full", servers: probedServers{err: trace.Wrap(verdict.New(verdict.NotRun, verdict.CodeTooManyConnections, "full"))}, reached: true},
-		{name: "another server has its address", servers: probedServers{err: verdict.New(verdict.NotRun, verdict.CodeMisrouted, "s2")}},
-		{name: "refuses connections", servers: probedServers{err: errors.New("refused")}},
-		{name: "does not answer", servers: probedServers{delay: time.Minute}},
+		{name: "answers a probe", servers: &probedServers{delay: 20 * time.Millisecond}, reached: true},
+		{name: "is full", servers: &probedServers{err: trace.Wrap(verdict.New(verdict.NotRun, verdict.CodeTooManyConnections, "full"))}, reached: true},
+		{name: "another server has its address", servers: &probedServers{err: verdict.New(verdict.NotRun, verdict.CodeMisrouted, "s2")}},
+		{name: "refuses connections", servers: &probedServers{err: errors.New("refused")}},
+		{name: "does not answer", servers: &probedServers{delay: time.Minute}},
 	}
 	for _, c := range cases {
 		for _, failed := range []bool{false, true} {
@@ -94,7 +94,7 @@
 			}
 			t.Run(name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					i, conn := newProbingInstance(t, &c.servers)
+					i, conn := newProbingInstance(t, c.servers)
 					timeout := time.Second
 					if failed {
 						timeout = 500 * time.Millisecond
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -12,13 +12,12 @@
 package quota
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/hornbeamlock/hornbeamlock/internal/rendezvous"
 )
 
 // Limit is the limit of an organisation over all instances.
@@ -107,19 +106,6 @@
 	return ok && slices.Contains(a.holders, instance)
 }
 
-// holdersOf returns the instances among which the limit of an organisation is divided,
-// chosen by rendezvous hashing: all instances with the same members compute the same
-// holders.
-func holdersOf(organisation string, members []string) []string {
-	if len(members) <= maxHolders {
-		return members
-	}
-	ordered := slices.Clone(members)
-	weight := func(member string) uint64 { return xxhash.Sum64String(organisation + "/" + member) }
-	slices.SortFunc(ordered, func(a, b string) int { return cmp.Or(cmp.Compare(weight(a), weight(b)), cmp.Compare(a, b)) })
-	return ordered[:maxHolders]
-}
-
 // SetAllowance changes the allowance. It takes effect with the next call to
 // Configure.
 func (l *Ledger) SetAllowance(a Allowance) {
@@ -139,14 +125,16 @@
 			delete(l.accounts, name)
 		}
 	}
+	holders := rendezvous.NewWeigher("")
 	for name, limit := range limits {
+		holders.SetItem(name)
 		a, ok := l.accounts[name]
 		if !ok {
 			a = &account{refilledAt: now, demandUpdatedAt: now}
 			l.accounts[name] = a
 		}
 		a.refill(now)
-		a.holders = holdersOf(name, members)
+		a.holders = holders.Lightest(members, maxHolders)
 		a.rate, a.capacity = l.allowance.allocation(limit, len(a.holders))
 		a.withoutAllocation = !slices.Contains(a.holders, self)
 		if a.withoutAllocation {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamlock/hornbeamlock/internal/rendezvous"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
@@ -230,7 +231,7 @@
 		counted := loadResult{}
 		for organisation, count := range counts {
 			reachable := 0
-			for _, holder := range holdersOf(organisation, f.names) {
+			for _, holder := range rendezvous.NewWeigher(organisation).Lightest(f.names, maxHolders) {
 				if !f.partitioned[holder] {
 					reachable++
 				}
