edge, follow, leadership: a fleet's own cost no longer grows with its square

Cause: each joining instance asked all others ten times a second, each of these read the store or asked for all rows again, and rows beyond 32 KiB (from about 170 members) were read from the store by every instance at each change. While copies of the records were older than 1.2 s, every instance asked every other one 2.5 times a second. Timers of 100 to 250 ms woke idle instances some thirty times a second. Change: domain readers send the changes of the rows since the version that an instance has, and know from its requests which version it has applied; a joining instance asks the domain readers which instances do not list it yet, and members directly only when few are left. A member of each failure domain collects what the others of its domain know of the epochs and answers for them. Replacements are checked every 300 ms while no primary is suspected, and at each change; confirmation waits until a copy is due; the check whether a failure domain is cut off follows failed requests; the registry's long poll lasts its read interval. Requests between instances are counted by kind (peer_requests_total).

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -17,7 +17,7 @@
 
 const (
 	// idleScanInterval is the interval between scans for idle connections to close.
-	idleScanInterval = 250 * time.Millisecond
+	idleScanInterval = 500 * time.Millisecond
 	// idleTimeout is shorter than that of endpoints, which close idle connections after 60 s.
 	idleTimeout = 30 * time.Second
 	// dialTimeout limits the opening of a connection, which takes about 12 ms, or longer
--- a/internal/edge/cutoff.go
+++ b/internal/edge/cutoff.go
@@ -19,8 +19,15 @@
 // the store answers, the instance continues to serve what it can.
 func (i *Instance) watchCutOff(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, cutOffCheckInterval)
+		if !i.cutOff.Load() {
+			select {
+			case <-i.admission.Unresponsive():
+			case <-ctx.Done():
+				return nil
+			}
+		}
 		i.checkCutOff(ctx)
+		sleep(ctx, cutOffCheckInterval)
 	}
 	return nil
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -302,7 +302,7 @@
 // first ones to register read few others, and each took the allocations of a small fleet: 176
 // operations were admitted in a window with a limit of 152.
 func TestJoiningInstanceAwaitsAcknowledgements(t *testing.T) {
-	var j joining
+	j := newJoining()
 	now := time.Hour
 	_, shouldAsk := j.shouldAsk(now, now)
 	require.False(t, shouldAsk, "it has not registered")
--- /dev/null
+++ b/internal/edge/fleet_test.go
@@ -0,0 +1,290 @@
+package edge
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/metrics"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/quota"
+)
+
+// memoryStore is a store in memory, with the latency of one call.
+type memoryStore struct {
+	stubPorts
+	latency time.Duration
+
+	mu      sync.Mutex
+	rows    map[string]platform.Row // guarded by mu, as below
+	version uint64
+	reads   int
+	writes  int
+}
+
+func (s *memoryStore) Get(_ context.Context, keys ...string) ([]platform.Row, time.Time, error) {
+	time.Sleep(s.latency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	var list []platform.Row
+	for _, key := range keys {
+		row := s.rows[key]
+		row.Key = key
+		list = append(list, row)
+	}
+	return list, time.Now(), nil
+}
+
+func (s *memoryStore) List(_ context.Context, prefix string) ([]platform.Row, time.Time, error) {
+	time.Sleep(s.latency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	var list []platform.Row
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, row)
+		}
+	}
+	slices.SortFunc(list, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return list, time.Now(), nil
+}
+
+func (s *memoryStore) Commit(_ context.Context, conditions []platform.Condition, writes []platform.Write) (platform.CommitResult, error) {
+	time.Sleep(s.latency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	for _, c := range conditions {
+		if s.rows[c.Key].Revision != c.Revision {
+			return platform.CommitResult{}, nil
+		}
+	}
+	s.version++
+	for _, w := range writes {
+		if w.Delete {
+			delete(s.rows, w.Key)
+			continue
+		}
+		s.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: s.version}
+	}
+	return platform.CommitResult{Applied: true, Revision: s.version}, nil
+}
+
+// storedRows is a follow.Source of the rows with a prefix.
+type storedRows struct {
+	store  *memoryStore
+	prefix string
+}
+
+func (s storedRows) Read(ctx context.Context) ([]follow.Row, uint64, error) {
+	list, _, err := s.store.List(ctx, s.prefix)
+	var rows []follow.Row
+	for _, row := range list {
+		rows = append(rows, follow.Row{Key: row.Key, Value: row.Value, Version: row.Revision})
+	}
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	return rows, s.store.version, err
+}
+
+// memoryNetwork connects instances through pipes, by address.
+type memoryNetwork struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener // guarded by mu
+}
+
+type memoryListener struct {
+	address  string
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, io.EOF
+	}
+}
+
+func (l *memoryListener) Close() error   { close(l.closed); return nil }
+func (l *memoryListener) Addr() net.Addr { return &net.UnixAddr{Name: l.address} }
+
+func (n *memoryNetwork) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l, ok := n.listeners[address]
+	n.mu.Unlock()
+	if !ok {
+		return nil, fmt.Errorf("nobody listens at %s", address)
+	}
+	time.Sleep(time.Millisecond)
+	ours, theirs := net.Pipe()
+	select {
+	case l.accepted <- theirs:
+		return ours, nil
+	case <-l.closed:
+		return nil, io.EOF
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (n *memoryNetwork) listen(address string) *memoryListener {
+	l := &memoryListener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[address] = l
+	return l
+}
+
+// memoryFleet is a fleet of instances in one process, over a store and a network in memory.
+type memoryFleet struct {
+	t         *testing.T
+	store     *memoryStore
+	network   *memoryNetwork
+	instances []*Instance
+	running   sync.WaitGroup
+	stop      context.CancelFunc
+}
+
+// startFleet starts n instances in six failure domains at the same time.
+func startFleet(t *testing.T, n int) *memoryFleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &memoryFleet{
+		t: t, store: &memoryStore{latency: 4 * time.Millisecond, rows: make(map[string]platform.Row)},
+		network: &memoryNetwork{listeners: make(map[string]*memoryListener)}, stop: cancel,
+	}
+	f.store.rows["config"] = platform.Row{Key: "config", Revision: 1, Value: []byte("x")}
+	f.store.version = 1
+	began := time.Now()
+	for k := range n {
+		domain := string(rune('a' + k%6))
+		address := fmt.Sprintf("10.0.%d.%d:1", k/250, k%250)
+		i, err := New(Config{
+			Name: fmt.Sprintf("edge-%s-%d", domain, k), FailureDomain: domain, PeerAddress: address,
+			Allowance: quota.Allowance{Window: time.Second}, Dial: f.network.dial, Log: zap.NewNop(), Metrics: metrics.NewSet(),
+			Clock: func() time.Duration { return time.Since(began) + time.Hour },
+			Ports: Ports{
+				Configuration: storedRows{f.store, "config"}, Registry: storedRows{f.store, "server/"}, Fleet: fleetRows{f.store},
+				DecodeConfiguration: func([]follow.Row) (*catalog.Configuration, error) {
+					return &catalog.Configuration{Version: 1, Organisations: map[string]catalog.Organisation{"shop": {Name: "shop", Rate: 100, Burst: 100}}}, nil
+				},
+				DecodeRegistry: func([]follow.Row, func(string, error)) *catalog.Registry { return catalog.NewRegistry(nil) },
+				Table:          f.store, Dialer: stubPorts{}, Servers: stubPorts{}, Promoter: stubPorts{},
+			},
+		})
+		require.NoError(t, err)
+		f.instances = append(f.instances, i)
+		server := &http.Server{Handler: i.Handler()}
+		listener := f.network.listen(address)
+		f.running.Go(func() { _ = server.Serve(listener) })
+		f.running.Go(func() { _ = i.Run(ctx) })
+		f.running.Go(func() {
+			<-ctx.Done()
+			_ = server.Close()
+		})
+	}
+	return f
+}
+
+// fleetRows is a follow.Source of the rows that the instances write.
+type fleetRows struct{ store *memoryStore }
+
+func (s fleetRows) Read(ctx context.Context) ([]follow.Row, uint64, error) {
+	rows, version, err := storedRows{s.store, ""}.Read(ctx)
+	return slices.DeleteFunc(rows, func(r follow.Row) bool { return r.Key == "config" }), version, err
+}
+
+func (f *memoryFleet) close() {
+	f.stop()
+	f.running.Wait()
+	for _, i := range f.instances {
+		i.client.CloseIdle()
+	}
+}
+
+// admitted returns the number of instances that take part in the division of limits.
+func (f *memoryFleet) admitted() int {
+	count := 0
+	for _, i := range f.instances {
+		if i.joining.isAdmitted() {
+			count++
+		}
+	}
+	return count
+}
+
+// requests returns the number of requests between instances since the start, by kind.
+func (f *memoryFleet) requests() map[string]int64 {
+	kinds := make(map[string]int64)
+	for _, i := range f.instances {
+		i.cfg.Metrics.Labelled("peer_requests_total").Do(func(kv expvar.KeyValue) {
+			kinds[kv.Key] += kv.Value.(*expvar.Int).Value()
+		})
+	}
+	return kinds
+}
+
+func sum(counts map[string]int64) int64 {
+	var total int64
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
+// TestCostOfAFleetGrowsWithItsSizeOnly starts fleets of several sizes at once and lets them
+// idle: what an instance sends and what it asks the store must not depend on the number of
+// the others.
+func TestCostOfAFleetGrowsWithItsSizeOnly(t *testing.T) {
+	const startTime, idleTime = 10 * time.Second, 10 * time.Second
+	type cost struct{ startRequests, idleRequests, startCalls, idleCalls float64 }
+	costs := make(map[int]cost)
+	sizes := []int{30, 120}
+	for _, n := range sizes {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t, n)
+			defer f.close()
+			time.Sleep(startTime)
+			require.Equal(t, n, f.admitted(), "instances admitted to the division of limits")
+			requests, calls := f.requests(), f.store.calls()
+			time.Sleep(idleTime)
+			t.Logf("%d instances, requests at the start: %v", n, requests)
+			perInstance := func(count int64) float64 { return float64(count) / float64(n) }
+			costs[n] = cost{
+				startRequests: perInstance(sum(requests)), idleRequests: perInstance(sum(f.requests())-sum(requests)) / idleTime.Seconds(),
+				startCalls: perInstance(calls), idleCalls: perInstance(f.store.calls()-calls) / idleTime.Seconds(),
+			}
+		})
+		t.Logf("%d instances, for each: %.1f requests and %.1f calls of the store at the start, %.2f and %.3f a second after it",
+			n, costs[n].startRequests, costs[n].startCalls, costs[n].idleRequests, costs[n].idleCalls)
+	}
+	small, large := costs[sizes[0]], costs[sizes[1]]
+	require.Less(t, large.startRequests, 2*small.startRequests)
+	require.Less(t, large.startCalls, 1.5*small.startCalls)
+	require.Less(t, large.idleRequests, 1.2*small.idleRequests)
+	require.LessOrEqual(t, large.idleCalls, small.idleCalls)
+}
+
+func (s *memoryStore) calls() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.reads + s.writes)
+}
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -48,7 +48,7 @@
 	members       *blackboard.Cell[[]member]
 	registered    atomic.Bool
 	seeds         *blackboard.Cell[[]string]
-	joining       joining
+	joining       *joining
 	draining      atomic.Bool
 	// cutOff is true while neither the store nor another failure domain answers.
 	cutOff         atomic.Bool
@@ -61,6 +61,9 @@
 	// domain reader is skipped.
 	readerSkippedUntil *blackboard.Table[string, time.Duration]
 
+	// followersOfSelf holds, by name, the instances that follow this one as their domain reader.
+	followersOfSelf *blackboard.Table[string, followerState]
+
 	// owners holds the connection owner of each endpoint that has one; ownerSkippedUntil
 	// holds, by endpoint, the time until which its owner is skipped after a failure.
 	owners            *blackboard.Cell[map[string]member]
@@ -92,11 +95,13 @@
 		registry:           blackboard.NewCell(catalog.NewRegistry(nil)),
 		members:            blackboard.NewCell[[]member](nil),
 		seeds:              blackboard.NewCell(cfg.Seeds),
+		joining:            newJoining(),
 		ledger:             quota.NewLedger(cfg.Allowance),
 		health:             backend.NewHealth(cfg.Clock),
 		server:             peerlink.NewServer(),
-		client:             peerlink.NewClient(cfg.Dial),
+		client:             peerlink.NewClient(cfg.Dial, cfg.Metrics),
 		readerSkippedUntil: blackboard.NewTable[string, time.Duration](),
+		followersOfSelf:    blackboard.NewTable[string, followerState](),
 		owners:             blackboard.NewCell[map[string]member](nil),
 		ownerSkippedUntil:  blackboard.NewTable[string, time.Duration](),
 		missingSince:       make(map[string]time.Duration),
@@ -118,7 +123,7 @@
 	i.followers = make(map[string]*follow.Follower)
 	for _, c := range []follow.Config{
 		{Set: configurationSet, Source: i.cfg.Ports.Configuration, Interval: configurationWait, Timeout: configurationTimeout, Apply: i.applyConfiguration},
-		{Set: registrySet, Source: i.cfg.Ports.Registry, Interval: registryInterval, Apply: i.applyRegistry},
+		{Set: registrySet, Source: i.cfg.Ports.Registry, Interval: registryInterval, DomainReaderWait: registryInterval, Apply: i.applyRegistry},
 		{Set: fleetSet, Source: i.cfg.Ports.Fleet, Interval: fleetInterval, Apply: i.applyFleet},
 	} {
 		c.Peers, c.DomainReader, c.Outage, c.Clock, c.Log = i.requestRows, i.domainReaderRows, outage, i.cfg.Clock, i.cfg.Log
@@ -144,7 +149,7 @@
 
 func (i *Instance) buildLeadership() (err error) {
 	i.controller, err = leadership.New(leadership.Config{
-		Self: i.cfg.Name, PrimaryView: i.primaryView, Refresh: i.fleet.Refresh, Registry: i.registry.Get,
+		Self: i.cfg.Name, FailureDomain: i.cfg.FailureDomain, PrimaryView: i.primaryView, Refresh: i.fleet.Refresh, Registry: i.registry.Get,
 		RegistryComplete: i.registryComplete, Members: i.leadershipMembers, FreshMembers: i.freshMembers,
 		Reaches: i.reaches, Table: i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
 		Peers: peers{i.client}, Health: i.health, Clock: i.cfg.Clock, Log: i.cfg.Log,
--- a/internal/edge/joining.go
+++ b/internal/edge/joining.go
@@ -14,7 +14,8 @@
 // A joining instance must not use allocations of the limits while others still divide them
 // among fewer instances. It borrows tokens until the others acknowledge it. Of two instances
 // that start at the same time, the later one to register reads the row of the earlier one,
-// and its request for an acknowledgement makes the earlier one refresh its rows.
+// and its request for an acknowledgement makes the earlier one refresh its rows. In a large
+// fleet the domain readers are asked, each for all instances that follow it.
 
 const (
 	// acknowledgementInterval is the interval between two rounds of requests.
@@ -25,10 +26,21 @@
 	maxAcknowledgementWait = 1500 * time.Millisecond
 	// acknowledgementTimeout bounds one request.
 	acknowledgementTimeout = 300 * time.Millisecond
+	// maxDirectRequests is the number of members that are asked directly in one round. If more
+	// have not acknowledged this instance, the domain readers are asked for them.
+	maxDirectRequests = 12
+	// directRequestDelay is the time after which the members for which no domain reader has
+	// answered are asked directly as well.
+	directRequestDelay = time.Second
+	// maxAwareWait bounds how long a domain reader waits for its instances before it answers.
+	maxAwareWait = 250 * time.Millisecond
 )
 
 // joining tracks which members have acknowledged this instance since it registered.
 type joining struct {
+	// begun receives a value after a registration.
+	begun chan struct{}
+
 	mu sync.Mutex
 	// registeredAt is when this instance began to register; guarded by mu, like the fields below.
 	registeredAt time.Duration
@@ -39,12 +51,18 @@
 	acknowledgedBy map[string]string
 }
 
+func newJoining() *joining { return &joining{begun: make(chan struct{}, 1)} }
+
 // begin records a registration. An instance that is not joining, because its row is older
 // than joiningPeriod, is admitted at once.
 func (j *joining) begin(isJoining bool, now time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.registeredAt, j.admitted, j.acknowledgedBy = now, !isJoining, make(map[string]string)
+	select {
+	case j.begun <- struct{}{}:
+	default:
+	}
 }
 
 func (j *joining) isAdmitted() bool {
@@ -86,26 +104,160 @@
 	j.admitted = true
 }
 
-// awaitAcknowledgements asks the others until they acknowledge this instance, which then
-// takes its allocations of the limits.
+// awaitAcknowledgements asks the others after each registration until they acknowledge this
+// instance, which then takes its allocations of the limits.
 func (i *Instance) awaitAcknowledgements(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, acknowledgementInterval)
-		waited, shouldAsk := i.joining.shouldAsk(i.fleet.Snapshot().AsOf, i.cfg.Clock())
-		if !shouldAsk || !i.isListed() {
+		select {
+		case <-i.joining.begun:
+		case <-ctx.Done():
+			return nil
+		}
+		for ctx.Err() == nil && !i.joining.isAdmitted() {
+			i.requestAdmission(ctx)
+			sleep(ctx, acknowledgementInterval)
+		}
+	}
+	return nil
+}
+
+// requestAdmission runs one round of requests and admits this instance if enough others have
+// acknowledged it.
+func (i *Instance) requestAdmission(ctx context.Context) {
+	waited, shouldAsk := i.joining.shouldAsk(i.fleet.Snapshot().AsOf, i.cfg.Clock())
+	if !shouldAsk || !i.isListed() {
+		return
+	}
+	others := i.others()
+	if len(i.joining.unacknowledged(others)) > maxDirectRequests {
+		i.askDomainReaders(ctx, i.joining.unacknowledged(others))
+	}
+	if left := i.joining.unacknowledged(others); len(left) <= maxDirectRequests || waited >= directRequestDelay {
+		i.requestAcknowledgements(ctx, left)
+	}
+	unacknowledged := len(i.joining.unacknowledged(others))
+	if unacknowledged > 0 && (waited < maxAcknowledgementWait || 2*unacknowledged > len(others)) {
+		return
+	}
+	i.joining.admit()
+	i.divideLimits()
+	event.InstanceAdmitted.Emit(i.cfg.Log, zap.Duration("waited", waited), zap.Int("unaware", unacknowledged))
+}
+
+// askDomainReaders asks the domain reader of each failure domain which of its instances do not
+// list this one yet, and records the others as having acknowledged it. An instance that the
+// reader does not list has registered after this one, and so has read its row.
+func (i *Instance) askDomainReaders(ctx context.Context, members []member) {
+	byDomain := make(map[string][]member)
+	for _, m := range members {
+		byDomain[m.FailureDomain] = append(byDomain[m.FailureDomain], m)
+	}
+	self := memberMessage{Name: i.cfg.Name, Address: i.cfg.PeerAddress}
+	var pending sync.WaitGroup
+	for domain, unacknowledged := range byDomain {
+		reader, ok := i.domainReaderOf(domain)
+		if !ok {
 			continue
 		}
-		others := i.others()
-		i.requestAcknowledgements(ctx, i.joining.unacknowledged(others))
-		unacknowledged := len(i.joining.unacknowledged(others))
-		if unacknowledged > 0 && (waited < maxAcknowledgementWait || 2*unacknowledged > len(others)) {
+		pending.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, maxAwareWait+acknowledgementTimeout)
+			defer cancel()
+			response, err := i.askDomainReader(ctx, reader, self)
+			if err != nil || !response.Listed {
+				return
+			}
+			for _, m := range unacknowledged {
+				if !slices.Contains(response.Unaware, m.Name) {
+					i.joining.recordAcknowledgement(m)
+				}
+			}
+		})
+	}
+	pending.Wait()
+}
+
+func (i *Instance) askDomainReader(ctx context.Context, reader member, self memberMessage) (response awareResponse, err error) {
+	if reader.Name == i.cfg.Name {
+		return i.handleAware(ctx, self)
+	}
+	err = i.client.Call(ctx, reader.Address, messageAware, self, &response)
+	return response, err
+}
+
+// domainReaderOf returns the instance that is the first of a failure domain by name, which the
+// others of the domain follow while the store serves it.
+func (i *Instance) domainReaderOf(domain string) (member, bool) {
+	for _, m := range i.members.Get() {
+		if m.FailureDomain == domain && !m.Retired && m.Address != "" {
+			return m, true
+		}
+	}
+	return member{}, false
+}
+
+// followerIdentity identifies an instance to its domain reader.
+type followerIdentity struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+}
+
+// followerState is what a domain reader knows of an instance that follows it.
+type followerState struct {
+	incarnation string
+	// version is the version of the fleet's rows that the instance has applied.
+	version uint64
+}
+
+// awareResponse answers the question which instances list the sender.
+type awareResponse struct {
+	// Listed is true if the domain reader itself lists the sender.
+	Listed bool `json:"listed"`
+	// Unaware names the instances of the failure domain that may not list it yet.
+	Unaware []string `json:"unaware,omitempty"`
+}
+
+// handleAware answers once all instances of this failure domain list a joining instance, or
+// after maxAwareWait.
+func (i *Instance) handleAware(ctx context.Context, m memberMessage) (awareResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxAwareWait)
+	defer cancel()
+	for {
+		members, followers := i.members.Changed(), i.followersOfSelf.Changed()
+		response := i.unawareOf(m)
+		if response.Listed && len(response.Unaware) == 0 {
+			return response, nil
+		}
+		if !response.Listed {
+			i.fleet.Trigger()
+		}
+		select {
+		case <-members:
+		case <-followers:
+		case <-ctx.Done():
+			return response, nil
+		}
+	}
+}
+
+// unawareOf returns which instances of this failure domain may not list a joining instance:
+// those whose copy, by their last request, is older than its row.
+func (i *Instance) unawareOf(joining memberMessage) awareResponse {
+	members := i.members.Get()
+	at := slices.IndexFunc(members, func(m member) bool { return m.Name == joining.Name && m.Address == joining.Address && !m.Retired })
+	if at < 0 {
+		return awareResponse{}
+	}
+	response := awareResponse{Listed: true}
+	for _, m := range members {
+		if m.FailureDomain != i.cfg.FailureDomain || m.Retired || m.Name == i.cfg.Name || m.Name == joining.Name {
 			continue
 		}
-		i.joining.admit()
-		i.divideLimits()
-		event.InstanceAdmitted.Emit(i.cfg.Log, zap.Duration("waited", waited), zap.Int("unaware", unacknowledged))
+		state, ok := i.followersOfSelf.Get(m.Name)
+		if !ok || state.incarnation != m.Incarnation || state.version < members[at].version {
+			response.Unaware = append(response.Unaware, m.Name)
+		}
 	}
-	return nil
+	return response
 }
 
 // requestAcknowledgements asks members whether they list this instance, and records which do.
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -234,7 +234,7 @@
 func toLeadership(members []member) []leadership.Member {
 	list := make([]leadership.Member, 0, len(members))
 	for _, m := range members {
-		list = append(list, leadership.Member{Name: m.Name, Address: m.Address})
+		list = append(list, leadership.Member{Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain})
 	}
 	return list
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -97,9 +97,12 @@
 	Log    *zap.Logger
 	// Interval is the time between two reads, or the maximum wait of one Await.
 	Interval time.Duration
+	// DomainReaderWait bounds one request to the domain reader, which passes on a new copy
+	// as soon as it has one.
+	DomainReaderWait time.Duration
 	// Timeout bounds one call to the store.
 	Timeout time.Duration
-	// Apply is called with each new copy, one call at a time.
+	// Apply is called with each new copy, one call at a time, before Snapshot returns it.
 	Apply func(Snapshot)
 }
 
@@ -132,6 +135,9 @@
 	if c.Interval <= 0 {
 		c.Interval = time.Second
 	}
+	if c.DomainReaderWait <= 0 {
+		c.DomainReaderWait = defaultDomainReaderWait
+	}
 	if c.Timeout <= 0 {
 		c.Timeout = time.Second
 	}
@@ -143,6 +149,7 @@
 	cfg      Config
 	snapshot *blackboard.Cell[Snapshot]
 	mu       sync.Mutex // serialises publish
+	history  history    // guarded by mu
 	// refreshing is a semaphore for the one call of RefreshSince that may read.
 	refreshing chan struct{}
 	trigger    chan struct{}
@@ -198,9 +205,8 @@
 	return nil
 }
 
-// domainReaderWait bounds one request to the domain reader, which passes on a new copy as
-// soon as it has one.
-const domainReaderWait = time.Second
+// defaultDomainReaderWait is the default of Config.DomainReaderWait.
+const defaultDomainReaderWait = time.Second
 
 // followDomainReader applies the next copy of the domain reader. It returns false if this
 // instance has to read the store itself.
@@ -209,7 +215,7 @@
 	if f.cfg.DomainReader == nil || !known.Loaded() {
 		return false
 	}
-	wait, triggered := domainReaderWait, false
+	wait, triggered := f.cfg.DomainReaderWait, false
 	select {
 	case <-f.trigger:
 		wait, triggered = 0, true
@@ -264,7 +270,8 @@
 	return f.Refresh(ctx)
 }
 
-// publish replaces the copy and applies it, unless it is older than the current one.
+// publish applies a copy and then replaces the current one by it, unless it is older. Whoever
+// sees the version of Snapshot can rely on its having been applied.
 func (f *Follower) publish(s Snapshot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -273,8 +280,9 @@
 		return
 	}
 	s.AsOf = max(s.AsOf, current.AsOf)
-	f.snapshot.Set(s)
+	f.history.record(current, s)
 	f.cfg.Apply(s)
+	f.snapshot.Set(s)
 }
 
 // waitForNextRead waits until the rows are to be read again.
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,8 +20,13 @@
 
 // Timing of the decision to replace a primary.
 const (
-	// pollInterval is the time between two checks of all services.
-	pollInterval = 100 * time.Millisecond
+	// pollInterval is the time between two checks of all services while a primary is
+	// suspected or replaced, idlePollInterval the time otherwise.
+	pollInterval     = 100 * time.Millisecond
+	idlePollInterval = 300 * time.Millisecond
+	// alertThreshold is how long a primary must be unresponsive for checks at
+	// pollInterval: before unresponsiveThreshold by more than idlePollInterval.
+	alertThreshold = 150 * time.Millisecond
 	// unresponsiveThreshold is how long a primary must be unresponsive before the
 	// other instances are asked: above the longest usual statement including its
 	// wait. Nothing happens while any of them reaches the primary.
@@ -68,6 +74,14 @@
 // Controller replaces primaries.
 type Controller struct {
 	cfg Config
+	// confirmations counts the requests for confirmation.
+	confirmations atomic.Int64
+	// attesting is a semaphore for the one call of Attest that may ask others.
+	attesting  chan struct{}
+	attested   Attestation   // guarded by attesting
+	attestedAt time.Duration // guarded by attesting; before the first request of attested was sent
+	// alerted receives a value when another instance suspects a primary.
+	alerted chan struct{}
 
 	mu sync.Mutex
 	// running holds the replacement that this instance runs for a service; guarded by mu.
@@ -103,7 +117,7 @@
 		return nil, trace.Wrap(err)
 	}
 	return &Controller{
-		cfg: cfg, running: make(map[string]*replacement), conditions: make(map[string]condition),
+		cfg: cfg, attesting: make(chan struct{}, 1), alerted: make(chan struct{}, 1), running: make(map[string]*replacement), conditions: make(map[string]condition),
 		notBefore: make(map[string]time.Duration), suspects: make(map[string]suspect), reportedAt: make(map[string]time.Duration),
 	}, nil
 }
@@ -141,23 +155,44 @@
 }
 
 func (c *Controller) pollServices(ctx context.Context, t *tomb.Tomb) error {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
 	for {
+		changed := c.cfg.PrimaryView.Changed()
 		for _, name := range c.serviceNames() {
 			if cause := c.reasonToReplace(name); cause != reasonNone {
 				c.start(ctx, t, name, cause)
 			}
 			c.sendSuspectReports(ctx, t, name)
 		}
+		timer := time.NewTimer(c.nextPoll())
 		select {
-		case <-ticker.C:
+		case <-timer.C:
+		case <-changed:
+		case <-c.alerted:
 		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
 			return nil
 		}
 	}
 }
 
+// nextPoll returns the time until the next check of all services.
+func (c *Controller) nextPoll() time.Duration {
+	for _, name := range c.serviceNames() {
+		c.mu.Lock()
+		alert := c.running[name] != nil || c.conditions[name].reason != reasonNone
+		c.mu.Unlock()
+		if primary, err := c.cfg.PrimaryView.Primary(name); err == nil {
+			alert = alert || c.cfg.Health.UnresponsiveFor(primary.Endpoint) >= alertThreshold
+		}
+		if alert {
+			return pollInterval
+		}
+	}
+	return idlePollInterval
+}
+
 func (c *Controller) serviceNames() []string {
 	registry := c.cfg.Registry()
 	names := make([]string, 0, len(registry.ByService))
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -46,6 +46,7 @@
 	// instance itself reaches an endpoint, reachRequests the requests to others.
 	busy          string
 	ownProbes     int
+	epochRequests int
 	reachRequests int
 }
 
@@ -79,7 +80,7 @@
 		i := &instance{f: f, name: name}
 		i.view = NewPrimaryView(f.clock, zap.NewNop(), f.registry)
 		controller, err := New(Config{
-			Self: name, PrimaryView: i.view, Refresh: i.refresh, Registry: f.registry,
+			Self: name, FailureDomain: domainOf(name), PrimaryView: i.view, Refresh: i.refresh, Registry: f.registry,
 			Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
 			Table: i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
 			Reaches: func(_ context.Context, endpoint string) bool {
@@ -106,10 +107,13 @@
 	return f
 }
 
+// domainOf returns the failure domain of an instance: the first letter of its name.
+func domainOf(name string) string { return name[:1] }
+
 func (f *fleet) members() []Member {
 	var list []Member
 	for name := range f.instances {
-		list = append(list, Member{Name: name, JoiningUntil: f.joining[name]})
+		list = append(list, Member{Name: name, FailureDomain: domainOf(name), JoiningUntil: f.joining[name]})
 	}
 	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return list
@@ -296,6 +300,7 @@
 	if err := i.reach(m.Name); err != nil {
 		return nil, err
 	}
+	i.f.set(func() { i.f.epochRequests++ })
 	epochs, ok := i.f.instances[m.Name].view.KnownEpochs()
 	if !ok {
 		return nil, errUnreachable
@@ -303,6 +308,14 @@
 	return epochs, nil
 }
 
+func (i *instance) Attest(ctx context.Context, m Member) (Attestation, error) {
+	if err := i.reach(m.Name); err != nil {
+		return Attestation{}, err
+	}
+	i.f.set(func() { i.f.epochRequests++ })
+	return i.f.instances[m.Name].controller.Attest(ctx), nil
+}
+
 func (i *instance) UnresponsiveFor(endpoint string) time.Duration {
 	i.f.mu.Lock()
 	defer i.f.mu.Unlock()
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -47,8 +47,9 @@
 
 // Member is a registered instance.
 type Member struct {
-	Name    string
-	Address string
+	Name          string
+	Address       string
+	FailureDomain string
 	// JoiningUntil is the time, by this instance's clock, up to which other instances
 	// may still use rows that lack this member.
 	JoiningUntil time.Duration
@@ -67,6 +68,8 @@
 	ReportSuspect(ctx context.Context, m Member, service, endpoint string) error
 	// KnownEpochs returns the latest epoch of each service that is known to the member.
 	KnownEpochs(ctx context.Context, m Member) (map[string]uint64, error)
+	// Attest returns what the instances of the member's failure domain together know.
+	Attest(ctx context.Context, m Member) (Attestation, error)
 	// IsReplacing reports whether the member is running the replacement with this epoch.
 	IsReplacing(ctx context.Context, m Member, service string, epoch uint64) (bool, error)
 }
@@ -80,9 +83,10 @@
 
 // Config describes a Controller.
 type Config struct {
-	// Self is the name of this instance.
-	Self        string
-	PrimaryView *PrimaryView
+	// Self is the name of this instance, and FailureDomain where it is.
+	Self          string
+	FailureDomain string
+	PrimaryView   *PrimaryView
 	// Refresh reads the rows from the store and applies them.
 	Refresh  func(ctx context.Context) error
 	Registry func() *catalog.Registry
--- a/internal/leadership/suspect.go
+++ b/internal/leadership/suspect.go
@@ -17,6 +17,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.suspects[service] = suspect{endpoint: endpoint, expiresAt: c.cfg.Clock() + suspectTTL}
+	select {
+	case c.alerted <- struct{}{}:
+	default:
+	}
 }
 
 // isSuspect reports whether another instance has recently reported the primary as
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -9,12 +9,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/metrics"
 )
 
 const (
@@ -30,20 +33,27 @@
 // Client sends requests to other instances.
 type Client struct {
 	http *http.Client
+	// sent counts the requests by name.
+	sent *expvar.Map
 }
 
-// NewClient returns a client that opens its connections with dial.
-func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
+// NewClient returns a client that opens its connections with dial and counts its requests in
+// set.
+func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error), set *metrics.Set) *Client {
+	return &Client{sent: set.Labelled("peer_requests_total"), http: &http.Client{Transport: &http.Transport{
 		DialContext: dial, DisableCompression: true,
 		MaxIdleConnsPerHost: maxIdleConnectionsPerPeer, IdleConnTimeout: idleTimeout,
 		WriteBufferSize: 1 << 10, ReadBufferSize: 1 << 10,
 	}}}
 }
 
+// CloseIdle closes the connections that no request uses.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
 // Call sends in to the handler of name at address and decodes the response into
 // out.
 func (c *Client) Call(ctx context.Context, address, name string, in, out any) error {
+	c.sent.Add(name, 1)
 	body, err := json.Marshal(in)
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/quota/admission.go
+++ b/internal/quota/admission.go
@@ -51,6 +51,7 @@
 type Admission struct {
 	cfg           Config
 	borrowTrigger chan struct{}
+	unresponsive  chan struct{}
 	credited      *blackboard.Cell[struct{}]
 	lenders       lenders
 }
@@ -60,7 +61,7 @@
 	if err := cfg.CheckAndSetDefaults(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Admission{cfg: cfg, borrowTrigger: make(chan struct{}, 1), credited: blackboard.NewCell(struct{}{}), lenders: newLenders()}, nil
+	return &Admission{cfg: cfg, borrowTrigger: make(chan struct{}, 1), unresponsive: make(chan struct{}, 1), credited: blackboard.NewCell(struct{}{}), lenders: newLenders()}, nil
 }
 
 // Admit spends a token of the organisation, waiting up to maxWait for one. The error
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -161,6 +161,10 @@
 // domains.
 func (a *Admission) DomainCutOff() bool { return a.lenders.domainCutOff(a.cfg.Clock()) }
 
+// Unresponsive returns a channel that receives a value when an instance has not responded:
+// DomainCutOff changes only then, and with time.
+func (a *Admission) Unresponsive() <-chan struct{} { return a.unresponsive }
+
 // ProbeOtherDomains sends empty token requests to some instances of other failure
 // domains, so that DomainCutOff has recent responses even while no tokens are needed.
 func (a *Admission) ProbeOtherDomains(ctx context.Context) {
@@ -237,6 +241,10 @@
 	lent, err := a.cfg.RequestTokens(ctx, p, wants)
 	a.lenders.recordResponse(p, err == nil, a.cfg.Clock())
 	if err != nil {
+		select {
+		case a.unresponsive <- struct{}{}:
+		default:
+		}
 		a.cfg.Log.Debug("token request to an instance failed", zap.String("member", p.Name), zap.Error(err))
 		return
 	}
