gateway: the tag of a COMMIT is held until the commit is confirmed

Cause: what is held back for the confirmation was sent once more than 16 KiB followed, so a query string with a COMMIT and a large SELECT showed the tag, which drivers take for the acknowledgement, before a majority of the group had confirmed the commit. Change: with the tag of a COMMIT in it, the held part stays held; beyond 4 MiB the caller is disconnected, which leaves the outcome unknown. Tags of writes in an implicit transaction are sent as before. Conclusion: one way to acknowledge too early is closed.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -226,7 +226,11 @@
 	case *pgproto3.CommandComplete:
 		x.completed = true
 		x.commandTag = string(m.CommandTag)
-		if !x.placed.replica && !x.rq.isRead() {
+		switch {
+		case x.placed.replica || x.rq.isRead():
+		case x.commandTag == commitTag:
+			responses.holdCommit()
+		default:
 			responses.hold()
 		}
 	}
@@ -237,6 +241,10 @@
 	return x.flushIfLarge()
 }
 
+// commitTag is the command tag of a COMMIT that has committed; the tag of a COMMIT that ended
+// a failed transaction is another one.
+const commitTag = "COMMIT"
+
 // flushIfLarge sends a large buffer. The statement timeout restarts each time the
 // caller has taken a part of the response.
 func (x *exchange) flushIfLarge() error {
--- a/internal/gateway/responses.go
+++ b/internal/gateway/responses.go
@@ -11,6 +11,9 @@
 const (
 	// flushThresholdBytes is the size at which the buffer is sent.
 	flushThresholdBytes = 16 * 1024
+	// maxCommitHeldBytes limits what is held back together with the tag of a COMMIT. A
+	// caller whose response exceeds it is disconnected, which leaves its outcome unknown.
+	maxCommitHeldBytes = 4 << 20
 	// maxIdleBufferBytes limits the buffer that an idle caller keeps.
 	maxIdleBufferBytes = 4 * 1024
 )
@@ -29,13 +32,16 @@
 	held int // offset in buffer, or nothingHeld
 	// lastMark is the offset in buffer of the latest call of hold.
 	lastMark int
-	err      error
+	// commitHeld is true while the tag of a COMMIT is among what is held back, none of
+	// which may be sent before the commit is confirmed.
+	commitHeld bool
+	err        error
 }
 
 // begin starts a new response, of which nothing has been sent.
 func (r *responses) begin() {
 	r.sent = false
-	r.held = nothingHeld
+	r.held, r.commitHeld = nothingHeld, false
 }
 
 // add appends a message.
@@ -57,30 +63,39 @@
 	}
 }
 
+// holdCommit is hold for the tag of a COMMIT, which acknowledges the commit by itself.
+func (r *responses) holdCommit() {
+	r.hold()
+	r.commitHeld = true
+}
+
 // releaseHeld ends holding back messages.
-func (r *responses) releaseHeld() { r.held = nothingHeld }
+func (r *responses) releaseHeld() { r.held, r.commitHeld = nothingHeld, false }
 
 // discardHeld discards the messages that are held back.
 func (r *responses) discardHeld() {
 	if r.held != nothingHeld {
 		r.buffer = r.buffer[:r.held]
 	}
-	r.held = nothingHeld
+	r.releaseHeld()
 }
 
 // discard discards all buffered messages.
 func (r *responses) discard() {
 	r.buffer = r.buffer[:0]
-	r.held = nothingHeld
+	r.releaseHeld()
 }
 
 // flushIfLarge sends a large buffer except for what is held back. If the held part
 // itself becomes large, only what follows the latest mark stays held; if that is large
-// as well, everything is sent.
+// as well, everything is sent. With the tag of a COMMIT in it, all of it stays held.
 func (r *responses) flushIfLarge() error {
 	if len(r.buffer) < flushThresholdBytes {
 		return r.err
 	}
+	if r.commitHeld {
+		return r.flushBeforeHeld()
+	}
 	if r.held != nothingHeld && len(r.buffer)-r.held > flushThresholdBytes {
 		r.held = r.lastMark
 	}
@@ -88,6 +103,14 @@
 		r.held = nothingHeld
 		return r.flush()
 	}
+	return r.flushBeforeHeld()
+}
+
+// flushBeforeHeld sends what precedes the held part.
+func (r *responses) flushBeforeHeld() error {
+	if r.commitHeld && len(r.buffer)-r.held > maxCommitHeldBytes {
+		return trace.LimitExceeded("the response exceeds %d bytes before its commit is confirmed", maxCommitHeldBytes)
+	}
 	if r.held == 0 {
 		return r.err
 	}
@@ -104,7 +127,7 @@
 		return r.err
 	}
 	err := r.write(r.buffer)
-	r.held = nothingHeld
+	r.releaseHeld()
 	r.buffer = r.buffer[:0]
 	return err
 }
