follow: copies of the domain reader end an outage

Cause: after an outage the domain reader often answered before the instance's own next read. Change: a copy from a domain reader that the store serves ends the outage as well. Measured: TestDomainReaderEndsAnOutage fails before and passes after. Conclusion: StoreServing tells whether recent copies of the store arrive.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -175,8 +175,8 @@
 // Changed returns a channel that is closed when the copy is replaced.
 func (f *Follower) Changed() <-chan struct{} { return f.snapshot.Changed() }
 
-// StoreServing reports whether the store served this instance when Run last read it itself.
-// Copies from the domain reader do not change it.
+// StoreServing reports whether the store served the last read of Run, by this instance or by
+// its domain reader.
 func (f *Follower) StoreServing() bool { return f.failingSince.Load() == 0 }
 
 // Trigger starts the next read at once.
@@ -226,6 +226,7 @@
 		return false
 	}
 	f.publish(s)
+	f.storeServed()
 	return true
 }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -152,3 +153,31 @@
 		require.LessOrEqual(t, calls, int((clock()-began)/minRefreshInterval)+1)
 	})
 }
+
+// TestDomainReaderEndsAnOutage covers a domain reader that is served again before the own next
+// attempt: from then on this instance follows it and never reads the store itself.
+func TestDomainReaderEndsAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{}
+		clock := newClock()
+		var served atomic.Bool
+		f := start(t, Config{
+			Set: "registry", Source: store, Clock: clock, Interval: time.Second,
+			DomainReader: func(ctx context.Context, _ string, known Snapshot, wait time.Duration, _ bool) (Snapshot, bool) {
+				if !served.Load() {
+					return Snapshot{}, false
+				}
+				sleep(ctx, max(wait, time.Millisecond))
+				return Snapshot{Rows: known.Rows, Version: known.Version, AsOf: clock()}, true
+			},
+		})[0]
+		time.Sleep(100 * time.Millisecond)
+		store.set(true)
+		time.Sleep(3 * time.Second)
+		require.False(t, f.StoreServing())
+		served.Store(true)
+		time.Sleep(3 * time.Second)
+		require.True(t, f.StoreServing())
+		require.Less(t, f.Snapshot().Age(clock()), 2*time.Second)
+	})
+}
