edge: a failure domain that is cut off notices it when the store fails

Cause: an instance learned that other failure domains did not answer only from its requests for tokens. Change: while the store fails, other failure domains are probed, at most once a second. A domain reader whose read of the store fails tells the instances that wait for its next copy at once. An instance whose last read of the store has failed does not read it once more before it reports that it is cut off.

--- a/internal/edge/cutoff.go
+++ b/internal/edge/cutoff.go
@@ -12,6 +12,9 @@
 	// cutOffStoreTimeout bounds the read of the store in such a check. A store fifty times
 	// slower than usual answers within it.
 	cutOffStoreTimeout = 300 * time.Millisecond
+	// storeFailureProbeInterval is the minimum interval between the probes of other failure
+	// domains while the store fails.
+	storeFailureProbeInterval = time.Second
 )
 
 // watchCutOff detects that neither the store nor another failure domain answers, so that
@@ -22,6 +25,8 @@
 		if !i.cutOff.Load() {
 			select {
 			case <-i.admission.Unresponsive():
+			case <-i.outage.Failed():
+				i.probeWhileStoreFails(ctx)
 			case <-ctx.Done():
 				return nil
 			}
@@ -32,11 +37,22 @@
 	return nil
 }
 
-// checkCutOff updates cutOff. It reads the store only when no other failure domain
-// answers, and then probes those again.
+// probeWhileStoreFails probes instances of other failure domains, at most once per
+// storeFailureProbeInterval: a cut that separates this failure domain from the store may separate it
+// from them as well, and without requests to them that would go unnoticed.
+func (i *Instance) probeWhileStoreFails(ctx context.Context) {
+	now := i.cfg.Clock()
+	if i.outage.Failing() && (i.probedAt == 0 || now-i.probedAt >= storeFailureProbeInterval) {
+		i.probedAt = now
+		i.admission.ProbeOtherDomains(ctx)
+	}
+}
+
+// checkCutOff updates cutOff. It reads the store only when no other failure domain answers
+// and the last read did not fail, and then probes those domains again.
 func (i *Instance) checkCutOff(ctx context.Context) {
 	othersUnreachable := i.admission.DomainCutOff()
-	i.cutOff.Store(othersUnreachable && !i.storeReachable(ctx))
+	i.cutOff.Store(othersUnreachable && (i.outage.Failing() || !i.storeReachable(ctx)))
 	if othersUnreachable {
 		i.admission.ProbeOtherDomains(ctx)
 	}
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -64,6 +66,29 @@
 	}
 }
 
+// TestCutIsNoticedWithoutTokenRequests covers a failure domain that is cut off while its
+// instances have all the tokens they need, so that they ask no other failure domain for any.
+func TestCutIsNoticedWithoutTokenRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 12)
+		defer f.close()
+		time.Sleep(10 * time.Second)
+		for _, i := range f.instances {
+			ready, reason := i.Ready()
+			require.True(t, ready, reason)
+		}
+		f.cutOff("a")
+		// The domain reader's next read of the store fails, then those of the others, which it
+		// tells, and then probes of other failure domains.
+		time.Sleep(fleetInterval + fleetInterval/10 + 2*storeDialTimeout + 200*time.Millisecond)
+		for _, i := range f.instances {
+			ready, reason := i.Ready()
+			require.Equal(t, i.cfg.FailureDomain != "a", ready, "%s: %s", i.cfg.Name, reason)
+			require.Equal(t, i.cfg.FailureDomain == "a", i.cutOff.Load(), i.cfg.Name)
+		}
+	})
+}
+
 func memberRow(t *testing.T, name, domain, address string) follow.Row {
 	value, err := json.Marshal(member{Name: name, FailureDomain: domain, Address: address})
 	require.NoError(t, err)
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -90,9 +90,14 @@
 type storedRows struct {
 	store  *memoryStore
 	prefix string
+	isCut  func() bool
 }
 
 func (s storedRows) Read(ctx context.Context) ([]follow.Row, uint64, error) {
+	if s.isCut() {
+		time.Sleep(storeDialTimeout)
+		return nil, 0, errStub
+	}
 	list, _, err := s.store.List(ctx, s.prefix)
 	var rows []follow.Row
 	for _, row := range list {
@@ -106,7 +111,23 @@
 // memoryNetwork connects instances through pipes, by address.
 type memoryNetwork struct {
 	mu        sync.Mutex
-	listeners map[string]*memoryListener // guarded by mu
+	listeners map[string]*memoryListener // guarded by mu, as below
+	domains   map[string]string          // failure domain by address
+	cut       string                     // failure domain that is cut off from the others and the store
+	conns     []domainConn
+}
+
+// domainConn is a connection with the failure domains of both ends.
+type domainConn struct {
+	net.Conn
+	from, to string
+}
+
+// isCut reports whether the path between two failure domains is cut; "" is the store's.
+func (n *memoryNetwork) isCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut != "" && from != to && (from == n.cut || to == n.cut)
 }
 
 type memoryListener struct {
@@ -127,13 +148,32 @@
 func (l *memoryListener) Close() error   { close(l.closed); return nil }
 func (l *memoryListener) Addr() net.Addr { return &net.UnixAddr{Name: l.address} }
 
-func (n *memoryNetwork) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	n.mu.Lock()
-	l, ok := n.listeners[address]
-	n.mu.Unlock()
-	if !ok {
-		return nil, fmt.Errorf("nobody listens at %s", address)
+// dialFrom returns the dial function of the instances of a failure domain.
+func (n *memoryNetwork) dialFrom(domain string) DialFunc {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		n.mu.Lock()
+		l, ok := n.listeners[address]
+		to := n.domains[address]
+		n.mu.Unlock()
+		if n.isCut(domain, to) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		if !ok {
+			return nil, fmt.Errorf("nobody listens at %s", address)
+		}
+		conn, err := l.connect(ctx)
+		if err == nil {
+			n.mu.Lock()
+			n.conns = append(n.conns, domainConn{conn, domain, to})
+			n.mu.Unlock()
+		}
+		return conn, err
 	}
+}
+
+// connect opens a connection to the listener.
+func (l *memoryListener) connect(ctx context.Context) (net.Conn, error) {
 	time.Sleep(time.Millisecond)
 	ours, theirs := net.Pipe()
 	select {
@@ -146,11 +186,11 @@
 	}
 }
 
-func (n *memoryNetwork) listen(address string) *memoryListener {
+func (n *memoryNetwork) listen(address, domain string) *memoryListener {
 	l := &memoryListener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.listeners[address] = l
+	n.listeners[address], n.domains[address] = l, domain
 	return l
 }
 
@@ -169,7 +209,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &memoryFleet{
 		t: t, store: &memoryStore{latency: 4 * time.Millisecond, rows: make(map[string]platform.Row)},
-		network: &memoryNetwork{listeners: make(map[string]*memoryListener)}, stop: cancel,
+		network: &memoryNetwork{listeners: make(map[string]*memoryListener), domains: make(map[string]string)}, stop: cancel,
 	}
 	f.store.rows["config"] = platform.Row{Key: "config", Revision: 1, Value: []byte("x")}
 	f.store.version = 1
@@ -179,10 +219,10 @@
 		address := fmt.Sprintf("10.0.%d.%d:1", k/250, k%250)
 		i, err := New(Config{
 			Name: fmt.Sprintf("edge-%s-%d", domain, k), FailureDomain: domain, PeerAddress: address,
-			Allowance: quota.Allowance{Window: time.Second}, Dial: f.network.dial, Log: zap.NewNop(), Metrics: metrics.NewSet(),
+			Allowance: quota.Allowance{Window: time.Second}, Dial: f.network.dialFrom(domain), Log: zap.NewNop(), Metrics: metrics.NewSet(),
 			Clock: func() time.Duration { return time.Since(began) + time.Hour },
 			Ports: Ports{
-				Configuration: storedRows{f.store, "config"}, Registry: storedRows{f.store, "server/"}, Fleet: fleetRows{f.store},
+				Configuration: f.rowsFor(domain, "config"), Registry: f.rowsFor(domain, "server/"), Fleet: fleetRows{f.rowsFor(domain, "")},
 				DecodeConfiguration: func([]follow.Row) (*catalog.Configuration, error) {
 					return &catalog.Configuration{Version: 1, Organisations: map[string]catalog.Organisation{"shop": {Name: "shop", Rate: 100, Burst: 100}}}, nil
 				},
@@ -193,7 +233,7 @@
 		require.NoError(t, err)
 		f.instances = append(f.instances, i)
 		server := &http.Server{Handler: i.Handler()}
-		listener := f.network.listen(address)
+		listener := f.network.listen(address, domain)
 		f.running.Go(func() { _ = server.Serve(listener) })
 		f.running.Go(func() { _ = i.Run(ctx) })
 		f.running.Go(func() {
@@ -204,11 +244,34 @@
 	return f
 }
 
+// storeDialTimeout is the time after which a connection to the store fails in a cut.
+const storeDialTimeout = 250 * time.Millisecond
+
+// rowsFor returns the rows with a prefix as the instances of a failure domain read them.
+func (f *memoryFleet) rowsFor(domain, prefix string) storedRows {
+	return storedRows{store: f.store, prefix: prefix, isCut: func() bool { return f.network.isCut(domain, "") }}
+}
+
+// cutOff cuts a failure domain off from the store and the other failure domains. Open
+// connections across the cut are closed, which an instance notices as it would a timeout.
+func (f *memoryFleet) cutOff(domain string) {
+	n := f.network
+	n.mu.Lock()
+	n.cut = domain
+	conns := slices.Clone(n.conns)
+	n.mu.Unlock()
+	for _, c := range conns {
+		if n.isCut(c.from, c.to) {
+			c.Close()
+		}
+	}
+}
+
 // fleetRows is a follow.Source of the rows that the instances write.
-type fleetRows struct{ store *memoryStore }
+type fleetRows struct{ storedRows }
 
 func (s fleetRows) Read(ctx context.Context) ([]follow.Row, uint64, error) {
-	rows, version, err := storedRows{s.store, ""}.Read(ctx)
+	rows, version, err := s.storedRows.Read(ctx)
 	return slices.DeleteFunc(rows, func(r follow.Row) bool { return r.Key == "config" }), version, err
 }
 
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -51,7 +51,12 @@
 	joining       *joining
 	draining      atomic.Bool
 	// cutOff is true while neither the store nor another failure domain answers.
-	cutOff         atomic.Bool
+	cutOff atomic.Bool
+	// outage is the state of the store as seen by the followers.
+	outage *follow.Outage
+	// probedAt is when other failure domains were last probed because the store failed. Only
+	// the goroutine of watchCutOff uses it.
+	probedAt       time.Duration
 	reportedReason atomic.Pointer[string]
 	refreshLimiter *rate.Limiter
 	// missingSince holds when the entry of each retained endpoint was first missing from the
@@ -119,14 +124,14 @@
 }
 
 func (i *Instance) buildFollowers() error {
-	outage := follow.NewOutage()
+	i.outage = follow.NewOutage()
 	i.followers = make(map[string]*follow.Follower)
 	for _, c := range []follow.Config{
 		{Set: configurationSet, Source: i.cfg.Ports.Configuration, Interval: configurationWait, Timeout: configurationTimeout, Apply: i.applyConfiguration},
 		{Set: registrySet, Source: i.cfg.Ports.Registry, Interval: registryInterval, DomainReaderWait: registryInterval, Apply: i.applyRegistry},
 		{Set: fleetSet, Source: i.cfg.Ports.Fleet, Interval: fleetInterval, Apply: i.applyFleet},
 	} {
-		c.Peers, c.DomainReader, c.Outage, c.Clock, c.Log = i.requestRows, i.domainReaderRows, outage, i.cfg.Clock, i.cfg.Log
+		c.Peers, c.DomainReader, c.Outage, c.Clock, c.Log = i.requestRows, i.domainReaderRows, i.outage, i.cfg.Clock, i.cfg.Log
 		if c.Timeout == 0 {
 			c.Timeout = storeTimeout
 		}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -172,7 +172,8 @@
 // Snapshot returns the copy.
 func (f *Follower) Snapshot() Snapshot { return f.snapshot.Get() }
 
-// Changed returns a channel that is closed when the copy is replaced.
+// Changed returns a channel that is closed when the copy is replaced, or the store begins to
+// fail.
 func (f *Follower) Changed() <-chan struct{} { return f.snapshot.Changed() }
 
 // StoreServing reports whether the store served the last read of Run, by this instance or by
@@ -347,9 +348,18 @@
 func (f *Follower) storeFailed(err error) {
 	if f.failingSince.CompareAndSwap(0, max(1, int64(f.cfg.Clock()))) {
 		event.StoreFailing.Emit(f.cfg.Log, zap.String("set", f.cfg.Set), zap.Error(err))
+		f.notifyWaiting()
 	}
 }
 
+// notifyWaiting wakes the waiters for a new copy: instances that follow this one learn at once
+// that it has none.
+func (f *Follower) notifyWaiting() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snapshot.Set(f.snapshot.Get())
+}
+
 func (f *Follower) storeServed() {
 	if since := f.failingSince.Swap(0); since != 0 {
 		event.StoreBack.Emit(f.cfg.Log, zap.String("set", f.cfg.Set),
--- a/internal/follow/outage.go
+++ b/internal/follow/outage.go
@@ -27,13 +27,24 @@
 	delays      *backoff.ExponentialBackOff // guarded by mu, as below
 	failing     bool
 	nextAttempt time.Duration
+	failed      chan struct{}
 }
 
 // NewOutage returns an Outage for a store that is assumed to serve.
 func NewOutage() *Outage {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval, delays.MaxInterval = initialBackoff, maxBackoff
-	return &Outage{delays: delays}
+	return &Outage{delays: delays, failed: make(chan struct{}, 1)}
+}
+
+// Failed returns a channel that receives a value when a call has failed.
+func (o *Outage) Failed() <-chan struct{} { return o.failed }
+
+// Failing reports whether the store did not serve the last call.
+func (o *Outage) Failing() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.failing
 }
 
 // mayTry reports whether the caller may call the store now. While the store fails, the
@@ -62,4 +73,8 @@
 	}
 	o.failing = true
 	o.nextAttempt = now + o.delays.NextBackOff()
+	select {
+	case o.failed <- struct{}{}:
+	default:
+	}
 }
