edge: tests of the changes that a domain reader sends and of whom it names unaware

Cause: the two were covered by the test of a whole fleet only. Change: one test each, with copies that have diverged, restarts and old copies. Result: they pass. Conclusion: none of the cases needed a change.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -353,3 +353,60 @@
 		return i.admission.Admit(t.Context(), "shop", 0) == nil
 	}, 5*time.Second, time.Millisecond)
 }
+
+// TestDomainReaderSendsChanges checks that an instance that follows a domain reader receives
+// the changed rows only, and all rows if its copy has diverged.
+func TestDomainReaderSendsChanges(t *testing.T) {
+	fleet := &fakeRows{rows: []follow.Row{{Key: "a", Value: []byte("1"), Version: 1}, {Key: "b", Value: []byte("1"), Version: 2}}, version: 2}
+	reader := newInstance(t, &fakeRows{}, &fakeRows{}, fleet, nil)
+	require.NoError(t, reader.fleet.Refresh(t.Context()))
+	known := reader.fleet.Snapshot()
+	fleet.rows, fleet.version = []follow.Row{{Key: "b", Value: []byte("2"), Version: 3}}, 4
+	require.NoError(t, reader.fleet.Refresh(t.Context()))
+
+	follower := newInstance(t, &fakeRows{}, &fakeRows{}, &fakeRows{}, nil)
+	response, err := reader.handleRows(t.Context(), follower.followRequest(fleetSet, known, 0, false))
+	require.NoError(t, err)
+	require.Empty(t, response.Rows)
+	require.Equal(t, &follow.Delta{Changed: fleet.rows, Removed: []string{"a"}}, response.Delta)
+
+	server := httptest.NewServer(reader.Handler())
+	defer server.Close()
+	m := member{Name: "edge-0", FailureDomain: "a", Address: server.Listener.Addr().String()}
+	diverged := follow.Snapshot{Rows: []follow.Row{{Key: "c", Version: 2}}, Version: 2}
+	for _, before := range []follow.Snapshot{known, diverged} {
+		s, outcome := follower.requestRowsFrom(t.Context(), m, before, follower.followRequest(fleetSet, before, 0, false))
+		require.Equal(t, snapshotTaken, outcome)
+		require.Equal(t, fleet.rows, s.Rows)
+		require.EqualValues(t, 4, s.Version)
+	}
+}
+
+// TestDomainReaderNamesUnawareInstances covers an instance that joins while others of a failure
+// domain have older copies, have restarted, or do not follow the domain reader.
+func TestDomainReaderNamesUnawareInstances(t *testing.T) {
+	rows := []follow.Row{
+		memberRow(t, "edge-1", "a", "127.0.0.1:1"), memberRow(t, "edge-2", "a", "127.0.0.1:2"), memberRow(t, "edge-3", "a", "127.0.0.1:3"),
+		memberRow(t, "far-1", "b", "127.0.0.1:4"), memberRow(t, "joining", "b", "127.0.0.1:5"),
+	}
+	rows[4].Version = 7
+	reader := newInstance(t, &fakeRows{}, &fakeRows{}, &fakeRows{rows: rows, version: 9}, nil)
+	joining := memberMessage{Name: "joining", Address: "127.0.0.1:5"}
+	require.False(t, reader.unawareOf(joining).Listed, "before the first copy")
+	require.NoError(t, reader.fleet.Refresh(t.Context()))
+
+	follows := func(name, incarnation string, version uint64) {
+		_, err := reader.handleRows(t.Context(), rowsRequest{
+			Set: fleetSet, AboveVersion: version, Follower: &followerIdentity{Name: name, Incarnation: incarnation},
+		})
+		require.NoError(t, err)
+	}
+	require.Equal(t, []string{"edge-2", "edge-3"}, reader.unawareOf(joining).Unaware, "neither follows the reader")
+	follows("edge-2", "", 6)
+	follows("edge-3", "an earlier start", 9)
+	require.Equal(t, []string{"edge-2", "edge-3"}, reader.unawareOf(joining).Unaware, "an older copy, another start")
+	follows("edge-2", "", 7)
+	follows("edge-3", "", 9)
+	require.Equal(t, awareResponse{Listed: true}, reader.unawareOf(joining))
+	require.False(t, reader.unawareOf(memberMessage{Name: "joining", Address: "127.0.0.1:6"}).Listed, "another address")
+}
