edge: few members check each round whether they have to retire others

Cause: every instance pinged the first member by name every 2 s, 97 pings a second at one small machine of a fleet of 195, and all first members by name are in one failure domain. Change: the order is that of a hash of the name. The first six check in each round that one before them answers, the others once in five rounds. TestMembersAreRetiredAfterTheMonitorsHaveFailed passes: with the first six gone together the next one retires them.

--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -202,6 +202,8 @@
 	instances []*Instance
 	running   sync.WaitGroup
 	stop      context.CancelFunc
+	// stopOne stops single instances, by name, without deregistering them.
+	stopOne map[string]context.CancelFunc
 }
 
 // startFleet starts n instances in six failure domains at the same time.
@@ -210,6 +212,7 @@
 	f := &memoryFleet{
 		t: t, store: &memoryStore{latency: 4 * time.Millisecond, rows: make(map[string]platform.Row)},
 		network: &memoryNetwork{listeners: make(map[string]*memoryListener), domains: make(map[string]string)}, stop: cancel,
+		stopOne: make(map[string]context.CancelFunc),
 	}
 	f.store.rows["config"] = platform.Row{Key: "config", Revision: 1, Value: []byte("x")}
 	f.store.version = 1
@@ -232,6 +235,8 @@
 		})
 		require.NoError(t, err)
 		f.instances = append(f.instances, i)
+		ctx, stopOne := context.WithCancel(ctx)
+		f.stopOne[i.cfg.Name] = stopOne
 		server := &http.Server{Handler: i.Handler()}
 		listener := f.network.listen(address, domain)
 		f.running.Go(func() { _ = server.Serve(listener) })
--- a/internal/edge/retire.go
+++ b/internal/edge/retire.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,11 +12,16 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
 	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/rendezvous"
 )
 
 const (
 	// memberCheckInterval is the interval between two rounds of pings.
 	memberCheckInterval = 2 * time.Second
+	// maxMonitors is the number of members that check in each round whether they are the
+	// first one alive; the others do so once in seldomRounds.
+	maxMonitors  = 6
+	seldomRounds = 5
 	// pingTimeout bounds one ping.
 	pingTimeout = 400 * time.Millisecond
 	// retireThreshold is the time without a response after which a member is retired:
@@ -32,13 +39,24 @@
 	firstSeen time.Duration
 }
 
-// watchMembers retires members that have failed. The first member by name that is alive
-// does so for all; each of the others only checks that a member before it answers.
+// watchMembers retires members that have failed. The first member in the monitors' order that
+// is alive does so for all. The next few check in each round that one before them answers, and
+// all others seldom, in case those have failed together.
 func (i *Instance) watchMembers(ctx context.Context) error {
 	unresponsive := make(map[string]memberObservation)
-	for ctx.Err() == nil {
+	isMonitor := false
+	for round := 0; ctx.Err() == nil; round++ {
 		sleep(ctx, memberCheckInterval)
-		if !i.isListed() || !i.fleet.StoreServing() || !i.isMonitor(ctx) {
+		if !i.isListed() || !i.fleet.StoreServing() {
+			isMonitor = false
+			clear(unresponsive)
+			continue
+		}
+		before := i.membersBefore()
+		if !isMonitor && len(before) >= maxMonitors && round%seldomRounds != 0 {
+			continue
+		}
+		if isMonitor = !i.anyAnswers(ctx, before); !isMonitor {
 			clear(unresponsive)
 			continue
 		}
@@ -47,17 +65,20 @@
 	return nil
 }
 
-// isMonitor reports whether no member before this one, ordered by name, answers.
-func (i *Instance) isMonitor(ctx context.Context) bool {
-	for _, m := range i.others() {
-		if m.Name > i.cfg.Name {
-			return true
-		}
-		if i.ping(ctx, m) {
-			return false
-		}
-	}
-	return true
+// membersBefore returns the members before this one in the order of the monitors: by a hash of
+// the name, because names begin with the failure domain, whose instances may fail together.
+func (i *Instance) membersBefore() []member {
+	own := monitorWeight(i.cfg.Name)
+	before := slices.DeleteFunc(i.others(), func(m member) bool { return monitorWeight(m.Name) >= own })
+	slices.SortFunc(before, func(a, b member) int { return cmp.Compare(monitorWeight(a.Name), monitorWeight(b.Name)) })
+	return before
+}
+
+func monitorWeight(name string) uint64 { return rendezvous.NewWeigher("monitor").Weight(name) }
+
+// anyAnswers reports whether any of the members answers. It pings them in their order.
+func (i *Instance) anyAnswers(ctx context.Context, members []member) bool {
+	return slices.ContainsFunc(members, func(m member) bool { return i.ping(ctx, m) })
 }
 
 // ping reports whether a member answers.
