--- a/test/faults/faults_test.go
+++ b/test/faults/faults_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -137,6 +135,7 @@
 	t.Helper()
 	d := deployment.Alpenpass()
 	directory := t.TempDir()
+	recorder := new(history.Recorder)
 	fleet, err := harness.Start(t.Context(), harness.Config{
 		Deployment: d, Directory: directory, Binary: binary(t), Seed: seed,
 	})
@@ -144,28 +143,15 @@
 	t.Cleanup(func() {
 		fleet.Close()
 		if t.Failed() {
-			keepLogs(t, directory)
+			keepEvidence(t, directory, recorder.History())
 		}
 	})
 	return &fixture{
-		t: t, fleet: fleet, recorder: new(history.Recorder), score: load.NewScore(responseDeadline),
+		t: t, fleet: fleet, recorder: recorder, score: load.NewScore(responseDeadline),
 		withdrawn: make(map[string]time.Time),
 	}
 }
 
-// keepLogs copies the fleet's directory with the instances' logs to the directory in
-// HORNBEAMLOCK_LOGS, if that is set.
-func keepLogs(t *testing.T, directory string) {
-	into := os.Getenv("HORNBEAMLOCK_LOGS")
-	if into == "" {
-		return
-	}
-	into = filepath.Join(into, filepath.Base(t.Name()))
-	if err := os.CopyFS(into, os.DirFS(directory)); err != nil {
-		t.Log(err)
-	}
-}
-
 func (s *fixture) plan() load.Plan {
 	d := deployment.Alpenpass()
 	plan := load.Plan{
