ctl: a change exits with 3 only if the instance says that nothing changed

Cause: the instance's answer that the outcome is unknown exited with 1, where the help says 4, and a connection that broke under a change exited with 3, "nothing changed". The help of organisation delete said that it must have no keys; they are withdrawn. Change: refusals carry a detail with the reason NOTHING_CHANGED or OUTCOME_UNKNOWN. Without the instance's answer a change exits with 4. key create prints its change identifier, as the other changes do, so that it can be repeated. Conclusion: scripts can rely on the exit code.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -73,7 +73,7 @@
 	fmt.Fprintf(env.errOut, "change %s\n", change.GetId())
 	response, err := client.ApplyChange(ctx, &operatorv1.ApplyChangeRequest{Change: change})
 	if err != nil {
-		return err
+		return asChangeError(err)
 	}
 	if env.options.output == "json" {
 		return printMessage(env, response)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -11,14 +11,17 @@
 	"os"
 	"time"
 
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/operator"
 )
 
 // Exit codes of hornbeamctl.
 const (
 	ExitOK = 0
-	// ExitFailed means that the call failed; the message says whether anything changed.
+	// ExitFailed means that a call that changes nothing failed, or a local error.
 	ExitFailed = 1
 	// ExitUsage means that the command line was invalid; no call was made.
 	ExitUsage = 2
@@ -130,16 +133,33 @@
 	return fallback
 }
 
-func exitCode(err error) int {
+// changeError is the error of a call that changes something.
+type changeError struct{ cause error }
+
+func (e *changeError) Error() string { return e.cause.Error() }
+func (e *changeError) Unwrap() error { return e.cause }
+
+// asChangeError marks the error of a call that changes something.
+func asChangeError(err error) error {
 	if err == nil {
-		return ExitOK
+		return nil
 	}
+	return &changeError{err}
+}
+
+func exitCode(err error) int {
 	var usage *usageError
-	if errors.As(err, &usage) {
+	var change *changeError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage):
 		return ExitUsage
+	case errors.As(err, &change):
+		return exitCodeOfChange(change.cause)
 	}
 	switch status.Code(err) {
-	case codes.InvalidArgument, codes.FailedPrecondition, codes.NotFound, codes.AlreadyExists, codes.Unavailable:
+	case codes.InvalidArgument, codes.FailedPrecondition, codes.NotFound, codes.AlreadyExists:
 		return ExitRefused
 	case codes.Aborted, codes.DeadlineExceeded:
 		return ExitUnknown
@@ -148,7 +168,34 @@
 	}
 }
 
+// exitCodeOfChange returns the exit code of a failed change. The instance says whether
+// anything changed; without its answer the change may have been accepted.
+func exitCodeOfChange(err error) int {
+	s, ok := status.FromError(err)
+	if !ok {
+		return ExitFailed
+	}
+	for _, detail := range s.Details() {
+		if info, ok := detail.(*errdetails.ErrorInfo); ok && info.GetDomain() == operator.ErrorDomain {
+			if info.GetReason() == operator.ReasonNothingChanged {
+				return ExitRefused
+			}
+			return ExitUnknown
+		}
+	}
+	switch s.Code() {
+	case codes.InvalidArgument, codes.FailedPrecondition, codes.NotFound, codes.AlreadyExists, codes.Unimplemented, codes.Unauthenticated:
+		return ExitRefused
+	default:
+		return ExitUnknown
+	}
+}
+
 func errorText(err error) string {
+	var change *changeError
+	if errors.As(err, &change) {
+		err = change.cause
+	}
 	if s, ok := status.FromError(err); ok {
 		return s.Message()
 	}
--- a/internal/ctl/organisations.go
+++ b/internal/ctl/organisations.go
@@ -48,7 +48,7 @@
 
 var organisationDelete = command{
 	name:     "organisation delete",
-	synopsis: "delete an organisation that has no keys",
+	synopsis: "delete an organisation, whose keys are withdrawn",
 	example:  "organisation delete nebelhorn",
 	setup: func(*flag.FlagSet) runner {
 		return func(ctx context.Context, env *environment, args []string) error {
@@ -100,14 +100,16 @@
 	if err != nil {
 		return err
 	}
+	change := changeID(env)
+	fmt.Fprintf(env.errOut, "change %s\n", change)
 	response, err := client.CreateKey(ctx, &operatorv1.CreateKeyRequest{
 		Organisation: organisation,
 		BaseVersion:  base,
-		ChangeId:     changeID(env),
+		ChangeId:     change,
 		Author:       env.options.author,
 	})
 	if err != nil {
-		return err
+		return asChangeError(err)
 	}
 	if env.options.output == "json" {
 		return printMessage(env, response)
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -12,6 +12,15 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/fleetconfig"
 )
 
+// Reasons in the ErrorInfo detail of a change that is not known to be accepted.
+const (
+	ErrorDomain = "hornbeamlock"
+	// ReasonNothingChanged means that the change was not accepted and never will be.
+	ReasonNothingChanged = "NOTHING_CHANGED"
+	// ReasonOutcomeUnknown means that the change may have been accepted.
+	ReasonOutcomeUnknown = "OUTCOME_UNKNOWN"
+)
+
 // statusOf converts an error to a gRPC status. If the error is or wraps a
 // fleetconfig.FieldError, a BadRequest detail holds the field's path.
 func statusOf(err error) error {
@@ -20,7 +29,7 @@
 	}
 	var refusal *configuration.Refusal
 	if errors.As(err, &refusal) {
-		return withField(status.New(codeOf(refusal.Kind), refusal.Error()), err)
+		return withField(withReason(status.New(codeOf(refusal.Kind), refusal.Error()), refusal.Kind), err)
 	}
 	if fleetconfig.AsFieldError(err) != nil {
 		return withField(status.New(codes.InvalidArgument, err.Error()), err)
@@ -44,6 +53,19 @@
 	}
 }
 
+// withReason adds the detail that tells whether anything changed.
+func withReason(s *status.Status, kind configuration.RefusalKind) *status.Status {
+	reason := ReasonNothingChanged
+	if kind == configuration.OutcomeUnknown {
+		reason = ReasonOutcomeUnknown
+	}
+	detailed, err := s.WithDetails(&errdetails.ErrorInfo{Reason: reason, Domain: ErrorDomain})
+	if err != nil {
+		return s // only a status of an accepted change cannot have details
+	}
+	return detailed
+}
+
 func withField(s *status.Status, err error) error {
 	field := fleetconfig.AsFieldError(err)
 	if field == nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -148,8 +148,14 @@
 			_, err := client.ApplyChange(t.Context(), organisation("c1", "partner-1"))
 			require.Equal(t, c.code, status.Code(err))
 			require.ErrorContains(t, err, c.text)
+			details := status.Convert(err).Details()
+			reason := ReasonNothingChanged
+			if c.code == codes.Unknown {
+				reason = ReasonOutcomeUnknown
+			}
+			require.Equal(t, reason, details[0].(*errdetails.ErrorInfo).GetReason())
 			if c.code == codes.InvalidArgument {
-				require.Equal(t, "change.id", status.Convert(err).Details()[0].(*errdetails.BadRequest).GetFieldViolations()[0].GetField())
+				require.Equal(t, "change.id", details[1].(*errdetails.BadRequest).GetFieldViolations()[0].GetField())
 			}
 		})
 	}
