edge: test of malformed messages between instances

Cause: operators of similar systems saw one malformed message take a process down; the messages between edge instances had no such test. Change: each kind of message with eighteen malformed or hostile bodies. Result: no handler panics, and the instance answers afterwards. Conclusion: nothing to mend was found there.

--- /dev/null
+++ b/internal/edge/malformed_test.go
@@ -0,0 +1,79 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+)
+
+// lockedBuffer is a buffer for several writers.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// TestMalformedPeerMessages sends each kind of message with bodies that no instance sends: the
+// handler must neither panic nor keep the instance from answering the next one.
+func TestMalformedPeerMessages(t *testing.T) {
+	registry := &fakeRows{rows: []follow.Row{{Key: "db-1", Version: 1}}, version: 1}
+	fleet := &fakeRows{rows: []follow.Row{memberRow(t, "edge-1", "a", "127.0.0.1:1")}, version: 1}
+	i := newInstance(t, &fakeRows{rows: []follow.Row{{Key: "config", Version: 1}}, version: 1}, registry, fleet, nil)
+	for _, f := range i.followers {
+		require.NoError(t, f.Refresh(t.Context()))
+	}
+	var errors lockedBuffer
+	server := httptest.NewUnstartedServer(i.Handler())
+	server.Config.ErrorLog = log.New(&errors, "", 0)
+	server.Start()
+	defer server.Close()
+
+	kinds := []string{
+		messageRows, messageRevoke, messageSettled, messageReaches, messageReplacing, messageSuspect, messageTokens, messagePing,
+		messageKnownEpochs, messageAttest, messageDirect, messageRead, messageAcknowledge, messageAware, "unknown",
+	}
+	bodies := []string{
+		"", "{", "null", "[]", "0", `"text"`, "{}", strings.Repeat("[", 20_000), "\x00\xff", `{"set":7}`, `{"set":"fleet","wait_ns":-1,"above":18446744073709551615,"delta":true}`,
+		`{"set":"fleet","has":"x","follower":{"name":"","incarnation":""},"delta":true}`, `{"set":"none"}`, `{"service":"db","endpoint":"db-1","epoch":-1}`,
+		`{"tokens":{"shop":1e308,"":-1}}`, `{"tokens":null}`, `{"endpoint":"db-1","timeout_ns":1,"command":{"Statement":{"Kind":99}}}`, `{"name":"edge-1","address":7}`,
+	}
+	client := &http.Client{Timeout: 5 * time.Second}
+	for _, kind := range kinds {
+		for _, body := range bodies {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/peer/"+kind, strings.NewReader(body))
+			require.NoError(t, err)
+			response, err := client.Do(request)
+			require.NoError(t, err, "%s with %.40q", kind, body)
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+			response.Body.Close()
+			cancel()
+		}
+	}
+	require.NotContains(t, errors.String(), "panic")
+	_, err := i.handleRows(t.Context(), rowsRequest{Set: fleetSet})
+	require.NoError(t, err)
+}
