leadership: loop condition in the form that the linter asks for

Cause: the linter took the return of nil after a cancelled context for a dropped error. Change: the loop ends by its condition; a comment is reflowed. Result: the tests of the package pass.

--- a/internal/edge/cutoff.go
+++ b/internal/edge/cutoff.go
@@ -38,8 +38,8 @@
 }
 
 // probeWhileStoreFails probes instances of other failure domains, at most once per
-// storeFailureProbeInterval: a cut that separates this failure domain from the store may separate it
-// from them as well, and without requests to them that would go unnoticed.
+// storeFailureProbeInterval: a cut that separates this failure domain from the store may
+// separate it from them as well, and without requests to them that would go unnoticed.
 func (i *Instance) probeWhileStoreFails(ctx context.Context) {
 	now := i.cfg.Clock()
 	if i.outage.Failing() && (i.probedAt == 0 || now-i.probedAt >= storeFailureProbeInterval) {
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -151,7 +151,7 @@
 }
 
 func (c *Controller) pollServices(ctx context.Context, t *tomb.Tomb) error {
-	for {
+	for ctx.Err() == nil {
 		changed := c.cfg.PrimaryView.Changed()
 		for _, name := range c.serviceNames() {
 			if cause := c.reasonToReplace(name); cause != reasonNone {
@@ -167,10 +167,8 @@
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		if ctx.Err() != nil {
-			return nil
-		}
 	}
+	return nil
 }
 
 // nextPoll returns the time until the next check of all services.
