edge: an outage that the domain reader has ended does not count for the cut-off check

The retry state of the followers records only this instance's own calls. Change: the check asks whether the store serves the fleet's follower, which such copies set right; otherwise it reads the store as before. Conclusion: the check holds for both ways in which an outage ends.

--- a/internal/edge/cutoff.go
+++ b/internal/edge/cutoff.go
@@ -52,7 +52,7 @@
 // and the last read did not fail, and then probes those domains again.
 func (i *Instance) checkCutOff(ctx context.Context) {
 	othersUnreachable := i.admission.DomainCutOff()
-	i.cutOff.Store(othersUnreachable && (i.outage.Failing() || !i.storeReachable(ctx)))
+	i.cutOff.Store(othersUnreachable && (!i.fleet.StoreServing() || !i.storeReachable(ctx)))
 	if othersUnreachable {
 		i.admission.ProbeOtherDomains(ctx)
 	}
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -89,6 +89,31 @@
 	})
 }
 
+// TestEndedOutageDoesNotCountAsCutOff covers a failure domain that has been cut off, and later
+// loses the path to the other failure domains but not to the store. Most of its instances have
+// not read the store themselves since the first cut, because they follow the domain reader.
+func TestEndedOutageDoesNotCountAsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 24)
+		defer f.close()
+		time.Sleep(10 * time.Second)
+		f.cutOff("a")
+		time.Sleep(3 * time.Second)
+		f.heal()
+		time.Sleep(10 * time.Second)
+		f.cutOffExceptStore("a")
+		for _, i := range f.instances {
+			if i.cfg.FailureDomain != "a" {
+				continue
+			}
+			i.admission.ProbeOtherDomains(t.Context())
+			require.True(t, i.admission.DomainCutOff())
+			i.checkCutOff(t.Context())
+			require.False(t, i.cutOff.Load(), "the store serves %s", i.cfg.Name)
+		}
+	})
+}
+
 func memberRow(t *testing.T, name, domain, address string) follow.Row {
 	value, err := json.Marshal(member{Name: name, FailureDomain: domain, Address: address})
 	require.NoError(t, err)
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -114,6 +114,7 @@
 	listeners map[string]*memoryListener // guarded by mu, as below
 	domains   map[string]string          // failure domain by address
 	cut       string                     // failure domain that is cut off from the others and the store
+	storeOpen bool                       // the cut leaves the path to the store
 	conns     []domainConn
 }
 
@@ -127,6 +128,9 @@
 func (n *memoryNetwork) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if to == "" && n.storeOpen {
+		return false
+	}
 	return n.cut != "" && from != to && (from == n.cut || to == n.cut)
 }
 
@@ -272,6 +276,21 @@
 	}
 }
 
+// heal ends a cut.
+func (f *memoryFleet) heal() {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	f.network.cut = ""
+}
+
+// cutOffExceptStore cuts a failure domain off from the other failure domains only.
+func (f *memoryFleet) cutOffExceptStore(domain string) {
+	f.network.mu.Lock()
+	f.network.storeOpen = true
+	f.network.mu.Unlock()
+	f.cutOff(domain)
+}
+
 // fleetRows is a follow.Source of the rows that the instances write.
 type fleetRows struct{ storedRows }
 
