follow, pipeline: lines and metrics that tell why a request met an older configuration

Cause: a dropped copy of the store's rows had no line; nothing said when a wait for a change last ended, from where a configuration came, or by which version a request was handled, so that the hypotheses of the incident could not be told apart. Change: events 9050 (copy dropped although read later), 9051 (copies used again), 9052 (caller refused by the configuration in force); origin, store version and age on 9003; the version of the configuration on 9020 to 9022; version, age and wait age as gauges, dropped copies as a counter. No decision changes.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -157,6 +157,7 @@
 		{Set: fleetSet, Source: i.cfg.Ports.Fleet, Interval: fleetInterval, Apply: i.applyFleet},
 	} {
 		c.Peers, c.DomainReader, c.Outage, c.Clock, c.Log = i.requestRows, i.domainReaderRows, i.outage, i.cfg.Clock, i.cfg.Log
+		c.DroppedCopies = i.cfg.Metrics.Labelled("edge_copies_dropped_total")
 		if c.Timeout == 0 {
 			c.Timeout = storeTimeout
 		}
@@ -251,7 +252,8 @@
 	i.divideLimits()
 	i.assignOwners()
 	event.ConfigurationApplied.Emit(i.cfg.Log, zap.Uint64("version", c.Version),
-		zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)))
+		zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)),
+		zap.String("origin", string(s.Origin)), zap.Uint64("store_version", s.Version), zap.Duration("age", s.Age(i.cfg.Clock())))
 }
 
 // applyFleet applies a copy of the fleet's rows: records of primaries and registered
@@ -365,6 +367,11 @@
 func (i *Instance) registerGauges() {
 	set := i.cfg.Metrics
 	set.Gauge("edge_configuration_version", func() any { return i.configuration.Get().Version })
+	for name, f := range i.followers {
+		set.Gauge("edge_"+name+"_copy_version", func() any { return f.Snapshot().Version })
+		set.Gauge("edge_"+name+"_copy_age_seconds", func() any { return f.Snapshot().Age(i.cfg.Clock()).Seconds() })
+	}
+	set.Gauge("edge_configuration_wait_age_seconds", func() any { return i.followers[configurationSet].WaitAge().Seconds() })
 	set.Gauge("edge_members", func() any { return i.memberCount() })
 	set.Gauge("edge_endpoints", func() any { return len(i.registry.Get().Endpoints) })
 	set.Gauge("edge_evacuated_domains", func() any { return len(i.registry.Get().Evacuated) })
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -17,7 +17,8 @@
 	}
 	ConfigurationApplied = Event{
 		Number: 9003, Name: "edge.configuration_applied", Level: zapcore.InfoLevel,
-		Text: "configuration version in force", Fields: []string{"version", "routes", "organisations"},
+		Text:   "configuration version in force",
+		Fields: []string{"version", "routes", "organisations", "origin", "store_version", "age"},
 	}
 	ConfigurationUnreadable = Event{
 		Number: 9004, Name: "edge.configuration_unreadable", Level: zapcore.ErrorLevel,
@@ -83,17 +84,17 @@
 	RequestRefused = Event{
 		Number: 9020, Name: "edge.request_refused", Level: zapcore.InfoLevel,
 		Text:   "request refused; it was not executed",
-		Fields: []string{"request", "organisation", "database", "service", "statement", "cause", "elsewhere", "waited", "evidence_age"},
+		Fields: []string{"request", "organisation", "database", "service", "statement", "cause", "elsewhere", "waited", "evidence_age", "configuration"},
 	}
 	RequestUnknown = Event{
 		Number: 9021, Name: "edge.request_unknown", Level: zapcore.WarnLevel,
 		Text:   "request with an unknown outcome",
-		Fields: []string{"request", "organisation", "database", "service", "statement", "endpoint", "cause", "waited", "evidence_age"},
+		Fields: []string{"request", "organisation", "database", "service", "statement", "endpoint", "cause", "waited", "evidence_age", "configuration"},
 	}
 	RequestLate = Event{
 		Number: 9022, Name: "edge.request_late", Level: zapcore.InfoLevel,
 		Text:   "request answered later than its latency objective",
-		Fields: []string{"request", "organisation", "database", "service", "statement", "endpoint", "waited", "queued", "attempts"},
+		Fields: []string{"request", "organisation", "database", "service", "statement", "endpoint", "waited", "queued", "attempts", "configuration"},
 	}
 	LinesDropped = Event{
 		Number: 9023, Name: "edge.lines_dropped", Level: zapcore.WarnLevel,
@@ -147,6 +148,22 @@
 		Fields: []string{"service", "failure_domain"},
 		Action: "Add an endpoint of the service in another failure domain, or end an evacuation.",
 	}
+	CopyDropped = Event{
+		Number: 9050, Name: "edge.copy_dropped", Level: zapcore.WarnLevel,
+		Text:   "a copy of the store's rows was read later than the current one and is older by its version; it is not used",
+		Fields: []string{"set", "origin", "version", "current_version", "current_origin", "current_age", "wait_age"},
+		Action: "None if event 9051 follows within a second; otherwise compare the store's version with those of the instances.",
+	}
+	CopiesUsable = Event{
+		Number: 9051, Name: "edge.copies_usable", Level: zapcore.InfoLevel,
+		Text:   "a copy of the store's rows is used again after some were dropped",
+		Fields: []string{"set", "origin", "version", "dropped", "lasted"},
+	}
+	SessionRefused = Event{
+		Number: 9052, Name: "edge.session_refused", Level: zapcore.InfoLevel,
+		Text:   "a caller was refused by the configuration in force",
+		Fields: []string{"database", "cause", "configuration"},
+	}
 	EdgeRegistered = Event{
 		Number: 9030, Name: "edge.member_registered", Level: zapcore.InfoLevel,
 		Text: "this instance is registered in the platform's store", Fields: []string{"incarnation", "address"},
@@ -164,4 +181,5 @@
 	PrimaryRecordChanged, PrimaryUnresponsive, RequestRefused, RequestUnknown, RequestLate, LinesDropped, ConnectionOwnerFailed,
 	SettingsApplied, SettingsRefused, EvacuationLearnt, EvacuationEnded, EvacuationBlocked,
 	EdgeRegistered, EdgeRemoved, InstanceAdmitted, ConnectionOwnerLeaving, LimitContended,
+	CopyDropped, CopiesUsable, SessionRefused,
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -46,10 +47,21 @@
 	Await(ctx context.Context, version uint64, wait time.Duration) (bool, error)
 }
 
+// Origin is where an instance got a copy from.
+type Origin string
+
+// The origins.
+const (
+	OriginStore        Origin = "store"
+	OriginDomainReader Origin = "domain reader"
+	OriginPeer         Origin = "peer"
+)
+
 // Snapshot is a copy of the rows at one version.
 type Snapshot struct {
 	Rows    []Row
 	Version uint64
+	Origin  Origin
 	// AsOf is a time, by the boot-time clock, at which the store held nothing newer;
 	// negative before the first read.
 	AsOf time.Duration
@@ -95,6 +107,9 @@
 	Outage *Outage
 	Clock  lease.Clock
 	Log    *zap.Logger
+	// DroppedCopies counts, by set, the copies that were not used although they were read
+	// later than the current one; nil if nobody reads it.
+	DroppedCopies *expvar.Map
 	// Interval is the time between two reads, or the maximum wait of one Await.
 	Interval time.Duration
 	// DomainReaderWait bounds one request to the domain reader, which passes on a new copy
@@ -129,6 +144,9 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
+	if c.DroppedCopies == nil {
+		c.DroppedCopies = new(expvar.Map)
+	}
 	if c.Outage == nil {
 		c.Outage = NewOutage()
 	}
@@ -156,6 +174,10 @@
 	// failingSince is the boot time since which the store has not served this
 	// instance, 0 while it serves it.
 	failingSince atomic.Int64
+	// waitEndedAt is the boot time at which the last wait for a change ended with an answer of
+	// the store, 0 before the first.
+	waitEndedAt atomic.Int64
+	drops       drops // guarded by mu
 }
 
 // New returns a Follower without a copy.
@@ -226,6 +248,7 @@
 	if !ok {
 		return false
 	}
+	s.Origin = OriginDomainReader
 	f.publish(s)
 	f.storeServed()
 	return true
@@ -250,7 +273,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	f.publish(Snapshot{Rows: rows, Version: version, AsOf: sent})
+	f.publish(Snapshot{Rows: rows, Version: version, Origin: OriginStore, AsOf: sent})
 	return nil
 }
 
@@ -279,8 +302,10 @@
 	defer f.mu.Unlock()
 	current := f.snapshot.Get()
 	if s.Version < current.Version || current.Loaded() && s.AsOf < current.AsOf && s.Version == current.Version {
+		f.recordDrop(s, current)
 		return
 	}
+	f.recordUse(s)
 	s.AsOf = max(s.AsOf, current.AsOf)
 	f.history.record(current, s)
 	f.cfg.Apply(s)
@@ -322,7 +347,11 @@
 func (f *Follower) await(ctx context.Context, waiter Waiter) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.Interval+f.cfg.Timeout)
 	defer cancel()
-	return waiter.Await(ctx, f.Snapshot().Version, f.cfg.Interval)
+	changed, err := waiter.Await(ctx, f.Snapshot().Version, f.cfg.Interval)
+	if err == nil {
+		f.waitEndedAt.Store(int64(f.cfg.Clock()))
+	}
+	return changed, err
 }
 
 // refreshFromPeers applies the copy of another instance if it is newer.
@@ -342,7 +371,7 @@
 	if version == current.Version {
 		rows = current.Rows
 	}
-	f.publish(Snapshot{Rows: rows, Version: version, AsOf: sent - age})
+	f.publish(Snapshot{Rows: rows, Version: version, Origin: OriginPeer, AsOf: sent - age})
 }
 
 func (f *Follower) storeFailed(err error) {
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -235,6 +235,7 @@
 		return append([]zap.Field{
 			zap.String("request", e.st.ID), zap.String("organisation", e.organisation), zap.String("database", e.s.database),
 			zap.String("service", e.route.Service), zap.String("statement", label), zap.Duration("waited", elapsed),
+			zap.Uint64("configuration", e.s.identifiedBy),
 		}, more...)
 	}
 	if e.queued > 0 {
--- a/internal/pipeline/request_log.go
+++ b/internal/pipeline/request_log.go
@@ -50,7 +50,7 @@
 		lineLimiters:      make(map[int]*rate.Limiter),
 		dropReportLimiter: rate.NewLimiter(rate.Every(time.Second), 1),
 	}
-	for _, e := range []event.Event{event.RequestRefused, event.RequestUnknown, event.RequestLate} {
+	for _, e := range []event.Event{event.RequestRefused, event.RequestUnknown, event.RequestLate, event.SessionRefused} {
 		l.lineLimiters[e.Number] = rate.NewLimiter(linesPerSecond, lineBurst)
 	}
 	return l
--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
 	"github.com/hornbeamlock/hornbeamlock/internal/request"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
@@ -19,6 +22,8 @@
 	p        *Pipeline
 	database string
 	key      catalog.KeyHash
+	// identifiedBy is the version of the configuration that identify used last.
+	identifiedBy uint64
 
 	values   map[string]string
 	prepared map[string]request.Prepared
@@ -31,6 +36,7 @@
 func (p *Pipeline) Open(database string, key catalog.KeyHash) (*Session, error) {
 	s := &Session{p: p, database: database, key: key}
 	if _, _, err := s.identify(); err != nil {
+		p.requestLog.writeLine(event.SessionRefused, zap.String("database", database), zap.String("cause", err.Error()), zap.Uint64("configuration", s.identifiedBy))
 		return nil, err
 	}
 	return s, nil
@@ -40,6 +46,7 @@
 // configuration.
 func (s *Session) identify() (catalog.Route, string, error) {
 	c := s.p.cfg.Configuration()
+	s.identifiedBy = c.Version
 	route, ok := c.Routes[s.database]
 	if !ok {
 		return route, "", verdict.New(verdict.NotRun, verdict.CodeUnknownDatabase, "there is no database %q", s.database)
