follow: copies are ordered by the store's generation, then by its version

What callers saw: after the store had returned from an older copy of itself, an acknowledged configuration was not in force within its bound: a withdrawn key was accepted, an added route was unknown. Cause: copies were ordered by the store's version alone, a counter that its owner may set back. Each copy read after the return was dropped as older until as many versions had been given out as were lost; the long poll asked from a version that the store did not have, was answered at once, and the read was repeated without a pause. Class: order and identity taken from a counter that its owner may set back. A wait that is answered by another generation counts as a change, deltas and histories end with a generation, and a fingerprint covers the keys and revisions of all rows, since number of rows and newest version do not identify a copy across generations. A copy is sent whole where it differs at the same version. The fleet's rows keep the order by number: what they need besides is a fault of its own. Why it works: a generation that is higher precedes any number, so that the first read after the return replaces the copy, and the next wait asks from a version that the store has.

--- a/internal/configuration/accept.go
+++ b/internal/configuration/accept.go
@@ -33,7 +33,7 @@
 	state    *tableState
 	next     *configv1.Configuration
 	stage    *peerv1.Stage
-	pending  uint64 // revision of the pending row
+	pending  platform.Revision // revision of the pending row
 	staging  *staging
 }
 
@@ -147,7 +147,7 @@
 // acceptedBefore returns the earlier result of the same change, or nil. It refuses
 // a different change with the same identifier.
 func (c *Controller) acceptedBefore(ctx context.Context, state *tableState, change *configv1.Change) (*Accepted, error) {
-	if state.changeID.Revision == 0 {
+	if !state.changeID.Revision.Exists() {
 		return nil, nil
 	}
 	version, err := decodeVersion(state.changeID.Key, state.changeID.Value)
--- a/internal/configuration/commit.go
+++ b/internal/configuration/commit.go
@@ -30,7 +30,7 @@
 // memberRow is a registered member with the revision of its row.
 type memberRow struct {
 	member   *peerv1.Member
-	revision uint64
+	revision platform.Revision
 }
 
 // readState reads the epoch before the members: a commit on the condition of that
@@ -48,7 +48,7 @@
 		return nil, trace.Wrap(err)
 	}
 	s.pending.head = s.head
-	if rows[0].Revision != 0 {
+	if rows[0].Revision.Exists() {
 		if s.pending.stage, err = decodePending(rows[0].Value); err != nil {
 			return nil, trace.Wrap(err)
 		}
--- a/internal/configuration/evidence.go
+++ b/internal/configuration/evidence.go
@@ -44,7 +44,7 @@
 		})
 	}
 	for _, row := range contacts {
-		if row.Revision == 0 {
+		if !row.Revision.Exists() {
 			continue
 		}
 		at, err := strconv.ParseInt(string(row.Value), 10, 64)
--- a/internal/configuration/fleet_test.go
+++ b/internal/configuration/fleet_test.go
@@ -32,7 +32,7 @@
 type fakeTable struct {
 	mu       sync.Mutex
 	rows     map[string]platform.Row
-	revision uint64
+	revision platform.Revision
 	down     bool
 	reads    int
 	writes   int
--- a/internal/configuration/history.go
+++ b/internal/configuration/history.go
@@ -45,7 +45,7 @@
 	}
 	var entries []*operatorv1.HistoryEntry
 	for _, row := range rows {
-		if row.Revision == 0 {
+		if !row.Revision.Exists() {
 			continue
 		}
 		entry, err := decodeHistory(row.Key, row.Value)
@@ -73,7 +73,7 @@
 // FindChange returns the accepted change with the identifier, or nil.
 func (c *Controller) FindChange(ctx context.Context, id string) (*operatorv1.HistoryEntry, error) {
 	rows, _, err := c.cfg.Table.Get(ctx, changeIDRow(id))
-	if err != nil || rows[0].Revision == 0 {
+	if err != nil || !rows[0].Revision.Exists() {
 		return nil, trace.Wrap(err)
 	}
 	version, err := decodeVersion(rows[0].Key, rows[0].Value)
--- a/internal/configuration/participant.go
+++ b/internal/configuration/participant.go
@@ -223,7 +223,7 @@
 	if p.head, err = fleetconfig.DecodeHead(rows[1].Value); err != nil {
 		return pending{}, trace.Wrap(err)
 	}
-	if p.row.Revision == 0 {
+	if !p.row.Revision.Exists() {
 		return p, nil
 	}
 	p.stage, err = decodePending(p.row.Value)
--- a/internal/edge/aware.go
+++ b/internal/edge/aware.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
 // The domain reader of a failure domain knows from the requests of the instances that follow it
@@ -75,7 +77,7 @@
 type followerState struct {
 	incarnation string
 	// version is the version of the fleet's rows that the instance has applied.
-	version uint64
+	version platform.Revision
 }
 
 // awareResponse answers the question which instances list the sender.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -29,12 +29,12 @@
 // fakeRows is a follow.Source with rows that a test changes.
 type fakeRows struct {
 	rows    []follow.Row
-	version uint64
+	version platform.Revision
 	reads   atomic.Int64
 	down    atomic.Bool
 }
 
-func (r *fakeRows) Read(context.Context) ([]follow.Row, uint64, error) {
+func (r *fakeRows) Read(context.Context) ([]follow.Row, platform.Revision, error) {
 	r.reads.Add(1)
 	time.Sleep(time.Millisecond)
 	if r.down.Load() {
@@ -417,7 +417,7 @@
 	require.False(t, reader.unawareOf(joining).Listed, "before the first copy")
 	require.NoError(t, reader.fleet.Refresh(t.Context()))
 
-	follows := func(name, incarnation string, version uint64) {
+	follows := func(name, incarnation string, version platform.Revision) {
 		_, err := reader.handleRows(t.Context(), rowsRequest{
 			Set: fleetSet, AboveVersion: version, Follower: &followerIdentity{Name: name, Incarnation: incarnation},
 		})
--- a/internal/edge/evacuation_test.go
+++ b/internal/edge/evacuation_test.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
 	"github.com/hornbeamlock/hornbeamlock/internal/pipeline"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
 // decodeEvacuatedRows takes every row but the configuration as an evacuation.
@@ -28,7 +29,7 @@
 func TestEvacuationFollowsTheConfigurationSet(t *testing.T) {
 	now := time.Hour
 	clock := func() time.Duration { return now }
-	row := func(version uint64, domain string) follow.Row {
+	row := func(version platform.Revision, domain string) follow.Row {
 		return follow.Row{Key: "evacuate/" + domain, Version: version}
 	}
 	config := follow.Row{Key: "config", Value: make([]byte, 2*maxForwardedBytes), Version: 1}
@@ -50,7 +51,7 @@
 		return i
 	}
 	i := start()
-	apply := func(version uint64, rows ...follow.Row) {
+	apply := func(version platform.Revision, rows ...follow.Row) {
 		configuration.rows, configuration.version = append([]follow.Row{config}, rows...), version
 		require.NoError(t, i.followers[configurationSet].Refresh(t.Context()))
 	}
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -31,7 +31,7 @@
 
 	mu      sync.Mutex
 	rows    map[string]platform.Row // guarded by mu, as below
-	version uint64
+	version platform.Revision
 	reads   int
 	writes  int
 }
@@ -93,7 +93,7 @@
 	isCut  func() bool
 }
 
-func (s storedRows) Read(ctx context.Context) ([]follow.Row, uint64, error) {
+func (s storedRows) Read(ctx context.Context) ([]follow.Row, platform.Revision, error) {
 	if s.isCut() {
 		time.Sleep(storeDialTimeout)
 		return nil, 0, errStub
@@ -294,7 +294,7 @@
 // fleetRows is a follow.Source of the rows that the instances write.
 type fleetRows struct{ storedRows }
 
-func (s fleetRows) Read(ctx context.Context) ([]follow.Row, uint64, error) {
+func (s fleetRows) Read(ctx context.Context) ([]follow.Row, platform.Revision, error) {
 	rows, version, err := s.storedRows.Read(ctx)
 	return slices.DeleteFunc(rows, func(r follow.Row) bool { return r.Key == "config" }), version, err
 }
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -253,7 +253,7 @@
 	i.assignOwners()
 	event.ConfigurationApplied.Emit(i.cfg.Log, zap.Uint64("version", c.Version),
 		zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)),
-		zap.String("origin", string(s.Origin)), zap.Uint64("store_version", s.Version), zap.Duration("age", s.Age(i.cfg.Clock())))
+		zap.String("origin", string(s.Origin)), zap.Uint64("store_version", uint64(s.Version)), zap.Duration("age", s.Age(i.cfg.Clock())))
 }
 
 // applyFleet applies a copy of the fleet's rows: records of primaries and registered
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -48,7 +48,7 @@
 	// without one count as having 1.
 	Weight float64 `json:"weight,omitempty"`
 
-	version uint64 // of the row
+	version platform.Revision // of the row
 }
 
 // remoteLifetime returns RemoteLifetimeMs as a duration.
@@ -142,7 +142,7 @@
 // older copies of the rows know the member already.
 func registeredSince(row platform.Row, self member, now time.Time) int64 {
 	var before member
-	if row.Revision == 0 || json.Unmarshal(row.Value, &before) != nil || before.Address != self.Address || before.Retired || before.RegisteredMs == 0 {
+	if !row.Revision.Exists() || json.Unmarshal(row.Value, &before) != nil || before.Address != self.Address || before.Retired || before.RegisteredMs == 0 {
 		return now.UnixMilli()
 	}
 	return before.RegisteredMs
--- a/internal/edge/retire.go
+++ b/internal/edge/retire.go
@@ -35,7 +35,7 @@
 // memberObservation records when a member was first seen unresponsive or retired, with the
 // version of its row at that time.
 type memberObservation struct {
-	version   uint64
+	version   platform.Revision
 	firstSeen time.Duration
 }
 
--- a/internal/edge/rows.go
+++ b/internal/edge/rows.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
 const (
@@ -36,8 +37,8 @@
 
 // rowsRequest requests a copy of a set of rows.
 type rowsRequest struct {
-	Set          string `json:"set"`
-	AboveVersion uint64 `json:"above"`
+	Set          string            `json:"set"`
+	AboveVersion platform.Revision `json:"above"`
 	// KnownFingerprint is the fingerprint of the sender's copy, whose rows need not be sent
 	// again. If it is set, copies above maxForwardedBytes are not sent either.
 	KnownFingerprint string `json:"has,omitempty"`
@@ -52,8 +53,8 @@
 	Fresh bool `json:"fresh,omitempty"`
 }
 
-// rowsResponse answers a rowsRequest. It has no rows if Version is not above AboveVersion,
-// or Same or TooLarge is true.
+// rowsResponse answers a rowsRequest. It has no rows if Same or TooLarge is true, or if the
+// request names no fingerprint and Version is not above AboveVersion.
 type rowsResponse struct {
 	// Same is true if the copy has the fingerprint KnownFingerprint.
 	Same bool `json:"same,omitempty"`
@@ -67,10 +68,10 @@
 	Rows    []follow.Row  `json:"rows,omitempty"`
 	// Delta, if set, holds the changes since AboveVersion instead of Rows. The rows have the
 	// fingerprint Fingerprint once it is applied.
-	Delta       *follow.Delta `json:"changes,omitempty"`
-	Fingerprint string        `json:"fingerprint,omitempty"`
-	Version     uint64        `json:"version"`
-	Age         time.Duration `json:"age_ns"`
+	Delta       *follow.Delta     `json:"changes,omitempty"`
+	Fingerprint string            `json:"fingerprint,omitempty"`
+	Version     platform.Revision `json:"version"`
+	Age         time.Duration     `json:"age_ns"`
 }
 
 // handleRows returns this instance's copy of a set, after a read or a wait if requested.
@@ -124,7 +125,7 @@
 	switch {
 	case m.KnownFingerprint != "" && valueBytes(s.Rows) > maxForwardedBytes:
 		r.TooLarge = true
-	case s.Version > m.AboveVersion:
+	case s.Version > m.AboveVersion || m.KnownFingerprint != "":
 		r.Rows = s.Rows
 	}
 }
@@ -140,7 +141,7 @@
 
 // requestRows implements follow.PeerSource. It asks a few other instances, and returns the
 // newest copy.
-func (i *Instance) requestRows(ctx context.Context, set string, above uint64) ([]follow.Row, uint64, time.Duration, error) {
+func (i *Instance) requestRows(ctx context.Context, set string, above platform.Revision) ([]follow.Row, platform.Revision, time.Duration, error) {
 	addresses := i.samplePeers()
 	responses := make(chan rowsResponse, len(addresses))
 	for _, address := range addresses {
@@ -233,7 +234,7 @@
 			request.AcceptsDelta, request.KnownFingerprint, request.AboveVersion, request.Wait = false, "", 0, 0
 			return i.requestRowsFrom(ctx, m, known, request)
 		}
-	case response.Same || response.Version == known.Version:
+	case response.Same:
 		s.Rows = known.Rows
 	}
 	return s, snapshotTaken
--- a/internal/follow/delta.go
+++ b/internal/follow/delta.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
 // maxRemovals is the number of removed rows that a Follower remembers, so that it can tell
@@ -13,20 +15,20 @@
 type removal struct {
 	key string
 	// version is that of the first copy without the row.
-	version uint64
+	version platform.Revision
 }
 
 // history records which rows were removed between the copies of a Follower.
 type history struct {
 	removals []removal // oldest first
 	// completeSince is the version since which all removals are recorded.
-	completeSince uint64
+	completeSince platform.Revision
 }
 
 // record records what a new copy lacks. The rows of both are ordered by key.
 func (h *history) record(before, after Snapshot) {
-	if !before.Loaded() {
-		h.completeSince = after.Version
+	if !before.Loaded() || before.Version.Generation() != after.Version.Generation() {
+		h.removals, h.completeSince = nil, after.Version
 		return
 	}
 	remaining := after.Rows
@@ -64,7 +66,7 @@
 
 // DeltaSince returns the copy and its changes since a version, false if not all changes
 // since then are known.
-func (f *Follower) DeltaSince(version uint64) (Snapshot, Delta, bool) {
+func (f *Follower) DeltaSince(version platform.Revision) (Snapshot, Delta, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.snapshot.Get()
--- a/internal/follow/delta_test.go
+++ b/internal/follow/delta_test.go
@@ -9,15 +9,17 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
 // changingStore is a store whose rows a test changes.
 type changingStore struct {
 	rows    map[string]Row
-	version uint64
+	version platform.Revision
 }
 
-func (s *changingStore) Read(context.Context) ([]Row, uint64, error) {
+func (s *changingStore) Read(context.Context) ([]Row, platform.Revision, error) {
 	var rows []Row
 	for _, row := range s.rows {
 		rows = append(rows, row)
--- a/internal/follow/drops.go
+++ b/internal/follow/drops.go
@@ -28,8 +28,8 @@
 		return
 	}
 	f.drops.since = now
-	event.CopyDropped.Emit(f.cfg.Log, zap.String("set", f.cfg.Set), zap.String("origin", string(dropped.Origin)), zap.Uint64("version", dropped.Version),
-		zap.Uint64("current_version", current.Version), zap.String("current_origin", string(current.Origin)),
+	event.CopyDropped.Emit(f.cfg.Log, zap.String("set", f.cfg.Set), zap.String("origin", string(dropped.Origin)), zap.Uint64("version", uint64(dropped.Version)),
+		zap.Uint64("current_version", uint64(current.Version)), zap.String("current_origin", string(current.Origin)),
 		zap.Duration("current_age", current.Age(now)), zap.Duration("wait_age", f.WaitAge()))
 }
 
@@ -38,7 +38,7 @@
 	if f.drops.count == 0 {
 		return
 	}
-	event.CopiesUsable.Emit(f.cfg.Log, zap.String("set", f.cfg.Set), zap.String("origin", string(s.Origin)), zap.Uint64("version", s.Version),
+	event.CopiesUsable.Emit(f.cfg.Log, zap.String("set", f.cfg.Set), zap.String("origin", string(s.Origin)), zap.Uint64("version", uint64(s.Version)),
 		zap.Int("dropped", f.drops.count), zap.Duration("lasted", f.cfg.Clock()-f.drops.since))
 	f.drops = drops{}
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -3,12 +3,17 @@
 // instance that reads the store for its failure domain. While the store does not serve
 // this instance, it requests the copies of other instances.
 //
+// A store that returns from an older copy of itself begins a new generation, which precedes the
+// number in the order of versions. Config.Reconcile decides what the copy of a new generation
+// keeps of the one before.
+//
 // Invariants: the version of the copy never decreases, and AsOf is never later than
 // the time at which the store was called, whichever instance called it.
 package follow
 
 import (
 	"context"
+	"encoding/binary"
 	"expvar"
 	"math/rand/v2"
 	"strconv"
@@ -16,26 +21,29 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/lease"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
 // Row is one row of the store.
 type Row struct {
 	Key     string `json:"key"`
 	Value   []byte `json:"value"`
-	Version uint64 `json:"version"`
+	// Version is the revision of the commit that wrote the row.
+	Version platform.Revision `json:"version"`
 }
 
 // Source reads the rows from the store.
 type Source interface {
 	// Read returns all rows as of one moment, ordered by key, and the store's
 	// version at that moment.
-	Read(ctx context.Context) ([]Row, uint64, error)
+	Read(ctx context.Context) ([]Row, platform.Revision, error)
 }
 
 // Waiter is a Source that can wait for a change.
@@ -43,8 +51,8 @@
 	Source
 	// Await returns true when a row has changed after version, and false when
 	// none has changed within wait. If the history since version is no longer
-	// available, that counts as a change.
-	Await(ctx context.Context, version uint64, wait time.Duration) (bool, error)
+	// available, or the store is of another generation, that counts as a change.
+	Await(ctx context.Context, version platform.Revision, wait time.Duration) (bool, error)
 }
 
 // Origin is where an instance got a copy from.
@@ -60,20 +68,24 @@
 // Snapshot is a copy of the rows at one version.
 type Snapshot struct {
 	Rows    []Row
-	Version uint64
+	Version platform.Revision
 	Origin  Origin
 	// AsOf is a time, by the boot-time clock, at which the store held nothing newer;
 	// negative before the first read.
 	AsOf time.Duration
 }
 
-// Fingerprint returns a string that is equal for copies with the same rows.
+// Fingerprint returns a string that is equal for copies with the same rows: those of the same
+// keys at the same revisions.
 func (s Snapshot) Fingerprint() string {
-	var newest uint64
+	digest := xxhash.New()
+	var version [8]byte
 	for _, row := range s.Rows {
-		newest = max(newest, row.Version)
+		_, _ = digest.WriteString(row.Key) // never fails
+		binary.BigEndian.PutUint64(version[:], uint64(row.Version))
+		_, _ = digest.Write(version[:])
 	}
-	return strconv.Itoa(len(s.Rows)) + "/" + strconv.FormatUint(newest, 10)
+	return strconv.Itoa(len(s.Rows)) + "/" + strconv.FormatUint(digest.Sum64(), 16)
 }
 
 // Loaded reports whether the rows were read at least once.
@@ -90,7 +102,7 @@
 
 // PeerSource requests the copy of another instance, with its version and age. Rows are
 // nil if that version is not above the one given.
-type PeerSource func(ctx context.Context, set string, above uint64) (rows []Row, version uint64, age time.Duration, err error)
+type PeerSource func(ctx context.Context, set string, above platform.Revision) (rows []Row, version platform.Revision, age time.Duration, err error)
 
 // Config describes a Follower.
 type Config struct {
@@ -117,6 +129,10 @@
 	DomainReaderWait time.Duration
 	// Timeout bounds one call to the store.
 	Timeout time.Duration
+	// Reconcile returns the rows to use after a read of a store that has returned from an older
+	// copy of itself at least once: those read, with what is known to be newer. known is the
+	// current copy, possibly of an earlier generation. If nil, the rows are used as read.
+	Reconcile func(known, read Snapshot) []Row
 	// Apply is called with each new copy, one call at a time, before Snapshot returns it.
 	Apply func(Snapshot)
 }
@@ -126,6 +142,9 @@
 	// is to be tried again and between requests to other instances: several within the
 	// time for which a copy allows the use of primaries.
 	outagePollInterval = 250 * time.Millisecond
+	// startupPeersTimeout bounds the request for the copies of other instances before the first
+	// copy of a store that has returned from an older one is used.
+	startupPeersTimeout = 300 * time.Millisecond
 	// peerRequestThreshold is the age of a copy from which other instances are asked.
 	peerRequestThreshold = 500 * time.Millisecond
 	// minRefreshInterval is the minimum time between reads by RefreshSince: at most ten a
@@ -218,7 +237,7 @@
 		}
 		if err := f.tryRefresh(ctx); err != nil {
 			f.storeFailed(err)
-			f.refreshFromPeers(ctx)
+			f.refreshFromPeers(ctx, f.cfg.Timeout)
 			f.sleepUnlessTriggered(ctx, outagePollInterval)
 			continue
 		}
@@ -273,6 +292,10 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if version.Generation() > 0 && !f.Snapshot().Loaded() {
+		// The store may be older than what other instances go by.
+		f.refreshFromPeers(ctx, startupPeersTimeout)
+	}
 	f.publish(Snapshot{Rows: rows, Version: version, Origin: OriginStore, AsOf: sent})
 	return nil
 }
@@ -306,6 +329,9 @@
 		return
 	}
 	f.recordUse(s)
+	if s.Origin == OriginStore && s.Version.Generation() > 0 && current.Loaded() && f.cfg.Reconcile != nil {
+		s.Rows = f.cfg.Reconcile(current, s)
+	}
 	s.AsOf = max(s.AsOf, current.AsOf)
 	f.history.record(current, s)
 	f.cfg.Apply(s)
@@ -355,12 +381,12 @@
 }
 
 // refreshFromPeers applies the copy of another instance if it is newer.
-func (f *Follower) refreshFromPeers(ctx context.Context) {
+func (f *Follower) refreshFromPeers(ctx context.Context, timeout time.Duration) {
 	current := f.Snapshot()
 	if f.cfg.Peers == nil || current.Loaded() && current.Age(f.cfg.Clock()) < peerRequestThreshold {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := f.cfg.Clock()
 	rows, version, age, err := f.cfg.Peers(ctx, f.cfg.Set, current.Version)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
 // fakeStore is a store that may be down and counts its calls.
@@ -22,7 +24,7 @@
 
 var errDown = errors.New("the store is down")
 
-func (s *fakeStore) Read(context.Context) ([]Row, uint64, error) {
+func (s *fakeStore) Read(context.Context) ([]Row, platform.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
--- a/internal/grpcplatform/services.go
+++ b/internal/grpcplatform/services.go
@@ -44,7 +44,7 @@
 	defer cancel()
 	request := &platformv1.CommitRequest{}
 	for _, condition := range conditions {
-		request.Conditions = append(request.Conditions, &platformv1.Condition{Key: condition.Key, Revision: condition.Revision})
+		request.Conditions = append(request.Conditions, &platformv1.Condition{Key: condition.Key, Revision: condition.Revision.Number()})
 	}
 	for _, write := range writes {
 		request.Writes = append(request.Writes, &platformv1.Write{Key: write.Key, Value: write.Value, Delete: write.Delete})
@@ -55,7 +55,7 @@
 	}
 	return platform.CommitResult{
 		Applied:  response.GetApplied(),
-		Revision: response.GetRevision(),
+		Revision: platform.Revision(response.GetRevision()),
 		Current:  decodeRows(response.GetCurrent()),
 		Now:      time.UnixMilli(response.GetNowUnixMs()),
 	}, nil
@@ -64,7 +64,7 @@
 func decodeRows(rows []*platformv1.Row) []platform.Row {
 	decoded := make([]platform.Row, 0, len(rows))
 	for _, row := range rows {
-		decoded = append(decoded, platform.Row{Key: row.GetKey(), Value: row.GetValue(), Revision: row.GetRevision()})
+		decoded = append(decoded, platform.Row{Key: row.GetKey(), Value: row.GetValue(), Revision: platform.Revision(row.GetRevision())})
 	}
 	return decoded
 }
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -28,7 +28,7 @@
 
 	mu                sync.Mutex
 	rows              map[string]platform.Row
-	revision          uint64
+	revision          platform.Revision
 	servers           map[string]*server
 	draining          map[string]bool
 	evacuated         map[string]bool // endpoints whose failure domain is evacuated
--- a/internal/leadership/intent.go
+++ b/internal/leadership/intent.go
@@ -80,7 +80,7 @@
 	}
 	decoded := records{services: make(map[string]Record)}
 	for _, row := range rows {
-		if row.Revision == 0 {
+		if !row.Revision.Exists() {
 			continue
 		}
 		if row.Key == fenceKey {
--- a/internal/membership/model_test.go
+++ b/internal/membership/model_test.go
@@ -47,7 +47,7 @@
 	now      time.Duration
 	limits   Limits
 	rows     map[string]platform.Row
-	revision uint64
+	revision platform.Revision
 	nodes    map[string]*node
 	started  int
 	cutLinks map[string]bool // cut links between two nodes, or a node and the table
@@ -67,10 +67,10 @@
 
 type modelChange struct {
 	next        uint64
-	epoch       uint64
-	head        uint64
-	removals    map[string]uint64
-	contacts    map[string]uint64
+	epoch       platform.Revision
+	head        platform.Revision
+	removals    map[string]platform.Revision
+	contacts    map[string]platform.Revision
 	staged      map[string]bool
 	removalOnly bool // nothing is staged, only members with an expired lease are removed
 }
@@ -235,7 +235,7 @@
 	}
 	change := &modelChange{
 		next: m.head() + 1, epoch: m.rows[EpochRow].Revision, head: m.rows[HeadRow].Revision,
-		removals: make(map[string]uint64), contacts: make(map[string]uint64), staged: make(map[string]bool),
+		removals: make(map[string]platform.Revision), contacts: make(map[string]platform.Revision), staged: make(map[string]bool),
 		removalOnly: removalOnly,
 	}
 	if removalOnly {
--- a/internal/membership/poll.go
+++ b/internal/membership/poll.go
@@ -54,7 +54,7 @@
 
 // pollState is the state of the table loop between two polls.
 type pollState struct {
-	listedEpoch uint64 // revision of the epoch row when the members were last listed
+	listedEpoch platform.Revision // revision of the epoch row when the members were last listed
 	listedAt    time.Duration
 	failures    int
 }
@@ -119,7 +119,7 @@
 func (c *Controller) verifyOwnRow(row platform.Row) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if row.Revision != 0 {
+	if row.Revision.Exists() {
 		m, err := DecodeMember(row.Key, row.Value)
 		if err == nil && m.GetIncarnation() == c.self.GetIncarnation() {
 			return true
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -101,7 +101,7 @@
 		{Key: snapshot.own.Key, Revision: snapshot.own.Revision},
 	}
 	writes := []platform.Write{{Key: snapshot.own.Key, Value: value}}
-	if snapshot.own.Revision != 0 {
+	if snapshot.own.Revision.Exists() {
 		previous, err := DecodeMember(snapshot.own.Key, snapshot.own.Value)
 		if err == nil && previous.GetIncarnation() == self.GetIncarnation() {
 			return conditions, writes, false, nil
@@ -112,7 +112,7 @@
 		return nil, nil, false, trace.Wrap(err)
 	}
 	epoch.Count++
-	if snapshot.own.Revision != 0 {
+	if snapshot.own.Revision.Exists() {
 		epoch.RemovedUnixMs = max(epoch.GetRemovedUnixMs(), snapshot.tableTime.UnixMilli())
 	}
 	if !snapshot.hasDomainPeer(self) {
@@ -142,7 +142,7 @@
 		return
 	}
 	if joined {
-		c.noEarlierGrants = snapshot.own.Revision == 0 && (c.noEarlierGrants || !c.joined)
+		c.noEarlierGrants = !snapshot.own.Revision.Exists() && (c.noEarlierGrants || !c.joined)
 		c.joined = true
 	}
 	c.updateSelf(now, func(m *peerv1.Member) { m.Registered = true })
@@ -249,7 +249,7 @@
 	if err != nil {
 		return false, trace.Wrap(err)
 	}
-	if rows[1].Revision == 0 {
+	if !rows[1].Revision.Exists() {
 		return true, nil
 	}
 	previous, err := DecodeMember(rows[1].Key, rows[1].Value)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,19 +10,18 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
 
-// Row is one row of the transactional table. Revision 0 means that the row does not
-// exist.
+// Row is one row of the transactional table. Revision.Exists is false if there is none.
 type Row struct {
 	Key      string
 	Value    []byte
-	Revision uint64
+	Revision Revision
 }
 
-// Condition holds if the row of Key has exactly Revision; 0 means that the row does not
-// exist.
+// Condition holds if the row of Key has exactly Revision, or does not exist if Revision.Exists
+// is false. An adapter sends only the number of the revision.
 type Condition struct {
 	Key      string
-	Revision uint64
+	Revision Revision
 }
 
 // Write sets the row of Key to Value, or deletes it.
@@ -37,7 +36,7 @@
 	// Applied is false if a condition failed; nothing changed in that case.
 	Applied bool
 	// Revision is the commit number if the commit was applied.
-	Revision uint64
+	Revision Revision
 	// Current holds the present rows of the conditions' keys.
 	Current []Row
 	// Now is the time of the table's clock.
--- a/internal/share/allocation.go
+++ b/internal/share/allocation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/escrow"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
 // allocationShrinkDelay is how long less than half of an allocation must be needed
@@ -90,7 +91,7 @@
 
 // cachedRow is a cached copy of a row of the table.
 type cachedRow struct {
-	revision uint64
+	revision platform.Revision
 	readAt   time.Duration
 	row      row
 }
--- a/internal/share/reclaim.go
+++ b/internal/share/reclaim.go
@@ -63,7 +63,7 @@
 	now := u.cfg.Clock()
 	for i, stored := range rows {
 		u.checkedAt[holders[i]] = now
-		if stored.Revision == 0 || u.endSession(ctx, holders[i], stored) {
+		if !stored.Revision.Exists() || u.endSession(ctx, holders[i], stored) {
 			u.ended[holders[i]] = true
 		}
 	}
--- a/internal/share/session.go
+++ b/internal/share/session.go
@@ -22,10 +22,10 @@
 	serving func() lease.Lease
 
 	mu              sync.Mutex
-	number          int         // guarded by mu
-	revision        uint64      // guarded by mu; 0 while there is no row
-	lease           lease.Lease // guarded by mu
-	unbrokenServing lease.Lease // guarded by mu; serving lease, extended only without a gap
+	number          int               // guarded by mu
+	revision        platform.Revision // guarded by mu; 0 while there is no row
+	lease           lease.Lease       // guarded by mu
+	unbrokenServing lease.Lease       // guarded by mu; serving lease, extended only without a gap
 }
 
 // holder returns the name of the session.
@@ -74,7 +74,7 @@
 }
 
 // reset ends the session locally and returns the row to delete.
-func (s *session) reset() (key string, revision uint64) {
+func (s *session) reset() (key string, revision platform.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key, revision = sessionKey(s.name()), s.revision
@@ -126,7 +126,7 @@
 }
 
 // applyRenewal applies the outcome of a renewal.
-func (s *session) applyRenewal(result platform.CommitResult, revision uint64, granted lease.Lease) renewalOutcome {
+func (s *session) applyRenewal(result platform.CommitResult, revision platform.Revision, granted lease.Lease) renewalOutcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if result.Applied {
@@ -134,7 +134,7 @@
 		return renewed
 	}
 	for _, current := range result.Current {
-		if current.Revision != 0 {
+		if current.Revision.Exists() {
 			s.revision = current.Revision
 			return renewalConflicted
 		}
--- a/internal/share/table_test.go
+++ b/internal/share/table_test.go
@@ -18,7 +18,7 @@
 	mu       sync.Mutex
 	latency  time.Duration // one way
 	rows     map[string]platform.Row
-	revision uint64
+	revision platform.Revision
 	// down makes calls hang until they time out. loseResponse, called after each
 	// commit that took effect, reports whether its response is lost.
 	down         bool
