edge: a copy of a new generation keeps the newer configuration and evacuations

Cause: a running instance kept the newer configuration in force but handed the older row to others, since the rows of a copy were used as read. Change: follow.Reconciler decides which rows of a new generation are older than what is known, until they are written again; the configuration is kept by its own version without a limit of time, evacuations for 5 s. Event 9053 says that the store has the older one. Why it works: what an instance passes on is what it goes by, so that one instance that remembers is enough for all that start. If every instance that remembers is lost as well, the store's configuration is used: nothing else is known.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -69,7 +69,9 @@
 	// a time.
 	fleetFingerprint string
 	evacuation       evacuation
-	warmup           warmup
+	// evacuationRows is used under the lock of the follower of the configuration.
+	evacuationRows *follow.Reconciler
+	warmup         warmup
 	// missingSince holds when the entry of each retained endpoint was first missing from the
 	// registry, by endpoint. Only the goroutine that follows the registry uses it.
 	missingSince map[string]time.Duration
@@ -150,9 +152,12 @@
 
 func (i *Instance) buildFollowers() error {
 	i.outage = follow.NewOutage()
+	i.evacuationRows = &follow.Reconciler{
+		Clock: i.cfg.Clock, Period: operatorRewritePeriod, KeepMissing: true, Ended: func() { i.followers[configurationSet].Trigger() },
+	}
 	i.followers = make(map[string]*follow.Follower)
 	for _, c := range []follow.Config{
-		{Set: configurationSet, Source: i.cfg.Ports.Configuration, Interval: configurationWait, Timeout: configurationTimeout, Apply: i.applyConfiguration},
+		{Set: configurationSet, Source: i.cfg.Ports.Configuration, Interval: configurationWait, Timeout: configurationTimeout, Reconcile: i.reconcileConfiguration, Apply: i.applyConfiguration},
 		{Set: registrySet, Source: i.cfg.Ports.Registry, Interval: registryInterval, DomainReaderWait: registryInterval, Apply: i.applyRegistry},
 		{Set: fleetSet, Source: i.cfg.Ports.Fleet, Interval: fleetInterval, Apply: i.applyFleet},
 	} {
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -27,6 +27,9 @@
 	// DecodeConfiguration decodes the rows of a configuration. On an error the current
 	// configuration stays in force.
 	DecodeConfiguration func(rows []follow.Row) (*catalog.Configuration, error)
+	// ConfigurationKey is the key of the row with the configuration; the other rows beside it
+	// are evacuations.
+	ConfigurationKey string
 	// DecodeEvacuated returns the failure domains that the rows of the configuration
 	// evacuate; nil if the platform has no evacuations.
 	DecodeEvacuated func(rows []follow.Row) []string
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -164,6 +164,12 @@
 		Text:   "a caller was refused by the configuration in force",
 		Fields: []string{"database", "cause", "configuration"},
 	}
+	ConfigurationKept = Event{
+		Number: 9053, Name: "edge.configuration_kept", Level: zapcore.WarnLevel,
+		Text:   "the store has returned from an older copy with a configuration older than the one in force, which is kept",
+		Fields: []string{"version", "generation"},
+		Action: "Write the newest configuration to the store again.",
+	}
 	EdgeRegistered = Event{
 		Number: 9030, Name: "edge.member_registered", Level: zapcore.InfoLevel,
 		Text: "this instance is registered in the platform's store", Fields: []string{"incarnation", "address"},
@@ -181,5 +187,5 @@
 	PrimaryRecordChanged, PrimaryUnresponsive, RequestRefused, RequestUnknown, RequestLate, LinesDropped, ConnectionOwnerFailed,
 	SettingsApplied, SettingsRefused, EvacuationLearnt, EvacuationEnded, EvacuationBlocked,
 	EdgeRegistered, EdgeRemoved, InstanceAdmitted, ConnectionOwnerLeaving, LimitContended,
-	CopyDropped, CopiesUsable, SessionRefused,
+	CopyDropped, CopiesUsable, SessionRefused, ConfigurationKept,
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -33,8 +33,8 @@
 
 // Row is one row of the store.
 type Row struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value"`
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
 	// Version is the revision of the commit that wrote the row.
 	Version platform.Revision `json:"version"`
 }
