edge: the registry of a new generation does not bring back what is known to be older

What callers would have seen: after the store had returned from an older copy, statements at an endpoint that had left, or that was draining, until it wrote its entry again or the entry expired. Change: for 4 s after the first read of a generation an entry that was known to be removed, or is older than the known one, is not used unless it was written after the return. Why it works: both come from one sequence of commits, so that numbers tell which is newer.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -155,10 +155,11 @@
 	i.evacuationRows = &follow.Reconciler{
 		Clock: i.cfg.Clock, Period: operatorRewritePeriod, KeepMissing: true, Ended: func() { i.followers[configurationSet].Trigger() },
 	}
+	registryRows := &follow.Reconciler{Clock: i.cfg.Clock, Period: registryRewritePeriod}
 	i.followers = make(map[string]*follow.Follower)
 	for _, c := range []follow.Config{
 		{Set: configurationSet, Source: i.cfg.Ports.Configuration, Interval: configurationWait, Timeout: configurationTimeout, Reconcile: i.reconcileConfiguration, Apply: i.applyConfiguration},
-		{Set: registrySet, Source: i.cfg.Ports.Registry, Interval: registryInterval, DomainReaderWait: registryInterval, Apply: i.applyRegistry},
+		{Set: registrySet, Source: i.cfg.Ports.Registry, Interval: registryInterval, DomainReaderWait: registryInterval, Reconcile: registryRows.Rows, Apply: i.applyRegistry},
 		{Set: fleetSet, Source: i.cfg.Ports.Fleet, Interval: fleetInterval, Apply: i.applyFleet},
 	} {
 		c.Peers, c.DomainReader, c.Outage, c.Clock, c.Log = i.requestRows, i.domainReaderRows, i.outage, i.cfg.Clock, i.cfg.Log
--- a/internal/edge/reconcile.go
+++ b/internal/edge/reconcile.go
@@ -15,6 +15,11 @@
 // from an older copy of itself: the operators write theirs again.
 const operatorRewritePeriod = 5 * time.Second
 
+// registryRewritePeriod is how long an entry of the registry that is older than what is known is
+// not used after the store has returned from an older copy of itself: endpoints that are alive
+// write theirs again, and those of others expire.
+const registryRewritePeriod = 4 * time.Second
+
 // reconcileConfiguration implements follow.Config.Reconcile for the configuration and the
 // evacuations beside it. A configuration of a lower version than the known one never replaces
 // it, however long the store has the older one.
