follow: a wait for a changed configuration ends within half of the change's bound

Cause: a wait lasted 6 s and up to 8 s, longer than the bound of a change (3 s). One that the store accepted and never answered, or that asked from a version which was lost and had been given out again, hid a change for that long. Keep-alive does not tell: the far side is there. Change: configuration.bound in the settings, from the deployment's bound; a wait and the allowance for its answer end within half of it. Why it works: whatever happens to a wait, the store is read once it has ended, with the other half of the bound left for the read and for the instances that follow.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -158,7 +158,7 @@
 	registryRows := &follow.Reconciler{Clock: i.cfg.Clock, Period: registryRewritePeriod}
 	i.followers = make(map[string]*follow.Follower)
 	for _, c := range []follow.Config{
-		{Set: configurationSet, Source: i.cfg.Ports.Configuration, Interval: configurationWait, Timeout: configurationTimeout, Reconcile: i.reconcileConfiguration, Apply: i.applyConfiguration},
+		{Set: configurationSet, Source: i.cfg.Ports.Configuration, Interval: i.cfg.configurationWait(), Timeout: configurationTimeout, Reconcile: i.reconcileConfiguration, Apply: i.applyConfiguration},
 		{Set: registrySet, Source: i.cfg.Ports.Registry, Interval: registryInterval, DomainReaderWait: registryInterval, Reconcile: registryRows.Rows, Apply: i.applyRegistry},
 		{Set: fleetSet, Source: i.cfg.Ports.Fleet, Interval: fleetInterval, Apply: i.applyFleet},
 	} {
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -61,6 +61,9 @@
 	// RemoteLifetime is how long this instance may use primaries of other failure domains by
 	// one record, if all instances allow as much; leadership.RecordLifetime if it is lower.
 	RemoteLifetime time.Duration
+	// ConfigurationBound is the time from the store's acknowledgement of a configuration until
+	// it is in force at every instance; at least minConfigurationBound.
+	ConfigurationBound time.Duration
 	// EvacuationBound is the time from the store's acknowledgement of an evacuation within
 	// which the last statement reaches an endpoint of the failure domain.
 	EvacuationBound time.Duration
@@ -78,9 +81,11 @@
 
 // Intervals and timeouts of the reads of the store.
 const (
-	// configurationWait bounds one long poll for a change of the configuration; a
-	// connection that breaks meanwhile is detected by its keep-alive.
-	configurationWait = 6 * time.Second
+	// maxConfigurationWait bounds one wait for a change of the configuration, whatever the
+	// bound of its changes.
+	maxConfigurationWait = 6 * time.Second
+	// minConfigurationBound is the lowest bound of the changes that the waits allow.
+	minConfigurationBound = 2 * time.Second
 	// registryInterval is the poll interval of the registry: an endpoint continues to serve
 	// for 7 s after it has announced that it is leaving.
 	registryInterval = 2500 * time.Millisecond
@@ -95,6 +100,16 @@
 	configurationTimeout = 2 * time.Second
 )
 
+// defaultConfigurationBound is the default of Config.ConfigurationBound.
+const defaultConfigurationBound = 5 * time.Second
+
+// configurationWait returns the length of one wait for a change of the configuration. A wait
+// that is never answered ends within half of the bound, with its follow.AnswerAllowance; the
+// other half is for the read of the store and for the instances that follow this one.
+func (c *Config) configurationWait() time.Duration {
+	return min(c.ConfigurationBound/2-follow.AnswerAllowance, maxConfigurationWait)
+}
+
 // defaultEvacuationBound is the default of Config.EvacuationBound.
 const defaultEvacuationBound = 5 * time.Second
 
@@ -111,6 +126,12 @@
 	if p.DecodeEvacuated == nil {
 		p.DecodeEvacuated = func([]follow.Row) []string { return nil }
 	}
+	if c.ConfigurationBound == 0 {
+		c.ConfigurationBound = defaultConfigurationBound
+	}
+	if c.ConfigurationBound < minConfigurationBound {
+		return trace.BadParameter("edge: ConfigurationBound is %v, below %v", c.ConfigurationBound, minConfigurationBound)
+	}
 	if c.EvacuationBound <= 0 {
 		c.EvacuationBound = defaultEvacuationBound
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -137,6 +137,9 @@
 	Apply func(Snapshot)
 }
 
+// AnswerAllowance is how much longer than its wait a call that waits for a change may take.
+const AnswerAllowance = 500 * time.Millisecond
+
 const (
 	// outagePollInterval is the time, while the store fails, between checks whether it
 	// is to be tried again and between requests to other instances: several within the
@@ -371,7 +374,7 @@
 }
 
 func (f *Follower) await(ctx context.Context, waiter Waiter) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Interval+f.cfg.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Interval+AnswerAllowance)
 	defer cancel()
 	changed, err := waiter.Await(ctx, f.Snapshot().Version, f.cfg.Interval)
 	if err == nil {
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -16,6 +16,7 @@
 	Quota          EdgeQuota         `json:"quota" doc:"Evaluation of the organisations' limits."`
 	Drain          EdgeDrain         `json:"drain" doc:"Shutdown on SIGTERM."`
 	Evacuation     EdgeEvacuation    `json:"evacuation" doc:"Evacuation of failure domains."`
+	Configuration  EdgeConfiguration `json:"configuration" doc:"Changes of the operators' configuration."`
 	Warmup         EdgeWarmup        `json:"warmup" doc:"Limits of endpoints that warm up."`
 	Log            Log               `json:"log" doc:"The JSON log on standard error."`
 }
@@ -71,6 +72,11 @@
 	Bound time.Duration `json:"bound" validate:"min=500ms,max=1h" doc:"Time from the store's acknowledgement to the last statement at an endpoint of the failure domain."`
 }
 
+// EdgeConfiguration configures how changes of the operators' configuration are followed.
+type EdgeConfiguration struct {
+	Bound time.Duration `json:"bound" validate:"min=2s,max=1h" doc:"Time from the store's acknowledgement until a change is in force at every instance. It bounds the waits for a change."`
+}
+
 // EdgeWarmup defines when the statements of all instances together exceed the limit of an
 // endpoint that warms up.
 type EdgeWarmup struct {
@@ -81,11 +87,12 @@
 // DefaultEdge returns the defaults of Edge.
 func DefaultEdge() Edge {
 	return Edge{
-		Callers:    EdgeCallers{MaxConnections: 3000},
-		Quota:      EdgeQuota{Window: 5 * time.Second},
-		Drain:      EdgeDrain{Grace: 6 * time.Second},
-		Evacuation: EdgeEvacuation{Bound: 5 * time.Second},
-		Warmup:     EdgeWarmup{Excess: 1},
-		Log:        Log{Level: "info"},
+		Callers:       EdgeCallers{MaxConnections: 3000},
+		Quota:         EdgeQuota{Window: 5 * time.Second},
+		Drain:         EdgeDrain{Grace: 6 * time.Second},
+		Evacuation:    EdgeEvacuation{Bound: 5 * time.Second},
+		Configuration: EdgeConfiguration{Bound: 5 * time.Second},
+		Warmup:        EdgeWarmup{Excess: 1},
+		Log:           Log{Level: "info"},
 	}
 }
