generation: the fleet's rows are restored after the store returned from an older copy

What callers would have seen: statements at a primary that had been replaced, or two promotions under one fence number, after the store had returned from a copy without the replacement; a process that started then trusted the older records at once. Records of primaries, fence numbers and members were taken from the store as they were, and conditions were compared with revisions that are given out again. Change: package generation. The rows of a new generation are refused, as in an outage, until an instance has collected what the others remember, written it back and marked the generation, in one commit with the records. Every commit requires that the next generation is not marked. Epochs and fence numbers carry the generation. If most instances have forgotten, every primary is looked up at the servers. A lost intent may neither revoke nor order any more. Why it works: nobody reads or writes rows of a generation before its mark, and whoever was told to revoke a primary is asked before the mark is written.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -23,6 +23,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/generation"
 	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
 	"github.com/hornbeamlock/hornbeamlock/internal/peerlink"
 	"github.com/hornbeamlock/hornbeamlock/internal/pipeline"
@@ -97,6 +98,11 @@
 	// ownerFallbacks counts, by reason, the statements that a connection owner has not run.
 	ownerFallbacks *expvar.Map
 
+	// guard gives access to the fleet's rows; restorer restores them in a new generation of the
+	// store.
+	guard    *generation.Guard
+	restorer *generation.Restorer
+
 	followers   map[string]*follow.Follower
 	fleet       *follow.Follower
 	primaryView *leadership.PrimaryView
@@ -139,8 +145,10 @@
 		cutOffNoticed:      make(chan struct{}, 1),
 		refreshLimiter:     rate.NewLimiter(rate.Every(minRefreshInterval), 1),
 	}
+	i.guard = generation.NewGuard(cfg.Ports.Table, cfg.Ports.Fleet)
+	i.cfg.Ports.Table, i.cfg.Ports.Fleet = i.guard, i.guard
 	i.primaryView = leadership.NewPrimaryView(cfg.Clock, cfg.Log, cfg.FailureDomain, i.registry.Get)
-	for _, build := range []func() error{i.buildFollowers, i.buildLimits, i.buildLeadership, i.buildPipeline} {
+	for _, build := range []func() error{i.buildFollowers, i.buildLimits, i.buildLeadership, i.buildRestorer, i.buildPipeline} {
 		if err := build(); err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -228,6 +236,7 @@
 	for _, f := range i.followers {
 		t.Go(func() error { return f.Run(ctx) })
 	}
+	t.Go(func() error { return i.restorer.Run(ctx) })
 	t.Go(func() error { return i.keepRegistered(ctx) })
 	t.Go(func() error { return i.watchMembers(ctx) })
 	t.Go(func() error { return i.awaitAcknowledgements(ctx) })
@@ -265,6 +274,7 @@
 // applyFleet applies a copy of the fleet's rows: records of primaries and registered
 // instances. Most copies only show that the rows are unchanged.
 func (i *Instance) applyFleet(s follow.Snapshot) {
+	i.guard.MarkRestored(s.Version.Generation())
 	fingerprint := s.Fingerprint()
 	if fingerprint == i.fleetFingerprint {
 		i.primaryView.Renew(s.AsOf)
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -31,6 +31,7 @@
 	messageDiscard      = "discard"     // rolls back a transaction at the connection owner
 	messageAcknowledge  = "knows"       // checks whether the recipient lists the sender as a member
 	messageCutOff       = "cutoff"      // tells an instance that its failure domain may be cut off
+	messageMemory       = "memory"      // requests what the recipient remembers of an earlier generation of the store
 	messageAware        = "aware"       // asks a domain reader which instances do not list the sender yet
 )
 
@@ -109,8 +110,7 @@
 func (i *Instance) registerHandlers() {
 	peerlink.Handle(i.server, messageRows, i.handleRows)
 	peerlink.Handle(i.server, messageRevoke, func(ctx context.Context, m epochMessage) (empty, error) {
-		i.controller.Revoke(ctx, m.Service, m.Epoch)
-		return empty{}, nil
+		return empty{}, i.controller.Revoke(ctx, m.Service, m.Epoch)
 	})
 	peerlink.Handle(i.server, messageSettled, func(context.Context, empty) (empty, error) {
 		i.fleet.Trigger()
@@ -134,6 +134,7 @@
 	peerlink.Handle(i.server, messageAcknowledge, i.handleAcknowledge)
 	peerlink.Handle(i.server, messageAware, i.handleAware)
 	peerlink.Handle(i.server, messageCutOff, i.handleCutOff)
+	peerlink.Handle(i.server, messageMemory, i.handleMemory)
 	peerlink.Handle(i.server, messagePing, func(context.Context, empty) (empty, error) { return empty{}, nil })
 	peerlink.Handle(i.server, messageKnownEpochs, func(context.Context, empty) (epochsMessage, error) {
 		epochs, ok := i.primaryView.KnownEpochs()
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -170,6 +170,18 @@
 		Fields: []string{"version", "generation"},
 		Action: "Write the newest configuration to the store again.",
 	}
+	StoreReturned = Event{
+		Number: 9054, Name: "edge.store_returned", Level: zapcore.WarnLevel,
+		Text:   "the store has returned from an older copy of itself; the fleet's rows are not used before they are restored",
+		Fields: []string{"generation", "number"},
+		Action: "None if event 9055 follows within seconds at any instance; otherwise check that most instances reach one another.",
+	}
+	GenerationRestored = Event{
+		Number: 9055, Name: "edge.generation_restored", Level: zapcore.WarnLevel,
+		Text:   "this instance has restored the fleet's rows after the store returned from an older copy of itself",
+		Fields: []string{"generation", "number", "remembered", "rows", "certain", "took"},
+		Action: "Find out why the store lost what it had acknowledged. If certain is false, most instances had lost their memory as well, and all primaries are checked.",
+	}
 	EdgeRegistered = Event{
 		Number: 9030, Name: "edge.member_registered", Level: zapcore.InfoLevel,
 		Text: "this instance is registered in the platform's store", Fields: []string{"incarnation", "address"},
@@ -187,5 +199,5 @@
 	PrimaryRecordChanged, PrimaryUnresponsive, RequestRefused, RequestUnknown, RequestLate, LinesDropped, ConnectionOwnerFailed,
 	SettingsApplied, SettingsRefused, EvacuationLearnt, EvacuationEnded, EvacuationBlocked,
 	EdgeRegistered, EdgeRemoved, InstanceAdmitted, ConnectionOwnerLeaving, LimitContended,
-	CopyDropped, CopiesUsable, SessionRefused, ConfigurationKept,
+	CopyDropped, CopiesUsable, SessionRefused, ConfigurationKept, StoreReturned, GenerationRestored,
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"expvar"
 	"math/rand/v2"
 	"strconv"
@@ -46,6 +47,9 @@
 	Read(ctx context.Context) ([]Row, platform.Revision, error)
 }
 
+// ErrUnusable is returned by a Source that the store has served, with rows that must not be used.
+var ErrUnusable = errors.New("follow: the rows of the store must not be used")
+
 // Waiter is a Source that can wait for a change.
 type Waiter interface {
 	Source
@@ -284,7 +288,11 @@
 		return errBackingOff
 	}
 	err := f.Refresh(ctx)
-	f.cfg.Outage.recordResult(err, f.cfg.Clock())
+	if errors.Is(err, ErrUnusable) {
+		f.cfg.Outage.recordResult(nil, f.cfg.Clock())
+	} else {
+		f.cfg.Outage.recordResult(err, f.cfg.Clock())
+	}
 	return err
 }
 
--- a/internal/leadership/confirmation.go
+++ b/internal/leadership/confirmation.go
@@ -45,7 +45,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for service, epoch := range epochs {
-		if s := v.stateOf(service); epoch > v.records.services[service].Epoch && s.revokedEpoch < epoch {
+		if s := v.stateOf(service); !v.isForgotten(service, epoch) && epoch > v.records.services[service].Epoch && s.revokedEpoch < epoch {
 			s.revokedEpoch = epoch
 			s.drainDeadline = 0
 		}
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -142,13 +142,28 @@
 // Revoke revokes the primary of all epochs before epoch, on behalf of the instance
 // that replaces it. This instance's own replacement of an earlier epoch issues no
 // further promotion orders.
-func (c *Controller) Revoke(ctx context.Context, service string, epoch uint64) {
+func (c *Controller) Revoke(ctx context.Context, service string, epoch uint64) error {
 	c.mu.Lock()
 	if r := c.running[service]; r != nil && r.epoch.Load() < epoch {
 		r.superseded.Store(true)
 	}
 	c.mu.Unlock()
-	c.cfg.PrimaryView.Revoke(ctx, service, epoch)
+	return trace.Wrap(c.cfg.PrimaryView.Revoke(ctx, service, epoch))
+}
+
+// KnownEpochs returns the epochs known to PrimaryView, and those of the replacements that this
+// instance runs.
+func (c *Controller) KnownEpochs() (map[string]uint64, bool) {
+	epochs, ok := c.cfg.PrimaryView.KnownEpochs()
+	if !ok {
+		return nil, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, r := range c.running {
+		epochs[service] = max(epochs[service], r.epoch.Load())
+	}
+	return epochs, true
 }
 
 func (c *Controller) pollServices(ctx context.Context, t *tomb.Tomb) error {
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -283,7 +283,9 @@
 	if err := i.reach(m.Name); err != nil {
 		return err
 	}
-	i.f.instances[m.Name].controller.Revoke(ctx, service, epoch)
+	if err := i.f.instances[m.Name].controller.Revoke(ctx, service, epoch); err != nil {
+		return err
+	}
 	sleep(ctx, i.f.slow[m.Name])
 	return ctx.Err()
 }
--- a/internal/leadership/intent.go
+++ b/internal/leadership/intent.go
@@ -48,9 +48,10 @@
 	if current.services[r.service] != r.base || r.superseded.Load() {
 		return trace.CompareFailed("another instance was first")
 	}
+	generation := rows[0].Revision.Generation()
 	next := Record{
-		Service: r.service, Endpoint: r.base.Endpoint, Term: r.base.Term, Phase: Replacing, Epoch: r.base.Epoch + 1, Ordered: r.base.Ordered,
-		Holder: r.c.cfg.Self, Fence: current.fenceState.Fence + 1, Attempt: uuid.NewString(),
+		Service: r.service, Endpoint: r.base.Endpoint, Term: r.base.Term, Phase: Replacing, Epoch: nextNumber(r.base.Epoch, generation), Ordered: r.base.Ordered,
+		Holder: r.c.cfg.Self, Fence: nextNumber(current.fenceState.Fence, generation), Attempt: uuid.NewString(),
 	}
 	if next.Endpoint == "" {
 		next.Endpoint = r.oldPrimary
@@ -65,7 +66,7 @@
 	} else if err != nil {
 		return trace.Wrap(err)
 	}
-	r.record, r.committedAt = next, r.c.cfg.Clock()
+	r.record, r.generation, r.committedAt = next, generation, r.c.cfg.Clock()
 	r.epoch.Store(next.Epoch)
 	return nil
 }
--- a/internal/leadership/order.go
+++ b/internal/leadership/order.go
@@ -14,6 +14,9 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
+// MaxOrderDelay is the time within which an order for a promotion has taken effect or never will.
+const MaxOrderDelay = earlierOrderDelay
+
 // promote chooses the new primary, orders its promotion and waits until it is visible.
 func (r *replacement) promote(ctx context.Context) (catalog.Endpoint, uint64, error) {
 	if r.base.Ordered != "" && r.base.Phase == Replacing && !sleep(ctx, earlierOrderDelay) {
@@ -138,7 +141,7 @@
 		zap.Uint64("fence", r.record.Fence), zap.Duration("waited", r.c.cfg.Clock()-r.startedAt))
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	if r.superseded.Load() || !r.c.cfg.PrimaryView.isLatestIntent(r.record) {
+	if r.superseded.Load() || !r.c.cfg.PrimaryView.isLatestIntent(r.record, r.generation) {
 		return trace.CompareFailed("another instance may have taken over")
 	}
 	err := r.c.cfg.Promoter.Promote(ctx, Promotion{
--- a/internal/leadership/primaryview.go
+++ b/internal/leadership/primaryview.go
@@ -106,6 +106,7 @@
 		return
 	}
 	v.mu.Lock()
+	v.beginGeneration(decoded.generation)
 	v.records = decoded
 	for service, record := range decoded.services {
 		v.logChange(service, record)
@@ -114,6 +115,25 @@
 	v.changed.Set(struct{}{})
 }
 
+// beginGeneration forgets the revocations of earlier generations of the store: those that are not
+// in the restored records have no holder that may still order a promotion. The caller holds mu.
+func (v *PrimaryView) beginGeneration(generation uint64) {
+	if generation <= v.records.generation {
+		return
+	}
+	for _, s := range v.services {
+		if s.revokedEpoch < firstNumber(generation) {
+			s.revokedEpoch = 0
+		}
+	}
+}
+
+// isForgotten reports whether an epoch is of an earlier generation of the store, and the restored
+// records do not include it. The caller holds mu.
+func (v *PrimaryView) isForgotten(service string, epoch uint64) bool {
+	return epoch < firstNumber(v.records.generation) && epoch > v.records.services[service].Epoch
+}
+
 // Renew records that the rows applied last were still current at asOf.
 func (v *PrimaryView) Renew(asOf time.Duration) {
 	v.mu.Lock()
@@ -262,11 +282,16 @@
 
 // isLatestIntent reports whether, by a record that is still fresh, the intent of r is
 // the latest one of its service. A later holder waits until this record has expired,
-// and an epoch has only one holder.
-func (v *PrimaryView) isLatestIntent(r Record) bool {
+// and an epoch has only one holder. If the store has returned from an older copy since the
+// intent, which was committed in the given generation, the intent must have been restored.
+func (v *PrimaryView) isLatestIntent(r Record, generation uint64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.isFresh() && v.records.services[r.Service].Epoch <= r.Epoch
+	current := v.records.services[r.Service]
+	if v.records.generation > generation && current != r {
+		return false
+	}
+	return v.isFresh() && current.Epoch <= r.Epoch
 }
 
 // fenceHolder returns the instance that last took a fence number.
@@ -324,9 +349,13 @@
 }
 
 // Revoke revokes the primary of all epochs before epoch. On return no use of it is
-// valid.
-func (v *PrimaryView) Revoke(ctx context.Context, service string, epoch uint64) {
+// valid. An intent that was lost when the store returned from an older copy is refused.
+func (v *PrimaryView) Revoke(ctx context.Context, service string, epoch uint64) error {
 	v.mu.Lock()
+	if v.isForgotten(service, epoch) {
+		v.mu.Unlock()
+		return trace.CompareFailed("epoch %d is of an earlier generation of the store", epoch)
+	}
 	s := v.stateOf(service)
 	if s.revokedEpoch < epoch {
 		s.revokedEpoch = epoch
@@ -351,4 +380,5 @@
 		}
 	}
 	event.PrimaryRevoked.Emit(v.log, zap.String("service", service), zap.Uint64("epoch", epoch), zap.Int("revoked", revoked))
+	return nil
 }
--- a/internal/leadership/record.go
+++ b/internal/leadership/record.go
@@ -52,7 +52,7 @@
 	// Term is the primary's term, 0 if it was never replaced by this package.
 	Term  uint64 `json:"term"`
 	Phase Phase  `json:"phase"`
-	// Epoch increases by one with every intent to replace the primary.
+	// Epoch increases with every intent to replace the primary.
 	Epoch uint64 `json:"epoch"`
 	// Holder is the instance that runs or ran the replacement.
 	Holder string `json:"holder"`
@@ -77,6 +77,8 @@
 	fenceState fenceState
 	services   map[string]Record
 	asOf       time.Duration
+	// generation is the generation of the store in which the rows were read.
+	generation uint64
 	loaded     bool
 	members    Membership
 }
@@ -96,7 +98,7 @@
 // decodeRecords decodes the rows of a snapshot. A row that cannot be decoded is an
 // error: it may revoke a primary.
 func decodeRecords(s follow.Snapshot) (records, error) {
-	r := records{services: make(map[string]Record), asOf: s.AsOf, loaded: s.Loaded()}
+	r := records{services: make(map[string]Record), asOf: s.AsOf, generation: s.Version.Generation(), loaded: s.Loaded()}
 	for _, row := range s.Rows {
 		switch {
 		case row.Key == fenceKey:
--- a/internal/leadership/replacement.go
+++ b/internal/leadership/replacement.go
@@ -71,6 +71,8 @@
 	superseded atomic.Bool
 
 	record Record // as committed
+	// generation is the generation of the store in which the intent was committed.
+	generation uint64
 	// committedAt is a time after which every reader of the store sees the intent.
 	committedAt time.Duration
 	oldPrimary  string
--- a/internal/leadership/revoke.go
+++ b/internal/leadership/revoke.go
@@ -33,7 +33,10 @@
 	for _, m := range r.members {
 		go func() {
 			if m.Name == r.c.cfg.Self {
-				r.c.cfg.PrimaryView.Revoke(revokeCtx, r.service, r.record.Epoch)
+				if err := r.c.cfg.PrimaryView.Revoke(revokeCtx, r.service, r.record.Epoch); err != nil {
+					r.c.cfg.Log.Info("the intent of a replacement was lost", zap.String("service", r.service), zap.Error(err))
+					return
+				}
 			} else if !r.revokeMember(revokeCtx, m) {
 				return
 			}
