--- a/internal/platform/revision.go
+++ b/internal/platform/revision.go
@@ -12,9 +12,10 @@
 
 const (
 	numberBits = 48
-	// MaxGeneration and MaxNumber are the highest values that a Revision holds.
+	// MaxGeneration is the highest generation that a Revision holds.
 	MaxGeneration = 1<<(64-numberBits) - 1
-	MaxNumber     = 1<<numberBits - 1
+	// MaxNumber is the highest number of a commit that a Revision holds.
+	MaxNumber = 1<<numberBits - 1
 )
 
 // NewRevision returns the revision of a commit in a generation.
