generation: rows of the store that are newer than any memory are kept

What callers would have seen: an instance that had registered just before the return is no longer a member, or a record that was settled then is taken as still being replaced. Cause: what is remembered replaced all stored rows, also where the copy from which the store returned was newer than the last read of every instance. Evidence: TestNewerStoredRowsAreKept fails without the comparison. Change: stored rows with a higher number than the remembered copy are kept; both come from one sequence of commits.

--- a/internal/generation/plan.go
+++ b/internal/generation/plan.go
@@ -1,6 +1,7 @@
 package generation
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -42,6 +43,21 @@
 	return newest
 }
 
+// newerRows returns the remembered rows, ordered by key, with the stored ones that were written
+// after them: the copy from which the store returned may be newer than any memory.
+func newerRows(remembered Memory, stored []follow.Row) []follow.Row {
+	rows := make(map[string]follow.Row, len(remembered.Rows))
+	for _, row := range remembered.Rows {
+		rows[row.Key] = row
+	}
+	for _, row := range stored {
+		if row.Version.Number() > remembered.Version.Number() {
+			rows[row.Key] = row
+		}
+	}
+	return slices.SortedFunc(maps.Values(rows), func(a, b follow.Row) int { return strings.Compare(a.Key, b.Key) })
+}
+
 // difference returns the writes that turn the stored rows into the wanted ones. Both are ordered
 // by key; marks are left as they are.
 func difference(stored, wanted []follow.Row) []platform.Write {
--- a/internal/generation/restorer.go
+++ b/internal/generation/restorer.go
@@ -56,8 +56,8 @@
 	Generation uint64
 	// Stored are the rows with which the store has returned.
 	Stored []follow.Row
-	// Remembered is the newest copy of the time before, with the latest epochs that any instance
-	// knows. Its rows are the stored ones if no instance remembers any.
+	// Remembered is the newest copy of the time before, with the stored rows that are newer still
+	// and the latest epochs that any instance knows.
 	Remembered Memory
 	// Certain is true if most instances remember the time before.
 	Certain bool
@@ -147,9 +147,7 @@
 	if !restoration.Certain && r.cfg.Clock()-r.firstSeen < r.cfg.UncertainDelay {
 		return false, nil
 	}
-	if restoration.Remembered.Version == 0 {
-		restoration.Remembered.Rows = stored
-	}
+	restoration.Remembered.Rows = newerRows(restoration.Remembered, stored)
 	return r.restore(ctx, restoration, version)
 }
 
--- a/internal/leadership/generation.go
+++ b/internal/leadership/generation.go
@@ -1,7 +1,7 @@
 package leadership
 
 import (
-	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 
@@ -73,7 +73,7 @@
 			}
 		}
 	}
-	return sorted(rows), nil
+	return slices.SortedFunc(maps.Values(rows), func(a, b follow.Row) int { return strings.Compare(a.Key, b.Key) }), nil
 }
 
 // latestRecords returns the record with the highest epoch of each service. One that is stored but
@@ -116,18 +116,6 @@
 }
 
 func toRow(record Record) follow.Row {
-	encoded, err := json.Marshal(record)
-	if err != nil {
-		panic("leadership: a row cannot be encoded: " + err.Error())
-	}
-	return follow.Row{Key: servicePrefix + record.Service, Value: encoded}
-}
-
-func sorted(rows map[string]follow.Row) []follow.Row {
-	list := make([]follow.Row, 0, len(rows))
-	for _, row := range rows {
-		list = append(list, row)
-	}
-	slices.SortFunc(list, func(a, b follow.Row) int { return strings.Compare(a.Key, b.Key) })
-	return list
+	write := encodeRow(servicePrefix+record.Service, record)
+	return follow.Row{Key: write.Key, Value: write.Value}
 }
