edge: an instance that is ahead of its domain reader gets no rows

Cause: since copies may differ at the same version of the store, a reader sent its rows whenever the fingerprints differed, also to an instance with a newer copy, which then drops them. Measured: TestRowsThatDifferAtTheSameVersionAreSent fails without the comparison and passes.

--- a/internal/edge/reconcile_test.go
+++ b/internal/edge/reconcile_test.go
@@ -47,3 +47,17 @@
 	read(1, 13, row("left", 1, 13), row("stays", 1, 6))
 	require.True(t, has("left"), "its endpoint has written it again")
 }
+
+// Guards against copies that differ at the same version of the store, since one of them still has
+// rows of an earlier generation: the difference must be sent, but nothing to an instance that is
+// ahead.
+func TestRowsThatDifferAtTheSameVersionAreSent(t *testing.T) {
+	registry := &fakeRows{rows: []follow.Row{{Key: "a", Version: revision(t, 1, 4)}}, version: revision(t, 1, 5)}
+	i := newInstance(t, &fakeRows{}, registry, &fakeRows{}, nil)
+	require.NoError(t, i.followers[registrySet].Refresh(t.Context()))
+	for above, sent := range map[uint64]int{4: 1, 5: 1, 6: 0} {
+		answer, err := i.handleRows(t.Context(), rowsRequest{Set: registrySet, AboveVersion: revision(t, 1, above), KnownFingerprint: "other"})
+		require.NoError(t, err)
+		require.Len(t, answer.Rows, sent, "above %d", above)
+	}
+}
--- a/internal/edge/rows.go
+++ b/internal/edge/rows.go
@@ -53,8 +53,8 @@
 	Fresh bool `json:"fresh,omitempty"`
 }
 
-// rowsResponse answers a rowsRequest. It has no rows if Same or TooLarge is true, or if the
-// request names no fingerprint and Version is not above AboveVersion.
+// rowsResponse answers a rowsRequest. It has no rows if Same or TooLarge is true, or if Version is
+// below AboveVersion, or equal to it where the request names no fingerprint.
 type rowsResponse struct {
 	// Same is true if the copy has the fingerprint KnownFingerprint.
 	Same bool `json:"same,omitempty"`
@@ -125,7 +125,7 @@
 	switch {
 	case m.KnownFingerprint != "" && valueBytes(s.Rows) > maxForwardedBytes:
 		r.TooLarge = true
-	case s.Version > m.AboveVersion || m.KnownFingerprint != "":
+	case s.Version > m.AboveVersion || s.Version == m.AboveVersion && m.KnownFingerprint != "":
 		r.Rows = s.Rows
 	}
 }
@@ -234,7 +234,7 @@
 			request.AcceptsDelta, request.KnownFingerprint, request.AboveVersion, request.Wait = false, "", 0, 0
 			return i.requestRowsFrom(ctx, m, known, request)
 		}
-	case response.Same:
+	case response.Same, response.Rows == nil && response.Version == known.Version:
 		s.Rows = known.Rows
 	}
 	return s, snapshotTaken
