gateway: the test of demotion waits until the demoted primary has ended the sessions

Cause: the stand-in ends the sessions of a demoted primary without waiting for it, and the test sent the COMMIT as soon as the servers' terms had changed. A COMMIT that is sent before the end of the session can be read may have run as far as the gateway can tell, so 40003 was the true answer.

Change: the test waits until the demoted server counts no client session, which it does only after the reason was sent. The expected answer is unchanged.

Conclusion: a fault of the test's set-up, not of the gateway.

--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -186,6 +186,8 @@
 			exec(t, conn, "BEGIN")
 			exec(t, conn, "INSERT INTO passes (id, holder) VALUES (2, 'rolled back')")
 			fx.failOver(func() {})
+			// A COMMIT that is sent before the session has ended may have run.
+			require.Eventually(t, func() bool { return fx.group.Servers()[0].ClientSessions() == 0 }, testTimeout, time.Millisecond)
 			if known {
 				fx.sample()
 			}
--- a/internal/standin/database/lifecycle.go
+++ b/internal/standin/database/lifecycle.go
@@ -177,6 +177,20 @@
 	return count
 }
 
+// ClientSessions returns the number of client sessions, without those of agents. A session
+// that the server ends is counted until the client has been sent the reason.
+func (s *Server) ClientSessions() int {
+	s.lifecycle.mu.Lock()
+	current := s.lifecycle.current
+	s.lifecycle.mu.Unlock()
+	if current == nil {
+		return 0
+	}
+	current.mu.Lock()
+	defer current.mu.Unlock()
+	return current.unreservedCount()
+}
+
 func (p *process) remove(session *session) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
