leadership: a primary of a lower term than the recorded one is no successor

Cause: a replacement takes another server that shows itself as the primary of the newest term among those that respond. A primary that was cut off while it was replaced still takes itself for the primary of its term when it comes back. If its successor does not respond at that moment, the replacement of the successor recorded the old one, without what was acknowledged since.

Change: the term of the record that is being replaced counts as known.

Test: TestReplacedPrimaryIsNoSuccessor fails before (s1 instead of s3).

--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
 	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
 
 func TestCrashedPrimaryIsReplacedByTheLongestLog(t *testing.T) {
@@ -274,6 +275,25 @@
 	})
 }
 
+// TestReplacedPrimaryIsNoSuccessor covers a primary that was cut off while it was replaced, and
+// comes back at the moment at which its successor fails: it still takes itself for the primary,
+// but lacks what was acknowledged at the successor.
+func TestReplacedPrimaryIsNoSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		time.Sleep(time.Second)
+		f.set(func() { f.servers["s1"].down = true })
+		time.Sleep(3 * time.Second)
+		require.Equal(t, "s2", f.primary("a"))
+		f.set(func() {
+			f.servers["s1"].down, f.servers["s2"].down = false, true
+			f.servers["s3"].status = ServerStatus{Term: 1, Received: position.Position{Term: 2, Offset: 12}}
+		})
+		time.Sleep(3 * time.Second)
+		require.Equal(t, "s3", f.primary("a"))
+	})
+}
+
 // TestUnorderedReplacementLeavesThePrimary covers a holder that failed for good before it
 // ordered a promotion: the healthy primary must come back into use at once. It was once
 // unusable for 10 s.
--- a/internal/leadership/survey.go
+++ b/internal/leadership/survey.go
@@ -29,7 +29,7 @@
 		pending.Wait()
 		close(responses)
 	}()
-	found := survey{}
+	found := survey{recordedTerm: r.record.Term}
 	for {
 		select {
 		case resp, more := <-responses:
@@ -56,10 +56,14 @@
 // survey holds the statuses that the servers of a service returned.
 type survey struct {
 	responses []response
+	// recordedTerm is the term of the primary that is being replaced, which may not respond.
+	recordedTerm uint64
 }
 
+// newestTerm returns the newest term known. A primary of a lower term was replaced while it was
+// cut off.
 func (s survey) newestTerm() uint64 {
-	var newest uint64
+	newest := s.recordedTerm
 	for _, resp := range s.responses {
 		newest = max(newest, resp.status.Term)
 	}
