leadership: the expiry of records counts from the last confirmation

Change: instances announce in their row that only confirmations by a majority extend their use of primaries, and ask for them every 0.7 s. Each instance keeps when it last confirmed the records of each other one and tells it when it revokes a primary, so that a replacement counts from there. An instance that loses the majority while the store serves it withdraws the announcement first, and then relies on copies read afterwards. An announcement holds in the generation of the store in which it was written; members of earlier versions are waited for as before.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -51,6 +51,11 @@
 	registry      *blackboard.Cell[*catalog.Registry]
 	members       *blackboard.Cell[[]member]
 	registered    atomic.Bool
+	// ownRowMu is held while this instance writes its member row.
+	ownRowMu sync.Mutex
+	// reliesOnStore is true once the row does not announce any more that only confirmations
+	// extend the use of primaries; guarded by ownRowMu.
+	reliesOnStore bool
 	seeds         *blackboard.Cell[[]string]
 	joining       *joining
 	draining      atomic.Bool
@@ -197,7 +202,8 @@
 		Self: i.cfg.Name, FailureDomain: i.cfg.FailureDomain, PrimaryView: i.primaryView, Refresh: i.fleet.Refresh, Registry: i.registry.Get,
 		RegistryComplete: i.registryComplete, Members: i.leadershipMembers, FreshMembers: i.freshMembers,
 		Reaches: i.reaches, Table: i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
-		Peers: peers{i.client}, Health: i.health, SyncReplicas: i.syncReplicas, Clock: i.cfg.Clock, Log: i.cfg.Log,
+		Peers: peers{i.client, i.cfg.Name}, Health: i.health, SyncReplicas: i.syncReplicas, Announce: i.announceReliance,
+		Clock: i.cfg.Clock, Log: i.cfg.Log,
 	})
 	return trace.Wrap(err)
 }
@@ -232,6 +238,7 @@
 
 // Run follows the store and replaces primaries until ctx ends.
 func (i *Instance) Run(ctx context.Context) error {
+	i.primaryView.RelyOnConfirmations()
 	t, ctx := tomb.WithContext(ctx)
 	for _, f := range i.followers {
 		t.Go(func() error { return f.Run(ctx) })
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -48,6 +48,11 @@
 	// Weight is the instance's share of a core, by which connection owners are chosen. Members
 	// without one count as having 1.
 	Weight float64 `json:"weight,omitempty"`
+	// ConfirmedOnly announces that only confirmations by a majority extend the member's use of
+	// primaries, and not what it reads from the store: the generation of the store in which that
+	// was written, plus 1; 0 if it does not hold. It is void in any other generation, whose rows
+	// may be older than a withdrawal.
+	ConfirmedOnly uint64 `json:"confirmed_only,omitempty"`
 
 	version platform.Revision // of the row
 }
@@ -116,12 +121,17 @@
 func (i *Instance) register(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	i.ownRowMu.Lock()
+	defer i.ownRowMu.Unlock()
 	key := memberPrefix + i.cfg.Name
 	rows, now, err := i.cfg.Ports.Table.Get(ctx, key)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	self := i.self()
+	if !i.reliesOnStore {
+		self.ConfirmedOnly = confirmedOnlyIn(rows[0].Revision)
+	}
 	self.RegisteredMs = registeredSince(rows[0], self, now)
 	age := time.Duration(now.UnixMilli()-self.RegisteredMs) * time.Millisecond
 	i.joining.begin(age < joiningPeriod, i.cfg.Clock())
@@ -138,6 +148,44 @@
 	return nil
 }
 
+// confirmedOnlyIn returns the value of member.ConfirmedOnly that is valid in the generation of a
+// revision.
+func confirmedOnlyIn(r platform.Revision) uint64 { return r.Generation() + 1 }
+
+// announcesConfirmedOnly reports whether the member's row, as read, holds a valid announcement.
+func (m member) announcesConfirmedOnly() bool { return m.ConfirmedOnly == confirmedOnlyIn(m.version) }
+
+// announceReliance writes to this instance's row whether only confirmations extend its use of
+// primaries. A commit with an earlier announcement that is still under way fails afterwards.
+func (i *Instance) announceReliance(ctx context.Context, confirmedOnly bool) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	i.ownRowMu.Lock()
+	defer i.ownRowMu.Unlock()
+	key := memberPrefix + i.cfg.Name
+	rows, _, err := i.cfg.Ports.Table.Get(ctx, key)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	var row member
+	if !rows[0].Revision.Exists() || json.Unmarshal(rows[0].Value, &row) != nil || row.Incarnation != i.incarnation || row.Retired {
+		return trace.CompareFailed("this instance is not registered")
+	}
+	if row.ConfirmedOnly = 0; confirmedOnly {
+		row.ConfirmedOnly = confirmedOnlyIn(rows[0].Revision)
+	}
+	conditions := []platform.Condition{{Key: key, Revision: rows[0].Revision}}
+	result, err := i.cfg.Ports.Table.Commit(ctx, conditions, []platform.Write{memberWrite(row)})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if !result.Applied {
+		return trace.CompareFailed("member row was changed concurrently")
+	}
+	i.reliesOnStore = !confirmedOnly
+	return nil
+}
+
 // registeredSince returns the time since which the rows show the member at its address, in
 // milliseconds. A restart at the same address keeps the earlier time, because instances with
 // older copies of the rows know the member already.
@@ -224,6 +272,9 @@
 		// that announces nothing may not wait for more than the common lifetime. The row may
 		// still be that of an earlier start of this instance.
 		m.RemoteLifetime = min(m.RemoteLifetime, other.remoteLifetime())
+		if other.Name == i.cfg.Name {
+			m.ConfirmedOnly = other.announcesConfirmedOnly()
+		}
 		if !other.Retired {
 			m.Count++
 		}
@@ -270,7 +321,7 @@
 func toLeadership(members []member) []leadership.Member {
 	list := make([]leadership.Member, 0, len(members))
 	for _, m := range members {
-		list = append(list, leadership.Member{Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain, RemoteLifetime: m.remoteLifetime()})
+		list = append(list, leadership.Member{Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain, RemoteLifetime: m.remoteLifetime(), ConfirmedOnly: m.announcesConfirmedOnly()})
 	}
 	return list
 }
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -53,6 +53,11 @@
 	Address string `json:"address"`
 }
 
+// senderMessage names the instance that sends a request; earlier versions do not.
+type senderMessage struct {
+	Sender string `json:"sender,omitempty"`
+}
+
 type memberMessage struct {
 	Name    string `json:"name"`
 	Address string `json:"address"`
@@ -109,8 +114,8 @@
 // registerHandlers registers the handlers of the messages from other instances.
 func (i *Instance) registerHandlers() {
 	peerlink.Handle(i.server, messageRows, i.handleRows)
-	peerlink.Handle(i.server, messageRevoke, func(ctx context.Context, m epochMessage) (empty, error) {
-		return empty{}, i.controller.Revoke(ctx, m.Service, m.Epoch)
+	peerlink.Handle(i.server, messageRevoke, func(ctx context.Context, m epochMessage) (leadership.Confirmations, error) {
+		return i.controller.Revoke(ctx, m.Service, m.Epoch)
 	})
 	peerlink.Handle(i.server, messageSettled, func(context.Context, empty) (empty, error) {
 		i.fleet.Trigger()
@@ -136,15 +141,15 @@
 	peerlink.Handle(i.server, messageCutOff, i.handleCutOff)
 	peerlink.Handle(i.server, messageMemory, i.handleMemory)
 	peerlink.Handle(i.server, messagePing, func(context.Context, empty) (empty, error) { return empty{}, nil })
-	peerlink.Handle(i.server, messageKnownEpochs, func(context.Context, empty) (epochsMessage, error) {
-		epochs, ok := i.primaryView.KnownEpochs()
+	peerlink.Handle(i.server, messageKnownEpochs, func(_ context.Context, m senderMessage) (epochsMessage, error) {
+		epochs, ok := i.controller.Confirm(m.Sender)
 		if !ok {
 			return epochsMessage{}, trace.NotFound("nothing is known since the start")
 		}
 		return epochsMessage{Epochs: epochs}, nil
 	})
-	peerlink.Handle(i.server, messageAttest, func(ctx context.Context, _ empty) (leadership.Attestation, error) {
-		return i.controller.Attest(ctx), nil
+	peerlink.Handle(i.server, messageAttest, func(ctx context.Context, m senderMessage) (leadership.Attestation, error) {
+		return i.controller.AttestTo(ctx, m.Sender), nil
 	})
 	peerlink.Handle(i.server, messageTokens, func(_ context.Context, m tokensMessage) (tokensMessage, error) {
 		return tokensMessage{Tokens: i.ledger.Lend(m.wants(), i.cfg.Clock())}, nil
@@ -154,12 +159,17 @@
 	})
 }
 
-// peers implements leadership.Peers.
-type peers struct{ client *peerlink.Client }
+// peers implements leadership.Peers for the instance of the name.
+type peers struct {
+	client *peerlink.Client
+	name   string
+}
 
 // Revoke implements leadership.Peers.
-func (p peers) Revoke(ctx context.Context, m leadership.Member, service string, epoch uint64) error {
-	return p.client.Call(ctx, m.Address, messageRevoke, epochMessage{Service: service, Epoch: epoch}, &empty{})
+func (p peers) Revoke(ctx context.Context, m leadership.Member, service string, epoch uint64) (leadership.Confirmations, error) {
+	var response leadership.Confirmations
+	err := p.client.Call(ctx, m.Address, messageRevoke, epochMessage{Service: service, Epoch: epoch}, &response)
+	return response, err
 }
 
 // NotifySettled implements leadership.Peers.
@@ -182,14 +192,14 @@
 // KnownEpochs implements leadership.Peers.
 func (p peers) KnownEpochs(ctx context.Context, m leadership.Member) (map[string]uint64, error) {
 	var response epochsMessage
-	err := p.client.Call(ctx, m.Address, messageKnownEpochs, empty{}, &response)
+	err := p.client.Call(ctx, m.Address, messageKnownEpochs, senderMessage{Sender: p.name}, &response)
 	return response.Epochs, err
 }
 
 // Attest implements leadership.Peers.
 func (p peers) Attest(ctx context.Context, m leadership.Member) (leadership.Attestation, error) {
 	var response leadership.Attestation
-	err := p.client.Call(ctx, m.Address, messageAttest, empty{}, &response)
+	err := p.client.Call(ctx, m.Address, messageAttest, senderMessage{Sender: p.name}, &response)
 	return response, err
 }
 
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -182,6 +182,12 @@
 		Fields: []string{"generation", "number", "remembered", "rows", "certain", "took"},
 		Action: "Find out why the store lost what it had acknowledged. If certain is false, most instances had lost their memory as well, and all primaries are checked.",
 	}
+	RelianceAnnounced = Event{
+		Number: 9056, Name: "edge.reliance_announced", Level: zapcore.InfoLevel,
+		Text:   "the instance's row tells whether only confirmations by a majority of the instances extend its use of primaries",
+		Fields: []string{"confirmed_only"},
+		Action: "None, unless it repeats with confirmed_only false: then most instances do not respond to this one in time.",
+	}
 	EdgeRegistered = Event{
 		Number: 9030, Name: "edge.member_registered", Level: zapcore.InfoLevel,
 		Text: "this instance is registered in the platform's store", Fields: []string{"incarnation", "address"},
@@ -199,5 +205,5 @@
 	PrimaryRecordChanged, PrimaryUnresponsive, RequestRefused, RequestUnknown, RequestLate, LinesDropped, ConnectionOwnerFailed,
 	SettingsApplied, SettingsRefused, EvacuationLearnt, EvacuationEnded, EvacuationBlocked,
 	EdgeRegistered, EdgeRemoved, InstanceAdmitted, ConnectionOwnerLeaving, LimitContended,
-	CopyDropped, CopiesUsable, SessionRefused, ConfigurationKept, StoreReturned, GenerationRestored,
+	CopyDropped, CopiesUsable, SessionRefused, ConfigurationKept, StoreReturned, GenerationRestored, RelianceAnnounced,
 }
--- a/internal/leadership/attestation.go
+++ b/internal/leadership/attestation.go
@@ -15,7 +15,7 @@
 	// attestTimeout bounds a request to a member that asks others in turn.
 	attestTimeout = confirmTimeout + 100*time.Millisecond
 	// attestationLifetime is how long a collection within a failure domain is reused.
-	attestationLifetime = 300 * time.Millisecond
+	attestationLifetime = 400 * time.Millisecond
 	// maxAttestingMembers is the number of members of a failure domain that are asked for
 	// its attestation in turn.
 	maxAttestingMembers = 3
@@ -109,6 +109,25 @@
 	return merged
 }
 
+// Confirm returns the latest epochs known to this instance to another one that asks for the
+// confirmation of its records.
+func (c *Controller) Confirm(name string) (map[string]uint64, bool) {
+	return c.cfg.PrimaryView.confirmTo(name)
+}
+
+// AttestTo is Attest for another instance that asks for the confirmation of its records.
+func (c *Controller) AttestTo(ctx context.Context, name string) Attestation {
+	collected := c.Attest(ctx)
+	// The collection may be older than a revocation by this instance.
+	if epochs, ok := c.Confirm(name); ok {
+		own := Attestation{Members: slices.Clone(collected.Members), Age: collected.Age}
+		own.merge(Attestation{Epochs: collected.Epochs}, nil)
+		own.merge(Attestation{Epochs: epochs, Members: []string{c.cfg.Self}}, map[string]struct{}{c.cfg.Self: {}})
+		return own
+	}
+	return collected
+}
+
 // Attest returns what this instance and the others of its failure domain know. Calls within
 // attestationLifetime share one collection.
 func (c *Controller) Attest(ctx context.Context) Attestation {
--- a/internal/leadership/confirmation.go
+++ b/internal/leadership/confirmation.go
@@ -13,6 +13,11 @@
 	confirmThreshold = 1200 * time.Millisecond
 	// confirmInterval is the time between requests: several within RecordLifetime.
 	confirmInterval = 400 * time.Millisecond
+	// calmConfirmInterval is the time after a confirmation until the next request, if the use of
+	// primaries rests on confirmations: two more attempts fit into RecordLifetime.
+	calmConfirmInterval = 700 * time.Millisecond
+	// startupConfirmInterval is the time between requests before the first confirmation.
+	startupConfirmInterval = 100 * time.Millisecond
 	// confirmTimeout bounds one request.
 	confirmTimeout = 300 * time.Millisecond
 	// maxDirectConfirmations is the number of members up to which each is asked directly.
@@ -26,6 +31,11 @@
 func (v *PrimaryView) KnownEpochs() (map[string]uint64, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.knownEpochs()
+}
+
+// knownEpochs is KnownEpochs for a caller that holds mu.
+func (v *PrimaryView) knownEpochs() (map[string]uint64, bool) {
 	knowsAllRevocations := v.clock()-v.startedAt > MaxStoreOutage+leaseExpiryMargin
 	if !v.records.loaded || !knowsAllRevocations && v.records.asOf < v.startedAt {
 		return nil, false
@@ -58,30 +68,50 @@
 }
 
 // untilConfirmation returns the time until the members have to be asked for confirmation, 0
-// if that is now.
-func (v *PrimaryView) untilConfirmation() time.Duration {
+// if that is now. Instances that announce what they rely on always ask.
+func (v *PrimaryView) untilConfirmation(announces bool) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	age := v.clock() - v.records.asOf
+	now := v.clock()
+	since, threshold := v.records.asOf, confirmThreshold
+	if announces {
+		since, threshold = v.confirmedAt, calmConfirmInterval
+	}
 	switch {
-	case !v.records.loaded || !v.records.members.Listed || age >= MaxStoreOutage:
-		return confirmInterval
-	case age > confirmThreshold:
+	case !v.records.loaded || !v.records.members.Listed || now-v.records.asOf >= MaxStoreOutage:
+		return v.confirmPause(announces)
+	case since == 0 || now-since > threshold:
 		return 0
 	default:
-		return confirmThreshold - age + time.Millisecond
+		return threshold - (now - since) + time.Millisecond
+	}
+}
+
+// confirmPause returns the least time between two requests. The caller holds mu.
+func (v *PrimaryView) confirmPause(announces bool) time.Duration {
+	if announces && v.confirmedAt == 0 {
+		return startupConfirmInterval
 	}
+	return confirmInterval
+}
+
+// minConfirmInterval returns the least time between two requests.
+func (v *PrimaryView) minConfirmInterval(announces bool) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.confirmPause(announces)
 }
 
-// confirmRecords asks the members for confirmation, at confirmInterval, while the store
-// does not serve this instance.
+// confirmRecords asks the members for confirmation: regularly if this instance announces what
+// it relies on, otherwise while the store does not serve it.
 func (c *Controller) confirmRecords(ctx context.Context) error {
+	announces := c.cfg.Announce != nil
 	for ctx.Err() == nil {
-		wait := c.cfg.PrimaryView.untilConfirmation()
+		wait := c.cfg.PrimaryView.untilConfirmation(announces)
 		if wait == 0 {
 			began := c.cfg.Clock()
 			c.requestConfirmation(ctx)
-			wait = max(0, confirmInterval-(c.cfg.Clock()-began))
+			wait = max(0, c.cfg.PrimaryView.minConfirmInterval(announces)-(c.cfg.Clock()-began))
 		}
 		pause.For(ctx, wait)
 	}
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -124,6 +124,9 @@
 	t, ctx := tomb.WithContext(ctx)
 	t.Go(func() error { return c.pollServices(ctx, t) })
 	t.Go(func() error { return c.confirmRecords(ctx) })
+	if c.cfg.Announce != nil {
+		t.Go(func() error { return c.watchReliance(ctx) })
+	}
 	if err := t.Wait(); !errors.Is(err, context.Canceled) {
 		return trace.Wrap(err)
 	}
@@ -140,15 +143,18 @@
 }
 
 // Revoke revokes the primary of all epochs before epoch, on behalf of the instance
-// that replaces it. This instance's own replacement of an earlier epoch issues no
-// further promotion orders.
-func (c *Controller) Revoke(ctx context.Context, service string, epoch uint64) error {
+// that replaces it, and returns when this instance last confirmed the records of others. This
+// instance's own replacement of an earlier epoch issues no further promotion orders.
+func (c *Controller) Revoke(ctx context.Context, service string, epoch uint64) (Confirmations, error) {
 	c.mu.Lock()
 	if r := c.running[service]; r != nil && r.epoch.Load() < epoch {
 		r.superseded.Store(true)
 	}
 	c.mu.Unlock()
-	return trace.Wrap(c.cfg.PrimaryView.Revoke(ctx, service, epoch))
+	if err := c.cfg.PrimaryView.Revoke(ctx, service, epoch); err != nil {
+		return Confirmations{}, trace.Wrap(err)
+	}
+	return c.cfg.PrimaryView.confirmations(), nil
 }
 
 // KnownEpochs returns the epochs known to PrimaryView, and those of the replacements that this
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -58,6 +58,24 @@
 	ownProbes     int
 	epochRequests int
 	reachRequests int
+	// announces is true if instances announce what they rely on; confirmedOnly holds what their
+	// rows tell.
+	announces     bool
+	confirmedOnly map[string]bool
+	// faults, if set, decides which messages arrive, and how late.
+	faults  faults
+	running sync.WaitGroup
+	ended   context.Context
+}
+
+// faults decides what becomes of the messages of a fleet.
+type faults interface {
+	// delay is called before a request is handled, and before its response is received.
+	delay(ctx context.Context)
+	// lost reports whether a message between instances, or to the "store", is lost.
+	lost(from, to string) bool
+	// reaches reports whether an instance reaches a server.
+	reaches(instance, endpoint string) bool
 }
 
 type server struct {
@@ -70,6 +88,7 @@
 	name       string
 	view       *PrimaryView
 	controller *Controller
+	stop       context.CancelFunc
 }
 
 func (f *fleet) clock() time.Duration { return time.Since(f.began) }
@@ -84,40 +103,72 @@
 		},
 		draining: make(map[string]bool), evacuated: make(map[string]bool), cut: make(map[string]bool), instances: make(map[string]*instance),
 	}
+	f.confirmedOnly = make(map[string]bool)
 	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
+	f.ended = ctx
 	for _, name := range names {
-		i := &instance{f: f, name: name}
-		i.view = NewPrimaryView(f.clock, zap.NewNop(), domainOf(name), f.registry)
-		controller, err := New(Config{
-			Self: name, FailureDomain: domainOf(name), PrimaryView: i.view, Refresh: i.refresh, Registry: f.registry,
-			Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
-			SyncReplicas: func(string) int { return f.syncReplicas },
-			Table:        i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
-			Reaches: func(_ context.Context, endpoint string) bool {
-				return f.isUp(endpoint) && !f.probeIsUnanswered(endpoint)
-			},
-		})
-		require.NoError(t, err)
-		i.controller = controller
-		f.instances[name] = i
+		f.instances[name] = f.newInstance(name)
 	}
 	for _, i := range f.instances {
-		running.Go(func() { _ = i.controller.Run(ctx) })
-		running.Go(func() {
-			for ctx.Err() == nil {
-				_ = i.refresh(ctx)
-				pause.For(ctx, time.Second)
-			}
-		})
+		i.start()
 	}
 	t.Cleanup(func() {
 		cancel()
-		running.Wait()
+		f.running.Wait()
 	})
 	return f
 }
 
+func (f *fleet) newInstance(name string) *instance {
+	i := &instance{f: f, name: name}
+	i.view = NewPrimaryView(f.clock, zap.NewNop(), domainOf(name), f.registry)
+	cfg := Config{
+		Self: name, FailureDomain: domainOf(name), PrimaryView: i.view, Refresh: i.refresh, Registry: f.registry,
+		Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
+		SyncReplicas: func(string) int { return f.syncReplicas },
+		Table:        i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
+		Reaches: func(_ context.Context, endpoint string) bool {
+			return f.isUp(name, endpoint) && !f.probeIsUnanswered(endpoint)
+		},
+	}
+	if f.announces {
+		cfg.Announce = i.announce
+		i.view.RelyOnConfirmations()
+	}
+	controller, err := New(cfg)
+	require.NoError(f.t, err)
+	i.controller = controller
+	return i
+}
+
+func (i *instance) start() {
+	ctx, cancel := context.WithCancel(i.f.ended)
+	i.stop = cancel
+	i.f.running.Go(func() { _ = i.controller.Run(ctx) })
+	i.f.running.Go(func() {
+		for ctx.Err() == nil {
+			_ = i.refresh(ctx)
+			pause.For(ctx, time.Second)
+		}
+	})
+}
+
+// instance returns the instance that runs under a name.
+func (f *fleet) instance(name string) *instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.instances[name]
+}
+
+// announce implements Config.Announce.
+func (i *instance) announce(_ context.Context, confirmedOnly bool) error {
+	if err := i.reach("store"); err != nil {
+		return err
+	}
+	i.f.set(func() { i.f.confirmedOnly[i.name] = confirmedOnly })
+	return i.reach("store")
+}
+
 // domainOf returns the failure domain of an instance: the first letter of its name.
 func domainOf(name string) string { return name[:1] }
 
@@ -129,9 +180,13 @@
 
 func (f *fleet) members() []Member {
 	var list []Member
+	f.mu.Lock()
 	for name := range f.instances {
-		list = append(list, Member{Name: name, FailureDomain: domainOf(name), JoiningUntil: f.joining[name], RemoteLifetime: f.announced()})
+		list = append(list, Member{
+			Name: name, FailureDomain: domainOf(name), JoiningUntil: f.joining[name], RemoteLifetime: f.remoteLifetime, ConfirmedOnly: f.confirmedOnly[name],
+		})
 	}
+	f.mu.Unlock()
 	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
@@ -152,6 +207,9 @@
 
 // reach fails if the instance or the other side is cut off.
 func (i *instance) reach(other string) error {
+	if i.f.faults != nil && i.f.faults.lost(i.name, other) {
+		return errUnreachable
+	}
 	i.f.mu.Lock()
 	defer i.f.mu.Unlock()
 	if i.f.cut[i.name] || i.f.cut[other] || other == "store" && i.f.storeDown {
@@ -162,15 +220,19 @@
 
 func (i *instance) refresh(ctx context.Context) error {
 	sent := i.f.clock()
+	i.f.delay(ctx)
 	rows, _, err := i.List(ctx, RowPrefix)
 	if err != nil {
 		return err
 	}
+	confirmedOnly := false
+	i.f.set(func() { confirmedOnly = i.f.confirmedOnly[i.name] })
+	i.f.delay(ctx)
 	s := follow.Snapshot{AsOf: sent}
 	for _, row := range rows {
 		s.Rows = append(s.Rows, follow.Row{Key: row.Key, Value: row.Value, Version: row.Revision})
 	}
-	i.view.Apply(s, Membership{Listed: true, Count: len(i.f.instances), RemoteLifetime: i.f.announced()})
+	i.view.Apply(s, Membership{Listed: true, Count: len(i.f.instances), RemoteLifetime: i.f.announced(), ConfirmedOnly: confirmedOnly})
 	return nil
 }
 
@@ -246,21 +308,21 @@
 
 func (i *instance) Status(ctx context.Context, e catalog.Endpoint) (ServerStatus, error) {
 	i.f.mu.Lock()
-	s := *i.f.servers[e.ID]
+	status := i.f.servers[e.ID].status
 	i.f.mu.Unlock()
-	if !s.down {
-		return s.status, nil
+	if i.f.isUp(i.name, e.ID) {
+		return status, nil
 	}
 	return ServerStatus{}, i.f.unanswered(ctx, errUnreachable)
 }
 
 func (i *instance) StepDown(_ context.Context, e catalog.Endpoint, term uint64) error {
+	if !i.f.isUp(i.name, e.ID) {
+		return errUnreachable
+	}
 	i.f.mu.Lock()
 	defer i.f.mu.Unlock()
 	s := i.f.servers[e.ID]
-	if s.down {
-		return errUnreachable
-	}
 	if s.status.Term < term {
 		s.status.Primary, s.status.Term = false, term
 	}
@@ -280,46 +342,75 @@
 	return nil
 }
 
-func (i *instance) Revoke(ctx context.Context, m Member, service string, epoch uint64) error {
-	if err := i.reach(m.Name); err != nil {
-		return err
+func (i *instance) Revoke(ctx context.Context, m Member, service string, epoch uint64) (Confirmations, error) {
+	if err := i.deliver(ctx, m); err != nil {
+		return Confirmations{}, err
 	}
-	if err := i.f.instances[m.Name].controller.Revoke(ctx, service, epoch); err != nil {
-		return err
+	given, err := i.f.instance(m.Name).controller.Revoke(ctx, service, epoch)
+	if err != nil {
+		return Confirmations{}, err
 	}
 	pause.For(ctx, i.f.slow[m.Name])
-	return ctx.Err()
+	return given, i.returned(ctx, m)
 }
 
 func (i *instance) NotifySettled(ctx context.Context, m Member) error {
-	if err := i.reach(m.Name); err != nil {
+	if err := i.deliver(ctx, m); err != nil {
 		return err
 	}
-	return i.f.instances[m.Name].refresh(ctx)
+	return i.f.instance(m.Name).refresh(ctx)
 }
 
 func (i *instance) Reaches(ctx context.Context, m Member, endpoint string) (bool, error) {
-	if err := i.reach(m.Name); err != nil {
+	if err := i.deliver(ctx, m); err != nil {
 		return false, i.f.unanswered(ctx, err)
 	}
 	i.f.set(func() { i.f.reachRequests++ })
-	return i.f.isUp(endpoint), nil
+	return i.f.isUp(m.Name, endpoint), i.returned(ctx, m)
 }
 
 func (i *instance) ReportSuspect(_ context.Context, m Member, service, endpoint string) error {
 	if err := i.reach(m.Name); err != nil {
 		return err
 	}
-	i.f.instances[m.Name].controller.ReportSuspect(service, endpoint)
+	i.f.instance(m.Name).controller.ReportSuspect(service, endpoint)
 	return nil
 }
 
-func (f *fleet) isUp(endpoint string) bool {
+// isUp reports whether an instance reaches an endpoint.
+func (f *fleet) isUp(instance, endpoint string) bool {
+	if f.faults != nil && !f.faults.reaches(instance, endpoint) {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return !f.servers[endpoint].down
 }
 
+// delay passes the time that a message takes.
+func (f *fleet) delay(ctx context.Context) {
+	if f.faults != nil {
+		f.faults.delay(ctx)
+	}
+}
+
+// deliver passes the time of a request to another instance, and fails if it is lost.
+func (i *instance) deliver(ctx context.Context, m Member) error {
+	if i.f.delay(ctx); ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return i.reach(m.Name)
+}
+
+// returned passes the time of a response, and fails if it is lost.
+func (i *instance) returned(ctx context.Context, m Member) error {
+	i.f.delay(ctx)
+	if i.f.faults != nil && i.f.faults.lost(m.Name, i.name) {
+		return errUnreachable
+	}
+	return ctx.Err()
+}
+
 func (f *fleet) probeIsUnanswered(endpoint string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -331,36 +422,38 @@
 	if err := i.reach(m.Name); err != nil {
 		return false, err
 	}
-	return i.f.instances[m.Name].controller.IsReplacing(service, epoch), nil
+	return i.f.instance(m.Name).controller.IsReplacing(service, epoch), nil
 }
 
-func (i *instance) KnownEpochs(_ context.Context, m Member) (map[string]uint64, error) {
-	if err := i.reach(m.Name); err != nil {
+func (i *instance) KnownEpochs(ctx context.Context, m Member) (map[string]uint64, error) {
+	if err := i.deliver(ctx, m); err != nil {
 		return nil, err
 	}
 	i.f.set(func() { i.f.epochRequests++ })
-	epochs, ok := i.f.instances[m.Name].view.KnownEpochs()
+	epochs, ok := i.f.instance(m.Name).controller.Confirm(i.name)
 	if !ok {
 		return nil, errUnreachable
 	}
-	return epochs, nil
+	return epochs, i.returned(ctx, m)
 }
 
 func (i *instance) Attest(ctx context.Context, m Member) (Attestation, error) {
-	if err := i.reach(m.Name); err != nil {
+	if err := i.deliver(ctx, m); err != nil {
 		return Attestation{}, err
 	}
 	i.f.set(func() { i.f.epochRequests++ })
-	return i.f.instances[m.Name].controller.Attest(ctx), nil
+	response := i.f.instance(m.Name).controller.AttestTo(ctx, i.name)
+	return response, i.returned(ctx, m)
 }
 
 func (i *instance) UnresponsiveFor(endpoint string) time.Duration {
+	unreachable := !i.f.isUp(i.name, endpoint)
 	i.f.mu.Lock()
 	defer i.f.mu.Unlock()
 	if i.f.busy == endpoint {
 		return time.Second
 	}
-	if i.f.servers[endpoint].down && (i.f.observers == nil || i.f.observers[i.name]) {
+	if unreachable && (i.f.observers == nil || i.f.observers[i.name]) {
 		return time.Second
 	}
 	return 0
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -56,12 +56,16 @@
 	// RemoteLifetime is how long the member may use primaries of other failure domains by
 	// one record, if that is above RecordLifetime.
 	RemoteLifetime time.Duration
+	// ConfirmedOnly is true if the member has announced, in the present generation of the
+	// store, that only confirmations by a majority extend its use of primaries.
+	ConfirmedOnly bool
 }
 
 // Peers calls other instances.
 type Peers interface {
-	// Revoke makes the member revoke the primary of all epochs before epoch.
-	Revoke(ctx context.Context, m Member, service string, epoch uint64) error
+	// Revoke makes the member revoke the primary of all epochs before epoch. It returns when
+	// the member last confirmed the records of others.
+	Revoke(ctx context.Context, m Member, service string, epoch uint64) (Confirmations, error)
 	// NotifySettled notifies the member that the rows have changed.
 	NotifySettled(ctx context.Context, m Member) error
 	// Reaches reports whether the endpoint responds to the member.
@@ -69,7 +73,8 @@
 	// ReportSuspect reports to the member that the service's primary does not respond to
 	// this instance.
 	ReportSuspect(ctx context.Context, m Member, service, endpoint string) error
-	// KnownEpochs returns the latest epoch of each service that is known to the member.
+	// KnownEpochs returns the latest epoch of each service that is known to the member, which
+	// thereby confirms the records of this instance.
 	KnownEpochs(ctx context.Context, m Member) (map[string]uint64, error)
 	// Attest returns what the instances of the member's failure domain together know.
 	Attest(ctx context.Context, m Member) (Attestation, error)
@@ -113,8 +118,12 @@
 	// SyncReplicas returns how many replicas confirm a commit of the service before it is
 	// acknowledged; nil means none.
 	SyncReplicas func(service string) int
-	Clock        lease.Clock
-	Log          *zap.Logger
+	// Announce writes to this instance's row whether only confirmations by a majority extend its
+	// use of primaries. If it is nil, copies of the store always do; otherwise
+	// PrimaryView.RelyOnConfirmations is called before this instance registers.
+	Announce func(ctx context.Context, confirmedOnly bool) error
+	Clock    lease.Clock
+	Log      *zap.Logger
 }
 
 // CheckAndSetDefaults validates the configuration.
--- a/internal/leadership/primaryview.go
+++ b/internal/leadership/primaryview.go
@@ -65,8 +65,12 @@
 	records  records                  // guarded by mu
 	services map[string]*serviceState // guarded by mu
 	// confirmedAt is the last known time at which a majority of the members had no
-	// newer record; guarded by mu.
+	// newer record, 0 if there was none; guarded by mu.
 	confirmedAt time.Duration
+	// confirmedTo is when this instance last confirmed the records of others, by the name of
+	// the instance that has asked; guarded by mu.
+	confirmedTo map[string]time.Duration
+	reliance    reliance // guarded by mu
 	// startedAt is the start of this view; epochs revoked before it are not known.
 	startedAt time.Duration
 }
@@ -92,6 +96,7 @@
 		clock: clock, log: log, domain: domain, registry: registry,
 		startedAt: clock(),
 		changed:   blackboard.NewCell(struct{}{}), services: make(map[string]*serviceState),
+		confirmedTo: make(map[string]time.Duration),
 	}
 }
 
@@ -181,19 +186,26 @@
 	return v.staleness()
 }
 
-// staleness returns the age of the copy of the rows or, while that is below
-// MaxStoreOutage, of its last confirmation by the members if that is younger. It returns
-// MaxStoreOutage without a copy, or if this instance is not listed. The caller holds mu.
+// staleness returns the age of the copy of the rows if this instance relies on the store, or,
+// while that age is below MaxStoreOutage, of its last confirmation by the members if that is
+// younger. It returns MaxStoreOutage without a copy, or if this instance is not listed. The
+// caller holds mu.
 func (v *PrimaryView) staleness() time.Duration {
-	now := v.clock()
-	switch age := now - v.records.asOf; {
-	case !v.records.loaded || !v.records.members.Listed:
+	if !v.records.loaded || !v.records.members.Listed {
 		return MaxStoreOutage
-	case age < MaxStoreOutage:
-		return min(age, now-v.confirmedAt)
-	default:
+	}
+	age := v.clock() - v.records.asOf
+	if age >= MaxStoreOutage {
 		return age
 	}
+	unconfirmed := MaxStoreOutage
+	if v.confirmedAt != 0 {
+		unconfirmed = v.clock() - v.confirmedAt
+	}
+	if v.reliance.confirmedOnly || v.records.asOf < v.reliance.storeSince {
+		return unconfirmed
+	}
+	return min(age, unconfirmed)
 }
 
 // Primary returns the primary that may be used now.
--- a/internal/leadership/record.go
+++ b/internal/leadership/record.go
@@ -93,6 +93,9 @@
 	// primaries of other failure domains than their own. A lower value than RecordLifetime
 	// has no effect.
 	RemoteLifetime time.Duration
+	// ConfirmedOnly reports whether this instance's row announces that only confirmations extend
+	// its use of primaries.
+	ConfirmedOnly bool
 }
 
 // decodeRecords decodes the rows of a snapshot. A row that cannot be decoded is an
--- /dev/null
+++ b/internal/leadership/reliance_test.go
@@ -0,0 +1,156 @@
+package leadership
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+)
+
+// announcingFleet is a fleet whose instances announce that they rely on confirmations, as they
+// do after a few reads of the store.
+func announcingFleet(t *testing.T, names ...string) *fleet {
+	f := newFleet(t)
+	f.announces, f.endpointDomain = true, "c"
+	for _, name := range names {
+		f.instances[name] = f.newInstance(name)
+	}
+	for _, name := range names {
+		f.instances[name].start()
+	}
+	time.Sleep(3500 * time.Millisecond)
+	f.set(func() {
+		for _, name := range names {
+			require.True(t, f.confirmedOnly[name], "the announcement of %s", name)
+		}
+	})
+	return f
+}
+
+// TestPrimaryCutOffWithItsDomain covers a failure domain that is cut off together with a primary:
+// what those outside have last confirmed to those inside bounds their use of it, although they
+// might read the store.
+func TestPrimaryCutOffWithItsDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := announcingFleet(t, "a1", "a2", "b1", "b2", "c1", "c2")
+		f.set(func() { f.cut["c1"], f.cut["c2"], f.servers["s1"].down = true, true, true })
+		cutAt := time.Now()
+		for len(f.ordered()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+			require.Less(t, time.Since(cutAt), RecordLifetime+leaseExpiryMargin+100*time.Millisecond)
+		}
+		require.Empty(t, f.primary("c1"))
+	})
+}
+
+// TestPrimaryLostWhileTheStoreIsSilent covers a cut during an outage of the store: at its return
+// the records inside the cut have long expired, so that the order follows the intent at once.
+func TestPrimaryLostWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := announcingFleet(t, "a1", "a2", "b1", "b2", "c1", "c2")
+		f.set(func() { f.storeDown = true })
+		time.Sleep(time.Second)
+		f.set(func() { f.cut["c1"], f.cut["c2"], f.servers["s1"].down = true, true, true })
+		time.Sleep(RecordLifetime + time.Second)
+		require.Empty(t, f.ordered())
+		f.set(func() { f.storeDown = false })
+		returnedAt := time.Now()
+		for len(f.ordered()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+			require.Less(t, time.Since(returnedAt), attemptBackoff+500*time.Millisecond)
+		}
+	})
+}
+
+// TestMinorityThatReadsTheStore covers instances that reach the store but not their fellows: they
+// withdraw the announcement before their records expire, and go on using the primary. A
+// replacement then waits for what they may have read.
+func TestMinorityThatReadsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := announcingFleet(t, "a1", "a2", "b1", "b2", "c1")
+		f.faults = cutFromFellows("c1")
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			require.Equal(t, "s1", f.primary("c1"))
+		}
+		f.set(func() { require.False(t, f.confirmedOnly["c1"]) })
+		f.set(func() { f.servers["s1"].down = true })
+		for len(f.ordered()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Empty(t, f.primary("c1"))
+		require.Equal(t, "", f.primary("a1"))
+		f.faults = nil
+		time.Sleep(steadyPeriod + 3*time.Second)
+		f.set(func() { require.True(t, f.confirmedOnly["c1"]) })
+	})
+}
+
+// cutFromFellows cuts one instance off from all others, but not from the store.
+type cutFromFellows string
+
+func (c cutFromFellows) delay(context.Context) {}
+func (c cutFromFellows) lost(from, to string) bool {
+	return to != "store" && (from == string(c)) != (to == string(c))
+}
+func (c cutFromFellows) reaches(string, string) bool { return true }
+
+// TestOldCopiesDoNotCountAfterAWithdrawal covers a copy that was read before the announcement was
+// withdrawn: a replacement that read the row before does not wait for it.
+func TestOldCopiesDoNotCountAfterAWithdrawal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		view := NewPrimaryView(f.clock, zap.NewNop(), "a", f.registry)
+		view.RelyOnConfirmations()
+		read := func() { view.Apply(follow.Snapshot{AsOf: f.clock()}, Membership{Listed: true, Count: 3}) }
+		read()
+		_, err := view.Primary("db")
+		require.True(t, IsStale(err))
+		time.Sleep(time.Millisecond)
+		view.relyOnStore()
+		_, err = view.Primary("db")
+		require.True(t, IsStale(err), "a copy from before the withdrawal extends the use")
+		read()
+		_, err = view.Primary("db")
+		require.NoError(t, err)
+	})
+}
+
+// TestAttestationShowsARevocationSinceItsCollection covers a collection that is reused after the
+// instance has revoked a primary: the replacement counts on every confirmation since showing it.
+func TestAttestationShowsARevocationSinceItsCollection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := announcingFleet(t, "a1", "a2", "b1", "b2", "c1")
+		c := f.instances["a1"].controller
+		c.Attest(t.Context())
+		given, err := c.Revoke(t.Context(), "db", 7)
+		require.NoError(t, err)
+		require.Less(t, given.Ago["c1"], calmConfirmInterval+10*time.Millisecond)
+		require.Equal(t, uint64(7), c.AttestTo(t.Context(), "c1").Epochs["db"])
+		given, err = c.Revoke(t.Context(), "db", 7)
+		require.NoError(t, err)
+		require.Zero(t, given.Ago["c1"])
+	})
+}
+
+// TestConfirmationsOfUnknownAge covers members that may have confirmed the records of others
+// without a trace: before a restart, for earlier versions, and of earlier versions.
+func TestConfirmationsOfUnknownAge(t *testing.T) {
+	now := time.Hour
+	view := NewPrimaryView(func() time.Duration { return now }, zap.NewNop(), "a", nil)
+	now += 10 * time.Second
+	view.confirmTo("b")
+	now += 5 * time.Second
+	given := view.confirmations()
+	require.Equal(t, now-5*time.Second, given.before("b", now))
+	require.Equal(t, time.Hour, given.before("c", now), "since the start")
+	view.confirmTo("")
+	now += time.Second
+	require.Equal(t, now-time.Second, view.confirmations().before("c", now), "to an earlier version")
+	require.Equal(t, now, Confirmations{}.before("c", now), "of an earlier version")
+}
--- a/internal/leadership/replacement.go
+++ b/internal/leadership/replacement.go
@@ -78,6 +78,8 @@
 	committedAt time.Duration
 	oldPrimary  string
 	members     []Member
+	// revocations are the responses of the members that have revoked the old primary.
+	revocations []revocation
 }
 
 // run performs all steps of the replacement.
--- a/internal/leadership/revoke.go
+++ b/internal/leadership/revoke.go
@@ -11,12 +11,13 @@
 )
 
 // revokeAll returns once no instance uses the old primary any more: each has revoked
-// it, or its record has expired. A record expires when both the copy of the rows and its
-// last confirmation by a majority are too old. There are no further confirmations once
-// the members that have not revoked the primary are too few for a majority. A refused
-// connection does not prove that a process has ended: a network partition may refuse
-// connections as well. If the old primary responds again meanwhile, it is returned and
-// need not be replaced.
+// it, or its record has expired. A record expires when its last confirmation by a majority
+// is too old and, unless the member has announced that it does without, so is the copy of
+// the rows. There are no further confirmations once the members that have not revoked the
+// primary are too few for a majority, and the last one was not after those that have
+// revoked it last confirmed anything to those that have not. A refused connection does not
+// prove that a process has ended: a network partition may refuse connections as well. If
+// the old primary responds again meanwhile, it is returned and need not be replaced.
 func (r *replacement) revokeAll(ctx context.Context) (recovered *response, err error) {
 	if r.members, err = r.c.cfg.FreshMembers(ctx); err != nil {
 		return nil, trace.Wrap(err)
@@ -27,22 +28,17 @@
 	if r.mayKeepOldPrimary() {
 		go r.watchOldPrimary(revokeCtx, func(resp response) { found <- resp })
 	}
-	revoked := make(chan string, len(r.members))
-	pending := make(map[string]time.Duration, len(r.members))
+	revoked := make(chan revocation, len(r.members))
+	pending := make(map[string]Member, len(r.members))
 	for _, m := range r.members {
-		pending[m.Name] = r.lifetimeAt(m)
+		pending[m.Name] = m
 	}
 	for _, m := range r.members {
 		go func() {
-			if m.Name == r.c.cfg.Self {
-				if err := r.c.cfg.PrimaryView.Revoke(revokeCtx, r.service, r.record.Epoch); err != nil {
-					r.c.cfg.Log.Info("the intent of a replacement was lost", zap.String("service", r.service), zap.Error(err))
-					return
-				}
-			} else if !r.revokeMember(revokeCtx, m) {
-				return
+			given, ok := r.revokeMember(revokeCtx, m)
+			if ok {
+				revoked <- revocation{member: m.Name, given: given, received: r.c.cfg.Clock()}
 			}
-			revoked <- m.Name
 		}()
 	}
 	// minorityAt is when the outstanding members became too few for a majority.
@@ -51,11 +47,12 @@
 	defer ticker.Stop()
 	for len(pending) > 0 && r.c.cfg.Clock() < r.expiresAt(minorityAt, pending) {
 		select {
-		case name := <-revoked:
+		case done := <-revoked:
 			if !r.isMinority(len(pending)) {
 				minorityAt = r.c.cfg.Clock()
 			}
-			delete(pending, name)
+			delete(pending, done.member)
+			r.revocations = append(r.revocations, done)
 		case resp := <-found:
 			return &resp, nil
 		case <-ticker.C:
@@ -66,18 +63,43 @@
 	return nil, nil
 }
 
-// expiresAt returns when the records of the pending members, given with the lifetime of each,
-// have expired. Once those are a minority, every majority includes a member that has revoked
-// the primary and reports the new epoch instead of confirming the old one.
-func (r *replacement) expiresAt(minorityAt time.Duration, pending map[string]time.Duration) time.Duration {
-	lifetime := RecordLifetime
-	for _, l := range pending {
-		lifetime = max(lifetime, l)
+// revocation is the response of a member that has revoked the primary.
+type revocation struct {
+	member   string
+	given    Confirmations
+	received time.Duration
+}
+
+// expiresAt returns when the records of the pending members have expired. Once those are a
+// minority, every majority includes a member that has revoked the primary and reports the new
+// epoch instead of confirming the old one.
+func (r *replacement) expiresAt(minorityAt time.Duration, pending map[string]Member) time.Duration {
+	var expiry time.Duration
+	for _, m := range pending {
+		if !r.isMinority(len(pending)) {
+			expiry = max(expiry, r.committedAt+MaxStoreOutage+r.lifetimeAt(m)+leaseExpiryMargin)
+			continue
+		}
+		extendedAt := minorityAt
+		if m.ConfirmedOnly {
+			extendedAt = min(extendedAt, r.lastConfirmation(pending))
+		}
+		expiry = max(expiry, extendedAt+r.lifetimeAt(m)+leaseExpiryMargin)
 	}
-	if r.isMinority(len(pending)) {
-		return minorityAt + lifetime + leaseExpiryMargin
+	return expiry
+}
+
+// lastConfirmation returns a time after which no pending member has got a confirmation by a
+// majority. Each majority includes a member that has revoked the primary, and what that one has
+// confirmed has reached the pending members directly or through one of them.
+func (r *replacement) lastConfirmation(pending map[string]Member) time.Duration {
+	var last time.Duration
+	for _, done := range r.revocations {
+		for name := range pending {
+			last = max(last, done.given.before(name, done.received))
+		}
 	}
-	return r.committedAt + MaxStoreOutage + lifetime + leaseExpiryMargin
+	return last
 }
 
 // lifetimeAt returns how long a record may allow a member to use the old primary. The longer
@@ -103,18 +125,25 @@
 
 // revokeMember repeats the request until the member has revoked the primary or ctx
 // ends.
-func (r *replacement) revokeMember(ctx context.Context, m Member) bool {
+func (r *replacement) revokeMember(ctx context.Context, m Member) (given Confirmations, ok bool) {
+	if m.Name == r.c.cfg.Self {
+		given, err := r.c.Revoke(ctx, r.service, r.record.Epoch)
+		if err != nil {
+			r.c.cfg.Log.Info("the intent of a replacement was lost", zap.String("service", r.service), zap.Error(err))
+		}
+		return given, err == nil
+	}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		err := r.c.cfg.Peers.Revoke(callCtx, m, r.service, r.record.Epoch)
+		given, err := r.c.cfg.Peers.Revoke(callCtx, m, r.service, r.record.Epoch)
 		cancel()
 		if err == nil {
-			return true
+			return given, true
 		}
 		r.c.cfg.Log.Debug("an instance has not revoked the primary yet", zap.String("member", m.Name), zap.Error(err))
 		pause.For(ctx, retryInterval)
 	}
-	return false
+	return Confirmations{}, false
 }
 
 // watchOldPrimary polls the old primary during the revocation, and passes it to found
