edge, backend: a slow endpoint is no reason to bypass its connection owner

Cause: after all machines had lost power, the endpoints keep the connections of the dark machines for 3 s, so that the owners get few.

Change: an owner without an answer is skipped only if it does not respond to a check of 100 ms either. Own connections beside an owner stay within what the owner leaves free.

Tests: TestAnswerLostByOwner expected the owner to be skipped although it responds and its endpoint is what is slow; TestSilentOwnerIsSkipped covers both cases.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -67,8 +67,8 @@
 	// OwnedHere means that this instance is the connection owner.
 	OwnedHere
 	// OwnedElsewhere means that another instance is the connection owner. This instance
-	// opens a connection only for what cannot go through the owner, and closes it as soon
-	// as it is released.
+	// opens a connection only for what cannot go through the owner, within its part of what
+	// the owner leaves free, and closes it as soon as it is released.
 	OwnedElsewhere
 )
 
@@ -191,7 +191,9 @@
 		share = max(1, int(float64(total)*ownerShare))
 		return share, share, share
 	case OwnedElsewhere:
-		return 1, min(total, e.Slots+spareConnections), 0
+		left := float64(total) * (1 - ownerShare) / float64(max(1, p.cfg.Members()-1))
+		share = max(1, int(left))
+		return share, share, 0
 	default:
 		share = max(1, total/max(1, p.cfg.Members()))
 		return share, min(total, max(share, e.Slots+spareConnections)), share
--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -56,6 +56,8 @@
 // senderMessage names the instance that sends a request; earlier versions do not.
 type senderMessage struct {
 	Sender string `json:"sender,omitempty"`
+	// Collecting is true if the sender passes on what it receives.
+	Collecting bool `json:"collecting,omitempty"`
 }
 
 type memberMessage struct {
@@ -142,7 +144,7 @@
 	peerlink.Handle(i.server, messageMemory, i.handleMemory)
 	peerlink.Handle(i.server, messagePing, func(context.Context, empty) (empty, error) { return empty{}, nil })
 	peerlink.Handle(i.server, messageKnownEpochs, func(_ context.Context, m senderMessage) (epochsMessage, error) {
-		epochs, ok := i.controller.Confirm(m.Sender)
+		epochs, ok := i.controller.Confirm(m.Sender, m.Collecting)
 		if !ok {
 			return epochsMessage{}, trace.NotFound("nothing is known since the start")
 		}
@@ -190,9 +192,9 @@
 }
 
 // KnownEpochs implements leadership.Peers.
-func (p peers) KnownEpochs(ctx context.Context, m leadership.Member) (map[string]uint64, error) {
+func (p peers) KnownEpochs(ctx context.Context, m leadership.Member, collecting bool) (map[string]uint64, error) {
 	var response epochsMessage
-	err := p.client.Call(ctx, m.Address, messageKnownEpochs, senderMessage{Sender: p.name}, &response)
+	err := p.client.Call(ctx, m.Address, messageKnownEpochs, senderMessage{Sender: p.name, Collecting: collecting}, &response)
 	return response.Epochs, err
 }
 
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -103,11 +103,11 @@
 		return answer, false, trace.BadParameter("a read at a connection owner needs a deadline")
 	}
 	message.Timeout, message.Leaving = time.Until(deadline)-ownerResponseReserve, i.leaving.Get()
+	defer i.checkSilentOwner(m, message.Endpoint).Stop()
 	began := i.cfg.Clock()
 	var result readResult
 	if err := i.client.Call(ctx, m.Address, messageRead, message, &result); err != nil {
-		i.countOwnerFallback(fallbackUnresponsive)
-		i.markOwnerFailed(m, message.Endpoint, err)
+		i.recordOwnerError(m, message.Endpoint, err)
 		return answer, !isDialError(err), trace.Wrap(err)
 	}
 	if err := i.checkOwnerReply(m, message.Endpoint, result); err != nil {
--- a/internal/edge/owner_statement.go
+++ b/internal/edge/owner_statement.go
@@ -16,10 +16,14 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
-// ownerSilence is the time without a response after which a connection owner is skipped, while
-// the statement that it has been sent goes on waiting. It is well above the duration of
-// ordinary statements.
-const ownerSilence = 400 * time.Millisecond
+// ownerSilence is the time without a response after which a connection owner is checked, and
+// skipped if it does not respond to that either, while the statement that it has been sent goes
+// on waiting. It is well above the duration of ordinary statements. An owner that responds is
+// waiting for the endpoint, and others would not get a connection sooner.
+const ownerSilence = 300 * time.Millisecond
+
+// ownerCheckTimeout bounds that check: many round trips between instances.
+const ownerCheckTimeout = 100 * time.Millisecond
 
 // refusal tells why a connection owner has not sent a statement, where that does not show a
 // failure of the owner.
@@ -116,12 +120,10 @@
 	}
 	i := p.i
 	message.Timeout, message.Leaving = time.Until(deadline)-ownerResponseReserve, i.leaving.Get()
-	silent := time.AfterFunc(ownerSilence, func() { i.markOwnerFailed(p.owner, p.endpoint.ID, errOwnerSilent) })
-	defer silent.Stop()
+	defer i.checkSilentOwner(p.owner, p.endpoint.ID).Stop()
 	began := i.cfg.Clock()
 	if sent, err := i.client.CallOnce(ctx, p.owner.Address, name, message, &result); err != nil {
-		i.countOwnerFallback(fallbackUnresponsive)
-		i.markOwnerFailed(p.owner, p.endpoint.ID, err)
+		i.recordOwnerError(p.owner, p.endpoint.ID, err)
 		return readResult{Sent: sent}, trace.Wrap(err)
 	}
 	if err := i.checkOwnerReply(p.owner, p.endpoint.ID, result); err != nil {
@@ -132,6 +134,27 @@
 	return result, nil
 }
 
+// checkSilentOwner checks a connection owner after ownerSilence, unless the timer is stopped
+// before.
+func (i *Instance) checkSilentOwner(m member, endpoint string) *time.Timer {
+	return time.AfterFunc(ownerSilence, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), ownerCheckTimeout)
+		defer cancel()
+		if !i.ping(ctx, m) {
+			i.markOwnerFailed(m, endpoint, errOwnerSilent)
+		}
+	})
+}
+
+// recordOwnerError records that a connection owner has returned no result. One that had no time
+// left for it may be well: checkSilentOwner decides.
+func (i *Instance) recordOwnerError(m member, endpoint string, err error) {
+	i.countOwnerFallback(fallbackUnresponsive)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		i.markOwnerFailed(m, endpoint, err)
+	}
+}
+
 // checkOwnerReply returns an error if a reply holds no answer of the endpoint, and skips an
 // owner that has failed or is leaving.
 func (i *Instance) checkOwnerReply(m member, endpoint string, result readResult) error {
--- a/internal/leadership/attestation.go
+++ b/internal/leadership/attestation.go
@@ -47,13 +47,14 @@
 	a.Age = max(a.Age, other.Age)
 }
 
-// collect asks members for the latest epochs that they know, this instance excepted.
-func (c *Controller) collect(ctx context.Context, members []Member) Attestation {
+// collect asks members for the latest epochs that they know, this instance excepted; with
+// forOthers, on behalf of other instances as well.
+func (c *Controller) collect(ctx context.Context, members []Member, forOthers bool) Attestation {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	responses := blackboard.NewTable[string, map[string]uint64]()
 	for range c.requestAll(ctx, members, func(ctx context.Context, m Member) (bool, error) {
-		known, err := c.cfg.Peers.KnownEpochs(ctx, m)
+		known, err := c.cfg.Peers.KnownEpochs(ctx, m, forOthers)
 		if err == nil {
 			responses.Put(m.Name, known)
 		}
@@ -110,16 +111,16 @@
 }
 
 // Confirm returns the latest epochs known to this instance to another one that asks for the
-// confirmation of its records.
-func (c *Controller) Confirm(name string) (map[string]uint64, bool) {
-	return c.cfg.PrimaryView.confirmTo(name)
+// confirmation of its records or, with collecting, of those of others as well.
+func (c *Controller) Confirm(name string, collecting bool) (map[string]uint64, bool) {
+	return c.cfg.PrimaryView.confirmTo(name, collecting)
 }
 
 // AttestTo is Attest for another instance that asks for the confirmation of its records.
 func (c *Controller) AttestTo(ctx context.Context, name string) Attestation {
 	collected := c.Attest(ctx)
 	// The collection may be older than a revocation by this instance.
-	if epochs, ok := c.Confirm(name); ok {
+	if epochs, ok := c.Confirm(name, false); ok {
 		own := Attestation{Members: slices.Clone(collected.Members), Age: collected.Age}
 		own.merge(Attestation{Epochs: collected.Epochs}, nil)
 		own.merge(Attestation{Epochs: epochs, Members: []string{c.cfg.Self}}, map[string]struct{}{c.cfg.Self: {}})
@@ -140,7 +141,7 @@
 	now := c.cfg.Clock()
 	if c.attestedAt == 0 || now-c.attestedAt > attestationLifetime {
 		members := slices.DeleteFunc(slices.Clone(c.cfg.Members()), func(m Member) bool { return m.FailureDomain != c.cfg.FailureDomain })
-		collected := c.collect(ctx, members)
+		collected := c.collect(ctx, members, true)
 		if epochs, ok := c.cfg.PrimaryView.KnownEpochs(); ok {
 			collected.merge(Attestation{Epochs: epochs, Members: []string{c.cfg.Self}}, map[string]struct{}{c.cfg.Self: {}})
 		}
--- a/internal/leadership/confirmation.go
+++ b/internal/leadership/confirmation.go
@@ -125,7 +125,7 @@
 	members := c.cfg.Members()
 	var merged Attestation
 	if len(members) <= maxDirectConfirmations {
-		merged = c.collect(ctx, members)
+		merged = c.collect(ctx, members, false)
 	} else {
 		merged = c.collectFromDomains(ctx, members)
 	}
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -74,8 +74,8 @@
 	// this instance.
 	ReportSuspect(ctx context.Context, m Member, service, endpoint string) error
 	// KnownEpochs returns the latest epoch of each service that is known to the member, which
-	// thereby confirms the records of this instance.
-	KnownEpochs(ctx context.Context, m Member) (map[string]uint64, error)
+	// thereby confirms the records of this instance. With collecting, they are passed on.
+	KnownEpochs(ctx context.Context, m Member, collecting bool) (map[string]uint64, error)
 	// Attest returns what the instances of the member's failure domain together know.
 	Attest(ctx context.Context, m Member) (Attestation, error)
 	// IsReplacing reports whether the member is running the replacement with this epoch.
--- a/internal/leadership/primaryview.go
+++ b/internal/leadership/primaryview.go
@@ -70,6 +70,8 @@
 	// confirmedTo is when this instance last confirmed the records of others, by the name of
 	// the instance that has asked; guarded by mu.
 	confirmedTo map[string]time.Duration
+	// collectedBy is the same for the requests on behalf of others; guarded by mu.
+	collectedBy map[string]time.Duration
 	reliance    reliance // guarded by mu
 	// startedAt is the start of this view; epochs revoked before it are not known.
 	startedAt time.Duration
@@ -96,7 +98,7 @@
 		clock: clock, log: log, domain: domain, registry: registry,
 		startedAt: clock(),
 		changed:   blackboard.NewCell(struct{}{}), services: make(map[string]*serviceState),
-		confirmedTo: make(map[string]time.Duration),
+		confirmedTo: make(map[string]time.Duration), collectedBy: make(map[string]time.Duration),
 	}
 }
 
--- a/internal/leadership/reliance.go
+++ b/internal/leadership/reliance.go
@@ -51,17 +51,31 @@
 type Confirmations struct {
 	// Ago holds the time since the last confirmation for each instance, by name.
 	Ago map[string]time.Duration `json:"ago_ns,omitempty"`
-	// OthersAgo is the least time since the last confirmation for any other instance.
+	// CollectedAgo holds the same for instances that ask on behalf of others as well, which may
+	// pass the confirmation on.
+	CollectedAgo map[string]time.Duration `json:"collected_ago_ns,omitempty"`
+	// OthersAgo is the least time since the last confirmation of either kind for any other
+	// instance.
 	OthersAgo time.Duration `json:"others_ago_ns"`
 }
 
-// before returns a time, given that c has arrived at received, after which the member has not
-// confirmed the records of the instance.
-func (c Confirmations) before(name string, received time.Duration) time.Duration {
-	if ago, ok := c.Ago[name]; ok {
-		return received - ago
+// given returns a time, if c has arrived at received, after which the member has confirmed
+// nothing to the instance.
+func (c Confirmations) given(name string, received time.Duration) time.Duration {
+	return received - agoOf(c.Ago, name, c.OthersAgo)
+}
+
+// collected returns a time, if c has arrived at received, after which the member has confirmed
+// nothing that the instance might pass on.
+func (c Confirmations) collected(name string, received time.Duration) time.Duration {
+	return received - agoOf(c.CollectedAgo, name, c.OthersAgo)
+}
+
+func agoOf(known map[string]time.Duration, name string, others time.Duration) time.Duration {
+	if ago, ok := known[name]; ok {
+		return ago
 	}
-	return received - c.OthersAgo
+	return others
 }
 
 // RelyOnConfirmations makes the use of primaries depend on confirmations by a majority alone. It
@@ -123,12 +137,15 @@
 }
 
 // confirmTo is KnownEpochs on behalf of another instance, whose records are thereby confirmed:
-// the time of that is kept for replacements. Once Revoke has returned, no confirmation lacks
-// the epoch.
-func (v *PrimaryView) confirmTo(name string) (map[string]uint64, bool) {
+// the time of that is kept for replacements. With collecting, that instance passes it on. Once
+// Revoke has returned, no confirmation lacks the epoch.
+func (v *PrimaryView) confirmTo(name string, collecting bool) (map[string]uint64, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.confirmedTo[name] = v.clock()
+	if collecting {
+		v.collectedBy[name] = v.clock()
+	}
 	return v.knownEpochs()
 }
 
@@ -139,13 +156,17 @@
 	now := v.clock()
 	// Requests of earlier versions name no sender, and an earlier process of this instance
 	// may have confirmed until its end.
-	c := Confirmations{Ago: make(map[string]time.Duration), OthersAgo: now - max(v.startedAt, v.confirmedTo[""])}
-	for name, at := range v.confirmedTo {
-		if ago := now - at; name != "" && ago < c.OthersAgo {
-			c.Ago[name] = ago
+	othersAgo := now - max(v.startedAt, v.confirmedTo[""])
+	since := func(times map[string]time.Duration) map[string]time.Duration {
+		ago := make(map[string]time.Duration)
+		for name, at := range times {
+			if now-at < othersAgo && name != "" {
+				ago[name] = now - at
+			}
 		}
+		return ago
 	}
-	return c
+	return Confirmations{Ago: since(v.confirmedTo), CollectedAgo: since(v.collectedBy), OthersAgo: othersAgo}
 }
 
 // watchReliance keeps this instance's announcement up to date.
--- a/internal/leadership/revoke.go
+++ b/internal/leadership/revoke.go
@@ -37,7 +37,7 @@
 		go func() {
 			given, ok := r.revokeMember(revokeCtx, m)
 			if ok {
-				revoked <- revocation{member: m.Name, given: given, received: r.c.cfg.Clock()}
+				revoked <- revocation{member: m.Name, confirmed: given, received: r.c.cfg.Clock()}
 			}
 		}()
 	}
@@ -65,9 +65,9 @@
 
 // revocation is the response of a member that has revoked the primary.
 type revocation struct {
-	member   string
-	given    Confirmations
-	received time.Duration
+	member    string
+	confirmed Confirmations
+	received  time.Duration
 }
 
 // expiresAt returns when the records of the pending members have expired. Once those are a
@@ -82,21 +82,22 @@
 		}
 		extendedAt := minorityAt
 		if m.ConfirmedOnly {
-			extendedAt = min(extendedAt, r.lastConfirmation(pending))
+			extendedAt = min(extendedAt, r.lastConfirmation(m.Name, pending))
 		}
 		expiry = max(expiry, extendedAt+r.lifetimeAt(m)+leaseExpiryMargin)
 	}
 	return expiry
 }
 
-// lastConfirmation returns a time after which no pending member has got a confirmation by a
+// lastConfirmation returns a time after which a pending member has not got a confirmation by a
 // majority. Each majority includes a member that has revoked the primary, and what that one has
-// confirmed has reached the pending members directly or through one of them.
-func (r *replacement) lastConfirmation(pending map[string]Member) time.Duration {
+// confirmed has reached the pending member directly or through another pending one.
+func (r *replacement) lastConfirmation(name string, pending map[string]Member) time.Duration {
 	var last time.Duration
 	for _, done := range r.revocations {
-		for name := range pending {
-			last = max(last, done.given.before(name, done.received))
+		last = max(last, done.confirmed.given(name, done.received))
+		for other := range pending {
+			last = max(last, done.confirmed.collected(other, done.received))
 		}
 	}
 	return last
