backend: the owner of an endpoint's connections lets its statements run in the order of their targets

Cause: while the replicas of a database lag, all its reads go to one primary with five slots. Up to 28 statements were sent to it at once over the owner's connections, so that they waited there by arrival, an order of 11 ms with a target of 200 ms behind reads of 55 ms with 800 ms, and each connection beyond the slots cost handshakes, which occupy slots.

Change: at most one statement more than the endpoint has slots runs at once, transactions aside. The others wait by the time at which they miss the latency target of their operation, which owners are told; those that can still meet it go first, and one in four is the one that is due for longest. A full queue drops the one that is due last, and what cannot run in its time is refused at once.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -86,7 +86,7 @@
 	e := &fakeEndpoint{limit: 1}
 	p := newPools(t, e, 1)
 	for _, organisation := range []string{"a", "a", "b", "a"} {
-		pooled, err := p.Acquire(t.Context(), testEndpoint, organisation, 0)
+		pooled, err := p.Acquire(t.Context(), testEndpoint, organisation, Turn{})
 		require.NoError(t, err)
 		require.Equal(t, organisation, pooled.Organisation)
 		pooled.Release()
@@ -107,7 +107,7 @@
 			pending.Go(func() {
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
-				_, err := p.Acquire(ctx, testEndpoint, "a", 0)
+				_, err := p.Acquire(ctx, testEndpoint, "a", Turn{})
 				require.Equal(t, verdict.NotRun, verdict.Of(err))
 			})
 		}
@@ -122,12 +122,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := &fakeEndpoint{limit: 1}
 		p := newPools(t, e, 1)
-		held, err := p.Acquire(t.Context(), testEndpoint, "a", 0)
+		held, err := p.Acquire(t.Context(), testEndpoint, "a", Turn{})
 		require.NoError(t, err)
 		order := make(chan int, 2)
 		for _, priority := range []int{2, 1} {
 			go func() {
-				pooled, err := p.Acquire(t.Context(), testEndpoint, "a", priority)
+				pooled, err := p.Acquire(t.Context(), testEndpoint, "a", Turn{Priority: priority})
 				require.NoError(t, err)
 				order <- priority
 				pooled.Release()
@@ -147,7 +147,7 @@
 	e := &fakeEndpoint{limit: 1}
 	p := newPools(t, e, 1)
 	run := func(values map[string]string) []request.Kind {
-		pooled, err := p.Acquire(t.Context(), testEndpoint, "a", 0)
+		pooled, err := p.Acquire(t.Context(), testEndpoint, "a", Turn{})
 		require.NoError(t, err)
 		defer pooled.Release()
 		e.sent = nil
@@ -163,7 +163,7 @@
 	require.Equal(t, []request.Kind{request.Read}, run(map[string]string{"colour": "red"}))
 	require.Equal(t, []request.Kind{request.Set, request.Read}, run(map[string]string{"colour": "blue"}))
 	require.Equal(t, []request.Kind{request.Reset, request.Read}, run(nil))
-	pooled, err := p.Acquire(t.Context(), testEndpoint, "a", 0)
+	pooled, err := p.Acquire(t.Context(), testEndpoint, "a", Turn{})
 	require.NoError(t, err)
 	pooled.Release() // acquired, and nothing sent
 	require.Equal(t, []request.Kind{request.Set, request.Read}, run(map[string]string{"colour": "red"}))
@@ -173,7 +173,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := &fakeEndpoint{limit: 2, fail: errors.New("reset")}
 		p := newPools(t, e, 1)
-		pooled, err := p.Acquire(t.Context(), testEndpoint, "a", 0)
+		pooled, err := p.Acquire(t.Context(), testEndpoint, "a", Turn{})
 		require.NoError(t, err)
 		_, sent, err := pooled.Run(t.Context(), Needs{}, read())
 		require.Error(t, err)
@@ -184,7 +184,7 @@
 		time.Sleep(time.Second)
 		require.Equal(t, time.Second, p.cfg.Health.UnresponsiveFor("s1"))
 		e.fail = nil
-		again, err := p.Acquire(t.Context(), testEndpoint, "a", 0)
+		again, err := p.Acquire(t.Context(), testEndpoint, "a", Turn{})
 		require.NoError(t, err)
 		defer again.Release()
 		require.Equal(t, 2, e.dials)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -110,7 +110,14 @@
 	idle []*PooledConn
 	// open counts the connections that are idle, in use or being opened.
 	open    int
-	waiters []*waiter
+	waiters []*waiter // by the time at which they are due
+	// busy counts the connections that occupy a slot of the endpoint: those in use outside
+	// transactions. notified counts the waiters that may take one.
+	busy, notified int
+	// heldFor is the moving average of the time for which a slot is occupied; wakes counts the
+	// waiters that were notified.
+	heldFor time.Duration
+	wakes   uint64
 	// demand is observed while this instance is the connection owner.
 	demand demand
 	// Until ownShareUntil the pool is limited to its own share; before nextDialAt it opens
@@ -119,12 +126,6 @@
 	fullBackoff               time.Duration
 }
 
-// waiter is a statement that waits for a connection.
-type waiter struct {
-	priority int
-	notify   chan struct{}
-}
-
 func (p *Pools) poolOf(id string) *pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -137,16 +138,20 @@
 }
 
 // Acquire returns a connection of the organisation to the endpoint and waits for one if
-// necessary. Waiting statements with a lower priority number go first. An error means that
-// nothing was sent.
-func (p *Pools) Acquire(ctx context.Context, e catalog.Endpoint, organisation string, priority int) (*PooledConn, error) {
+// necessary, in the order of Turn. An error means that nothing was sent.
+func (p *Pools) Acquire(ctx context.Context, e catalog.Endpoint, organisation string, t Turn) (*PooledConn, error) {
 	q := p.poolOf(e.ID)
-	if p.cfg.Ownership(e) == OwnedHere {
+	owned := p.cfg.Ownership(e) == OwnedHere
+	if owned {
 		q.noteDemand(organisation)
 	}
+	t.setDefault(p.cfg.Clock())
+	c := claim{organisation: organisation, turn: t, occupies: owned && !t.Transaction}
 	for {
-		share, maxOpen, _ := p.limits(e)
-		pooled, evicted, dial, w := q.takeOrQueue(e, organisation, priority, share, maxOpen)
+		c.share, c.maxOpen, _ = p.limits(e)
+		c.expires = expiryOf(ctx, p.cfg.Clock())
+		pooled, evicted, dial, w := q.takeOrQueue(e, c)
+		c.notified = false
 		if evicted != nil {
 			evicted.conn.Close()
 		}
@@ -157,7 +162,7 @@
 			pooled.Discard()
 			continue
 		case dial:
-			pooled, err := q.connect(ctx, e, organisation)
+			pooled, err := q.connect(ctx, e, c)
 			if err == nil || !isFullErr(err) {
 				return pooled, err
 			}
@@ -167,6 +172,10 @@
 		}
 		select {
 		case <-w.notify:
+			if w.dropped {
+				return nil, noConnectionErr(e)
+			}
+			c.notified = true
 		case <-ctx.Done():
 			q.removeWaiter(w)
 			return nil, noConnectionErr(e)
@@ -212,10 +221,23 @@
 
 // takeOrQueue returns one of: an idle connection of the organisation; permission to dial a
 // new one, together with an idle connection that must be closed for it, if any; or a waiter
-// that has been queued. It returns none of them when the queue is full.
-func (q *pool) takeOrQueue(e catalog.Endpoint, organisation string, priority, share, maxOpen int) (pooled, evicted *PooledConn, dial bool, w *waiter) {
+// that has been queued. It returns none of them when the queue is full, or when the statement
+// could not run in its time.
+func (q *pool) takeOrQueue(e catalog.Endpoint, c claim) (pooled, evicted *PooledConn, dial bool, w *waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if c.notified {
+		q.notified--
+	}
+	if c.occupies && !q.hasSlot(e) {
+		return nil, nil, false, q.enqueue(e, c)
+	}
+	organisation, share, maxOpen := c.organisation, c.share, c.maxOpen
+	defer func() {
+		if c.occupies && (pooled != nil || dial) {
+			q.occupy(pooled)
+		}
+	}()
 	for i := len(q.idle) - 1; i >= 0; i-- {
 		if pc := q.idle[i]; pc.Organisation == organisation && pc.Endpoint.Address == e.Address && pc.Endpoint.StartedAt == e.StartedAt {
 			q.idle = slices.Delete(q.idle, i, i+1)
@@ -238,18 +260,7 @@
 		q.idle = slices.Delete(q.idle, n, n+1)
 		return nil, evicted, true, nil
 	}
-	if len(q.waiters) >= maxWaiters {
-		return nil, nil, false, nil
-	}
-	w = &waiter{priority: priority, notify: make(chan struct{}, 1)}
-	at, _ := slices.BinarySearchFunc(q.waiters, w, func(a, b *waiter) int {
-		if a.priority <= b.priority {
-			return -1
-		}
-		return 1
-	})
-	q.waiters = slices.Insert(q.waiters, at, w)
-	return nil, nil, false, w
+	return nil, nil, false, q.enqueue(e, c)
 }
 
 // noteDemand records that the organisation acquires a connection.
@@ -260,10 +271,10 @@
 }
 
 // connect opens a connection that takeOrQueue has already counted in q.open.
-func (q *pool) connect(ctx context.Context, e catalog.Endpoint, organisation string) (*PooledConn, error) {
+func (q *pool) connect(ctx context.Context, e catalog.Endpoint, c claim) (*PooledConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := q.pools.cfg.Dialer.Dial(ctx, e, organisation)
+	conn, err := q.pools.cfg.Dialer.Dial(ctx, e, c.organisation)
 	var refused *verdict.Error
 	if err == nil || errors.As(err, &refused) {
 		q.health.recordDial(q.id, nil)
@@ -276,13 +287,17 @@
 		if isFullErr(err) {
 			q.noteFull()
 		}
+		if c.occupies {
+			q.busy--
+		}
 		q.noteClosed()
 		return nil, err
 	}
+	pc := &PooledConn{Endpoint: e, Organisation: c.organisation, conn: conn, pool: q, occupies: c.occupies, takenAt: q.pools.cfg.Clock()}
 	q.mu.Lock()
 	q.fullBackoff = 0
 	q.mu.Unlock()
-	return &PooledConn{Endpoint: e, Organisation: organisation, conn: conn, pool: q}, nil
+	return pc, nil
 }
 
 // noteFull starts the backoff and limits the pool to its own share, after the endpoint has
@@ -305,36 +320,18 @@
 	q.notifyFirst()
 }
 
-// notifyFirst dequeues the first waiter and lets it try again. The caller holds mu.
-func (q *pool) notifyFirst() {
-	if len(q.waiters) > 0 {
-		q.waiters[0].notify <- struct{}{}
-		q.waiters = q.waiters[1:]
-	}
-}
-
-// removeWaiter removes a waiter from the queue. If it was already notified, the next waiter
-// is notified in its place.
-func (q *pool) removeWaiter(w *waiter) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if i := slices.Index(q.waiters, w); i >= 0 {
-		q.waiters = slices.Delete(q.waiters, i, i+1)
-		return
-	}
-	q.notifyFirst()
-}
-
 func (q *pool) release(pc *PooledConn) {
 	if _, _, keepIdle := q.pools.limits(pc.Endpoint); pc.broken || pc.inTransaction || keepIdle == 0 {
 		pc.conn.Close()
 		q.mu.Lock()
 		defer q.mu.Unlock()
+		q.vacate(pc)
 		q.noteClosed()
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.vacate(pc)
 	pc.idleSince = q.pools.cfg.Clock()
 	q.idle = append(q.idle, pc)
 	q.notifyFirst()
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -40,12 +40,15 @@
 // readMessage is a statement for a connection owner to run. Strings that come from callers
 // are checked to be valid UTF-8, because JSON would change others.
 type readMessage struct {
-	Endpoint     string          `json:"endpoint,omitempty"`
-	Organisation string          `json:"organisation,omitempty"`
-	Priority     int             `json:"priority,omitempty"`
-	Timeout      time.Duration   `json:"timeout_ns"`
-	Needs        backend.Needs   `json:"needs,omitzero"`
-	Command      request.Command `json:"command"`
+	Endpoint     string        `json:"endpoint,omitempty"`
+	Organisation string        `json:"organisation,omitempty"`
+	Priority     int           `json:"priority,omitempty"`
+	Timeout      time.Duration `json:"timeout_ns"`
+	// DueIn is the time until the statement misses its latency target, negative if it has; nil
+	// if there is none, and from earlier versions.
+	DueIn   *time.Duration  `json:"due_in_ns,omitempty"`
+	Needs   backend.Needs   `json:"needs,omitzero"`
+	Command request.Command `json:"command"`
 	// Primary is set if the endpoint must be the service's primary of this epoch.
 	Primary *epochMessage `json:"primary,omitempty"`
 	// Leaving names the incarnations that the sender knows to be leaving.
--- a/internal/edge/owner_statement.go
+++ b/internal/edge/owner_statement.go
@@ -62,15 +62,15 @@
 	owner        member
 	endpoint     catalog.Endpoint
 	organisation string
-	priority     int
+	turn         backend.Turn
 }
 
 // viaOwner implements pipeline.Config.ViaOwner. It returns false if this instance should use
 // its own connections. Transactions need a limit of their idle time, after which the owner
 // ends those that their requester has lost.
-func (i *Instance) viaOwner(e catalog.Endpoint, organisation string, priority int, transaction bool) (pipeline.OwnerPath, bool) {
+func (i *Instance) viaOwner(e catalog.Endpoint, organisation string, t backend.Turn) (pipeline.OwnerPath, bool) {
 	m, ok := i.owners.Get()[e.ID]
-	if !ok || m.Name == i.cfg.Name || transaction && i.configuration.Get().TransactionIdle <= 0 {
+	if !ok || m.Name == i.cfg.Name || t.Transaction && i.configuration.Get().TransactionIdle <= 0 {
 		return nil, false
 	}
 	if until, bad := i.ownerSkippedUntil.Get(e.ID); bad && i.cfg.Clock() < until {
@@ -79,18 +79,30 @@
 	if m.FailureDomain != i.cfg.FailureDomain && i.admission.Isolated() {
 		return nil, false // each owner would cost a statement its timeout, again and again
 	}
-	return ownerPath{i: i, owner: m, endpoint: e, organisation: organisation, priority: priority}, true
+	return ownerPath{i: i, owner: m, endpoint: e, organisation: organisation, turn: t}, true
 }
 
 // message returns a message with what the owner has to know of the endpoint and the caller.
 func (p ownerPath) message(use *leadership.Use, needs backend.Needs, command request.Command) readMessage {
-	m := readMessage{Endpoint: p.endpoint.ID, Organisation: p.organisation, Priority: p.priority, Needs: needs, Command: command}
+	m := readMessage{Endpoint: p.endpoint.ID, Organisation: p.organisation, Priority: p.turn.Priority, Needs: needs, Command: command}
 	if use != nil {
 		m.Primary = &epochMessage{Service: p.endpoint.Service, Epoch: use.Epoch}
 	}
+	if p.turn.DueAt != 0 {
+		m.DueIn = new(p.turn.DueAt - p.i.cfg.Clock())
+	}
 	return m
 }
 
+// turnOf returns the turn of a statement for another instance.
+func (i *Instance) turnOf(m readMessage) backend.Turn {
+	t := backend.Turn{Priority: m.Priority, Transaction: m.Transaction != nil}
+	if m.DueIn != nil {
+		t.DueAt = i.cfg.Clock() + *m.DueIn
+	}
+	return t
+}
+
 // Run implements pipeline.OwnerPath.
 func (p ownerPath) Run(ctx context.Context, use *leadership.Use, needs backend.Needs, command request.Command) (answer request.Answer, sent bool, err error) {
 	message := p.message(use, needs, command)
@@ -227,7 +239,7 @@
 
 // acquireForOther acquires a connection for another instance.
 func (i *Instance) acquireForOther(ctx context.Context, e catalog.Endpoint, m readMessage) (*backend.PooledConn, *readResult) {
-	link, err := i.pools.Acquire(ctx, e, m.Organisation, m.Priority)
+	link, err := i.pools.Acquire(ctx, e, m.Organisation, i.turnOf(m))
 	var refused *verdict.Error
 	switch {
 	case err == nil:
--- a/internal/edge/owner_test.go
+++ b/internal/edge/owner_test.go
@@ -90,7 +90,7 @@
 }
 
 func (r *ownerFixture) read(t *testing.T, needs backend.Needs, text string) (request.Answer, bool, error) {
-	path, ok := r.requester.viaOwner(r.endpoint, "shop", 1, false)
+	path, ok := r.requester.viaOwner(r.endpoint, "shop", backend.Turn{Priority: 1})
 	require.True(t, ok)
 	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 	defer cancel()
@@ -157,7 +157,7 @@
 			_, sent, err := r.read(t, backend.Needs{}, "READ 1")
 			require.Error(t, err)
 			require.Equal(t, c.sent, sent)
-			_, ok := r.requester.viaOwner(r.endpoint, "shop", 1, false)
+			_, ok := r.requester.viaOwner(r.endpoint, "shop", backend.Turn{Priority: 1})
 			require.False(t, ok)
 		})
 	}
@@ -167,7 +167,7 @@
 // does not try the connection owner of each endpoint in turn.
 func TestIsolatedInstanceUsesOwnConnections(t *testing.T) {
 	r := newOwnerFixture(t)
-	_, ok := r.requester.viaOwner(r.endpoint, "shop", 1, false)
+	_, ok := r.requester.viaOwner(r.endpoint, "shop", backend.Turn{Priority: 1})
 	require.True(t, ok)
 	members := r.requester.members.Get()
 	for _, name := range []string{"c1", "c2", "c3"} {
@@ -176,12 +176,12 @@
 	r.requester.members.Set(members)
 	r.requester.admission.ProbeOtherDomains(t.Context())
 	require.True(t, r.requester.admission.Isolated())
-	_, ok = r.requester.viaOwner(r.endpoint, "shop", 1, false)
+	_, ok = r.requester.viaOwner(r.endpoint, "shop", backend.Turn{Priority: 1})
 	require.False(t, ok)
 	same := r.endpoint
 	same.ID, same.FailureDomain = "s2", "a"
 	r.requester.owners.Set(map[string]member{"s2": {Name: "a2", FailureDomain: "a", Address: "127.0.0.1:1"}})
-	_, ok = r.requester.viaOwner(same, "shop", 1, false)
+	_, ok = r.requester.viaOwner(same, "shop", backend.Turn{Priority: 1})
 	require.True(t, ok, "the owner is in the instance's own failure domain")
 }
 
--- a/internal/edge/owner_transaction.go
+++ b/internal/edge/owner_transaction.go
@@ -17,6 +17,9 @@
 // rolls the transaction back once it was idle for too long.
 const discardTimeout = 500 * time.Millisecond
 
+// minAbortTimeout is the least time without a response after which a transaction is aborted.
+const minAbortTimeout = 400 * time.Millisecond
+
 // transactionStep is the part of a message that concerns the transaction.
 type transactionStep struct {
 	// ID names the transaction. It cannot be guessed, and is never used again.
@@ -112,7 +115,7 @@
 	if !ok {
 		return ctx, func() {}
 	}
-	return context.WithTimeout(ctx, max(ownerSilence, time.Until(deadline)/2))
+	return context.WithTimeout(ctx, max(minAbortTimeout, time.Until(deadline)/2))
 }
 
 // noteAnswer records the effect of an answered statement.
--- a/internal/edge/owner_transaction_test.go
+++ b/internal/edge/owner_transaction_test.go
@@ -115,7 +115,7 @@
 }
 
 func (f *transactionFixture) path() pipeline.OwnerPath {
-	path, ok := f.requester.viaOwner(f.endpoint, "shop", 1, true)
+	path, ok := f.requester.viaOwner(f.endpoint, "shop", backend.Turn{Priority: 1, Transaction: true})
 	require.True(f.t, ok)
 	return path
 }
@@ -216,7 +216,7 @@
 	f.requireRolledBack()
 	ran, _ = f.server.history()
 	require.Equal(t, before, ran)
-	_, ok := f.requester.viaOwner(f.endpoint, "shop", 1, true)
+	_, ok := f.requester.viaOwner(f.endpoint, "shop", backend.Turn{Priority: 1, Transaction: true})
 	require.True(t, ok, "the refusal shows no failure of the owner")
 }
 
@@ -319,7 +319,7 @@
 			f.requireRolledBack()
 			ran, _ := f.server.history()
 			require.LessOrEqual(t, len(ran), 4, "a statement ran again: %v", ran)
-			_, ok := f.requester.viaOwner(f.endpoint, "shop", 1, true)
+			_, ok := f.requester.viaOwner(f.endpoint, "shop", backend.Turn{Priority: 1, Transaction: true})
 			require.Equal(t, c.skipped, !ok)
 		})
 	}
@@ -337,7 +337,7 @@
 	begun, err := f.begin(statementOf(request.Write, "W1"))
 	require.Error(t, err)
 	require.True(t, begun.Sent)
-	_, ok := f.requester.viaOwner(f.endpoint, "shop", 1, true)
+	_, ok := f.requester.viaOwner(f.endpoint, "shop", backend.Turn{Priority: 1, Transaction: true})
 	require.True(t, ok, "an owner that waits for its endpoint is skipped")
 	f.requireRolledBack()
 }
@@ -350,7 +350,7 @@
 	owner := f.requester.owners.Get()[f.endpoint.ID]
 	f.requester.checkSilentOwner(owner, f.endpoint.ID)
 	time.Sleep(ownerSilence + 2*ownerCheckTimeout)
-	_, ok := f.requester.viaOwner(f.endpoint, "shop", 1, true)
+	_, ok := f.requester.viaOwner(f.endpoint, "shop", backend.Turn{Priority: 1, Transaction: true})
 	require.True(t, ok, "an owner that responds to the check is skipped")
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -359,7 +359,7 @@
 	owner.Address = listener.Addr().String()
 	f.requester.checkSilentOwner(owner, f.endpoint.ID).Reset(0)
 	require.Eventually(t, func() bool {
-		_, ok := f.requester.viaOwner(f.endpoint, "shop", 1, true)
+		_, ok := f.requester.viaOwner(f.endpoint, "shop", backend.Turn{Priority: 1, Transaction: true})
 		return !ok
 	}, 10*time.Second, time.Millisecond)
 }
@@ -389,7 +389,7 @@
 			require.Equal(t, c.sent, sent)
 			ran, _ := f.server.history()
 			require.Equal(t, c.sent, len(ran) == 1)
-			_, ok := f.requester.viaOwner(f.endpoint, "shop", 1, false)
+			_, ok := f.requester.viaOwner(f.endpoint, "shop", backend.Turn{Priority: 1})
 			require.True(t, ok, "the owner has not failed")
 		})
 	}
@@ -458,7 +458,7 @@
 	f := newTransactionFixture(t)
 	f.requester.owners.Set(nil)
 	require.Zero(t, testing.AllocsPerRun(100, func() {
-		if _, ok := f.requester.viaOwner(f.endpoint, "shop", 1, true); ok {
+		if _, ok := f.requester.viaOwner(f.endpoint, "shop", backend.Turn{Priority: 1, Transaction: true}); ok {
 			t.Error("there is no owner")
 		}
 	}))
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -66,7 +66,7 @@
 		MaxConnections: func(string) int { return 5 }, Registry: i.registry.Get,
 	})
 	require.NoError(t, err)
-	conn, err := pools.Acquire(t.Context(), i.registry.Get().Endpoints["db-1"], "shop", 0)
+	conn, err := pools.Acquire(t.Context(), i.registry.Get().Endpoints["db-1"], "shop", backend.Turn{})
 	require.NoError(t, err)
 	return i, conn
 }
--- a/internal/pipeline/config.go
+++ b/internal/pipeline/config.go
@@ -66,7 +66,7 @@
 	// ViaOwner returns the path to the endpoint over connections of its connection owner,
 	// another instance, for a transaction or a single statement. It returns false when no
 	// other instance owns the endpoint's connections, or when the owner is skipped.
-	ViaOwner func(e catalog.Endpoint, organisation string, priority int, transaction bool) (OwnerPath, bool)
+	ViaOwner func(e catalog.Endpoint, organisation string, t backend.Turn) (OwnerPath, bool)
 	// Refresh requests newer copies of the primary records and the registry, after an
 	// endpoint has contradicted the cached ones.
 	Refresh func()
@@ -87,7 +87,7 @@
 		return trace.BadParameter("pipeline: every port is required")
 	}
 	if c.ViaOwner == nil {
-		c.ViaOwner = func(catalog.Endpoint, string, int, bool) (OwnerPath, bool) { return nil, false }
+		c.ViaOwner = func(catalog.Endpoint, string, backend.Turn) (OwnerPath, bool) { return nil, false }
 	}
 	if c.AdmitToEndpoint == nil {
 		c.AdmitToEndpoint = func(context.Context, catalog.Endpoint, bool) error { return nil }
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/backend"
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
@@ -43,8 +44,17 @@
 
 // viaOwner returns the path to the endpoint over its connection owner, if it has one that
 // serves this instance.
-func (s *Session) viaOwner(r catalog.Route, organisation string, endpoint catalog.Endpoint) (OwnerPath, bool) {
-	return s.p.cfg.ViaOwner(endpoint, organisation, r.Priority, s.tx != nil)
+func (s *Session) viaOwner(organisation string, endpoint catalog.Endpoint, t backend.Turn) (OwnerPath, bool) {
+	return s.p.cfg.ViaOwner(endpoint, organisation, t)
+}
+
+// turn returns the turn of a statement on the route that began to run at startedAt.
+func (s *Session) turn(r catalog.Route, startedAt time.Duration) backend.Turn {
+	t := backend.Turn{Priority: r.Priority, Transaction: s.tx != nil}
+	if r.TargetLatency > 0 {
+		t.DueAt = startedAt + r.TargetLatency
+	}
+	return t
 }
 
 // exchangeOf returns the Exchange of a path for one attempt.
--- a/internal/pipeline/connection_owner_test.go
+++ b/internal/pipeline/connection_owner_test.go
@@ -54,7 +54,7 @@
 // ownElsewhere makes another instance the connection owner of the named endpoints.
 func (f *fixture) ownElsewhere(run Exchange, endpoints ...string) *fakeOwner {
 	o := &fakeOwner{run: run, endpoints: endpoints}
-	f.cfg.ViaOwner = func(e catalog.Endpoint, _ string, _ int, _ bool) (OwnerPath, bool) {
+	f.cfg.ViaOwner = func(e catalog.Endpoint, _ string, _ backend.Turn) (OwnerPath, bool) {
 		return o, slices.Contains(o.endpoints, e.ID)
 	}
 	return o
--- a/internal/pipeline/placement.go
+++ b/internal/pipeline/placement.go
@@ -100,7 +100,7 @@
 		load: cfg.Health.Load,
 	}
 	viaOwner := func(endpoint string) bool {
-		_, ok := s.viaOwner(r, organisation, cfg.Registry().Endpoints[endpoint])
+		_, ok := s.viaOwner(organisation, cfg.Registry().Endpoints[endpoint], s.turn(r, now))
 		return ok
 	}
 	plan.usable = func(endpoint string) bool { return viaOwner(endpoint) || cfg.Health.Usable(endpoint) }
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -93,7 +93,7 @@
 			use.Release()
 			return err
 		}
-		if _, viaOwner := e.s.viaOwner(r, organisation, endpoint); !viaOwner && !cfg.Health.Usable(use.Endpoint) {
+		if _, viaOwner := e.s.viaOwner(organisation, endpoint, e.s.turn(r, e.startedAt)); !viaOwner && !cfg.Health.Usable(use.Endpoint) {
 			// Other statements probe the endpoint meanwhile; waiting here occupies no
 			// connection and no use of the primary.
 			use.Release()
@@ -144,7 +144,8 @@
 	e.endpoint, at.endpoint = endpoint.ID, endpoint
 	e.s.p.requestLog.countAttempt(e, at)
 	cfg := &e.s.p.cfg
-	if path, ok := e.s.viaOwner(r, organisation, endpoint); ok {
+	turn := e.s.turn(r, e.startedAt)
+	if path, ok := e.s.viaOwner(organisation, endpoint, turn); ok {
 		at.run, at.owner = exchangeOf(path, at.use), path
 		if result := e.runViaOwner(ctx, at, run); result.err == nil || result.sent {
 			return result, nil
@@ -152,7 +153,7 @@
 		at.owner = nil
 	}
 	queued := cfg.Clock()
-	conn, err := cfg.Pools.Acquire(ctx, endpoint, organisation, r.Priority)
+	conn, err := cfg.Pools.Acquire(ctx, endpoint, organisation, turn)
 	e.queued += cfg.Clock() - queued
 	if err != nil {
 		return outcome{}, err
