backend: idle connections make room sooner, and reads do not wait for a full endpoint

Cause: endpoints keep the connections of machines that have lost power for 3 s. An owner kept up to 28 of 34 for 30 s of idleness, so that few were left for its next start; reads waited there for 400 ms, until their attempt ended, although replicas elsewhere could run them.

Change: idle connections are kept for 5 s. A read for which another endpoint may do is refused where the endpoint is full and the wait would be above 50 ms.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -18,8 +18,9 @@
 const (
 	// idleScanInterval is the interval between scans for idle connections to close.
 	idleScanInterval = 500 * time.Millisecond
-	// idleTimeout is shorter than that of endpoints, which close idle connections after 60 s.
-	idleTimeout = 30 * time.Second
+	// idleTimeout is long enough for the organisations that use an endpoint regularly. Others would
+	// keep its places, also those of an instance that has lost power, for a while.
+	idleTimeout = 5 * time.Second
 	// dialTimeout limits the opening of a connection, which takes about 12 ms, or longer
 	// while all slots of the endpoint are in use.
 	dialTimeout = 600 * time.Millisecond
--- a/internal/backend/turn.go
+++ b/internal/backend/turn.go
@@ -25,6 +25,9 @@
 	heldWeight = 0.05
 	// initialHeld is the assumed time before the first statement.
 	initialHeld = 20 * time.Millisecond
+	// maxMovableWait is the expected wait for a connection to a full endpoint from which a
+	// statement that another endpoint may run is refused.
+	maxMovableWait = 50 * time.Millisecond
 	// noExpiry stands for a statement without a deadline.
 	noExpiry = time.Duration(1<<63 - 1)
 )
@@ -38,6 +41,8 @@
 	// Transaction is true if the connection is for a transaction, which occupies no slot while
 	// it is idle.
 	Transaction bool
+	// Movable is true if another endpoint may run the statement as well.
+	Movable bool
 }
 
 func (t *Turn) setDefault(now time.Duration) {
@@ -122,6 +127,11 @@
 	if at >= maxWaiters {
 		return nil
 	}
+	if c.turn.Movable && q.pools.cfg.Clock() < q.nextDialAt {
+		if q.open == 0 || time.Duration(at+1)*q.held()/time.Duration(q.open) > maxMovableWait {
+			return nil
+		}
+	}
 	if c.occupies && e.Slots > 0 {
 		wait := time.Duration(at+1) * q.held() / time.Duration(e.Slots)
 		if q.pools.cfg.Clock()+wait > c.expires {
--- a/internal/edge/owner_statement.go
+++ b/internal/edge/owner_statement.go
@@ -96,7 +96,7 @@
 
 // turnOf returns the turn of a statement for another instance.
 func (i *Instance) turnOf(m readMessage) backend.Turn {
-	t := backend.Turn{Priority: m.Priority, Transaction: m.Transaction != nil}
+	t := backend.Turn{Priority: m.Priority, Transaction: m.Transaction != nil, Movable: m.Primary == nil}
 	if m.DueIn != nil {
 		t.DueAt = i.cfg.Clock() + *m.DueIn
 	}
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -145,6 +145,7 @@
 	e.s.p.requestLog.countAttempt(e, at)
 	cfg := &e.s.p.cfg
 	turn := e.s.turn(r, e.startedAt)
+	turn.Movable = at.use == nil
 	if path, ok := e.s.viaOwner(organisation, endpoint, turn); ok {
 		at.run, at.owner = exchangeOf(path, at.use), path
 		if result := e.runViaOwner(ctx, at, run); result.err == nil || result.sent {
