edge: a failure domain that is cut off is noticed by its requests for confirmation

Cause: instances with all the tokens they need noticed a cut by the next read of the store, 1.2 to 2.6 s after it, each at another time, and refused 70 to 80 requests a window meanwhile.

Change: a request for confirmation that no majority answers starts the check of the other failure domains; the first instance tells the others, as before.

Test: TestCutIsNoticedWithoutTokenRequests allows 1 s instead of 3.3 s.

--- a/internal/edge/cutoff.go
+++ b/internal/edge/cutoff.go
@@ -103,15 +103,22 @@
 
 // handleCutOff handles a notice of noticeCutOff. An instance that knows of the cut ignores it.
 func (i *Instance) handleCutOff(context.Context, empty) (empty, error) {
-	if !i.cutOff.Load() {
-		select {
-		case i.cutOffNoticed <- struct{}{}:
-		default:
-		}
-	}
+	i.suspectCutOff()
 	return empty{}, nil
 }
 
+// suspectCutOff makes watchCutOff check whether this failure domain is cut off, unless that is
+// known.
+func (i *Instance) suspectCutOff() {
+	if i.cutOff.Load() {
+		return
+	}
+	select {
+	case i.cutOffNoticed <- struct{}{}:
+	default:
+	}
+}
+
 // storeReachable reads the fleet's rows from the store, and reports whether that succeeded.
 func (i *Instance) storeReachable(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, cutOffStoreTimeout)
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -78,9 +78,9 @@
 			require.True(t, ready, reason)
 		}
 		f.cutOff("a")
-		// The domain reader's next read of the store fails, then those of the others, which it
-		// tells, and then probes of other failure domains.
-		time.Sleep(fleetInterval + fleetInterval/10 + 2*storeDialTimeout + 200*time.Millisecond)
+		// The next request for confirmation gets no answer, then the probes of other failure
+		// domains and the read of the store; the first instance tells the others.
+		time.Sleep(time.Second)
 		for _, i := range f.instances {
 			ready, reason := i.Ready()
 			require.Equal(t, i.cfg.FailureDomain != "a", ready, "%s: %s", i.cfg.Name, reason)
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -62,7 +62,7 @@
 	// cutOff is true while neither the store nor another failure domain answers.
 	cutOff atomic.Bool
 	// cutOffNoticed receives a value when an instance of the own failure domain has found
-	// itself cut off.
+	// itself cut off, and when no majority confirms the records of primaries.
 	cutOffNoticed chan struct{}
 	// outage is the state of the store as seen by the followers.
 	outage *follow.Outage
@@ -202,7 +202,7 @@
 		Self: i.cfg.Name, FailureDomain: i.cfg.FailureDomain, PrimaryView: i.primaryView, Refresh: i.fleet.Refresh, Registry: i.registry.Get,
 		RegistryComplete: i.registryComplete, Members: i.leadershipMembers, FreshMembers: i.freshMembers,
 		Reaches: i.reaches, Table: i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
-		Peers: peers{i.client, i.cfg.Name}, Health: i.health, SyncReplicas: i.syncReplicas, Announce: i.announceReliance,
+		Peers: peers{i.client, i.cfg.Name}, Health: i.health, SyncReplicas: i.syncReplicas, Announce: i.announceReliance, Unconfirmed: i.suspectCutOff,
 		Clock: i.cfg.Clock, Log: i.cfg.Log,
 	})
 	return trace.Wrap(err)
--- a/internal/leadership/confirmation.go
+++ b/internal/leadership/confirmation.go
@@ -52,8 +52,8 @@
 
 // applyConfirmation merges the latest epochs known to the members that answered a request
 // sent at sent. An epoch above the cached one revokes the primary at once. If they are a
-// majority together with this instance, the record is confirmed as of sent.
-func (v *PrimaryView) applyConfirmation(sent time.Duration, answered int, epochs map[string]uint64) {
+// majority together with this instance, the record is confirmed as of sent, and it returns true.
+func (v *PrimaryView) applyConfirmation(sent time.Duration, answered int, epochs map[string]uint64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for service, epoch := range epochs {
@@ -62,9 +62,11 @@
 			s.drainDeadline = 0
 		}
 	}
-	if 2*(answered+1) > v.records.members.Count {
+	confirmed := 2*(answered+1) > v.records.members.Count
+	if confirmed {
 		v.confirmedAt = max(v.confirmedAt, sent)
 	}
+	return confirmed
 }
 
 // untilConfirmation returns the time until the members have to be asked for confirmation, 0
@@ -129,5 +131,7 @@
 	} else {
 		merged = c.collectFromDomains(ctx, members)
 	}
-	c.cfg.PrimaryView.applyConfirmation(sent-merged.Age, len(merged.Members), merged.Epochs)
+	if !c.cfg.PrimaryView.applyConfirmation(sent-merged.Age, len(merged.Members), merged.Epochs) && c.cfg.Unconfirmed != nil {
+		c.cfg.Unconfirmed()
+	}
 }
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -122,6 +122,9 @@
 	// use of primaries. If it is nil, copies of the store always do; otherwise
 	// PrimaryView.RelyOnConfirmations is called before this instance registers.
 	Announce func(ctx context.Context, confirmedOnly bool) error
+	// Unconfirmed, if set, is called after a request for confirmation that no majority has
+	// answered. It must not block.
+	Unconfirmed func()
 	Clock    lease.Clock
 	Log      *zap.Logger
 }
