--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -125,8 +125,8 @@
 	// Unconfirmed, if set, is called after a request for confirmation that no majority has
 	// answered. It must not block.
 	Unconfirmed func()
-	Clock    lease.Clock
-	Log      *zap.Logger
+	Clock       lease.Clock
+	Log         *zap.Logger
 }
 
 // CheckAndSetDefaults validates the configuration.
