leadership: a replacement's goroutines read nothing that a later step writes

Cause: the goroutines that repeat a revocation, or watch the old primary, may outlive the revocation, and read the record while its order is recorded. Found by the race detector in TestMinorityThatReadsTheStore, in the look at the old primary; the epoch of a repeated revocation was read in the same way before.

Change: they read the term of the record that the replacement is based on, and the epoch that is kept for other goroutines. The test's own write of its faults while the fleet runs is gone.

--- a/internal/leadership/reliance_test.go
+++ b/internal/leadership/reliance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,8 +15,9 @@
 
 // announcingFleet is a fleet whose instances announce that they rely on confirmations, as they
 // do after a few reads of the store.
-func announcingFleet(t *testing.T, names ...string) *fleet {
+func announcingFleet(t *testing.T, faults faults, names ...string) *fleet {
 	f := newFleet(t)
+	f.faults = faults
 	f.announces, f.endpointDomain = true, "c"
 	for _, name := range names {
 		f.instances[name] = f.newInstance(name)
@@ -37,7 +39,7 @@
 // might read the store.
 func TestPrimaryCutOffWithItsDomain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := announcingFleet(t, "a1", "a2", "b1", "b2", "c1", "c2")
+		f := announcingFleet(t, nil, "a1", "a2", "b1", "b2", "c1", "c2")
 		f.set(func() { f.cut["c1"], f.cut["c2"], f.servers["s1"].down = true, true, true })
 		cutAt := time.Now()
 		for len(f.ordered()) == 0 {
@@ -52,7 +54,7 @@
 // the records inside the cut have long expired, so that the order follows the intent at once.
 func TestPrimaryLostWhileTheStoreIsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := announcingFleet(t, "a1", "a2", "b1", "b2", "c1", "c2")
+		f := announcingFleet(t, nil, "a1", "a2", "b1", "b2", "c1", "c2")
 		f.set(func() { f.storeDown = true })
 		time.Sleep(time.Second)
 		f.set(func() { f.cut["c1"], f.cut["c2"], f.servers["s1"].down = true, true, true })
@@ -72,8 +74,9 @@
 // replacement then waits for what they may have read.
 func TestMinorityThatReadsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := announcingFleet(t, "a1", "a2", "b1", "b2", "c1")
-		f.faults = cutFromFellows("c1")
+		cut := &fellowsCut{name: "c1"}
+		f := announcingFleet(t, cut, "a1", "a2", "b1", "b2", "c1")
+		cut.active.Store(true)
 		for range 400 {
 			time.Sleep(10 * time.Millisecond)
 			require.Equal(t, "s1", f.primary("c1"))
@@ -85,20 +88,23 @@
 		}
 		require.Empty(t, f.primary("c1"))
 		require.Equal(t, "", f.primary("a1"))
-		f.faults = nil
+		cut.active.Store(false)
 		time.Sleep(steadyPeriod + 3*time.Second)
 		f.set(func() { require.True(t, f.confirmedOnly["c1"]) })
 	})
 }
 
-// cutFromFellows cuts one instance off from all others, but not from the store.
-type cutFromFellows string
+// fellowsCut cuts one instance off from all others, but not from the store.
+type fellowsCut struct {
+	name   string
+	active atomic.Bool
+}
 
-func (c cutFromFellows) delay(context.Context) {}
-func (c cutFromFellows) lost(from, to string) bool {
-	return to != "store" && (from == string(c)) != (to == string(c))
+func (c *fellowsCut) delay(context.Context) {}
+func (c *fellowsCut) lost(from, to string) bool {
+	return c.active.Load() && to != "store" && (from == c.name) != (to == c.name)
 }
-func (c cutFromFellows) reaches(string, string) bool { return true }
+func (c *fellowsCut) reaches(string, string) bool { return true }
 
 // TestOldCopiesDoNotCountAfterAWithdrawal covers a copy that was read before the announcement was
 // withdrawn: a replacement that read the row before does not wait for it.
@@ -125,7 +131,7 @@
 // instance has revoked a primary: the replacement counts on every confirmation since showing it.
 func TestAttestationShowsARevocationSinceItsCollection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := announcingFleet(t, "a1", "a2", "b1", "b2", "c1")
+		f := announcingFleet(t, nil, "a1", "a2", "b1", "b2", "c1")
 		c := f.instances["a1"].controller
 		c.Attest(t.Context())
 		given, err := c.Revoke(t.Context(), "db", 7)
@@ -142,7 +148,7 @@
 // so that its records last longer: what those that are cut off got last does not count for it.
 func TestDeadMemberBesideACut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := announcingFleet(t, "a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2")
+		f := announcingFleet(t, nil, "a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2")
 		f.set(func() { f.remoteLifetime = testRemoteLifetime })
 		time.Sleep(2 * time.Second)
 		f.set(func() { f.cut["a3"] = true })
--- a/internal/leadership/revoke.go
+++ b/internal/leadership/revoke.go
@@ -128,7 +128,7 @@
 // ends.
 func (r *replacement) revokeMember(ctx context.Context, m Member) (given Confirmations, ok bool) {
 	if m.Name == r.c.cfg.Self {
-		given, err := r.c.Revoke(ctx, r.service, r.record.Epoch)
+		given, err := r.c.Revoke(ctx, r.service, r.epoch.Load())
 		if err != nil {
 			r.c.cfg.Log.Info("the intent of a replacement was lost", zap.String("service", r.service), zap.Error(err))
 		}
@@ -136,7 +136,7 @@
 	}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		given, err := r.c.cfg.Peers.Revoke(callCtx, m, r.service, r.record.Epoch)
+		given, err := r.c.cfg.Peers.Revoke(callCtx, m, r.service, r.epoch.Load())
 		cancel()
 		if err == nil {
 			return given, true
--- a/internal/leadership/survey.go
+++ b/internal/leadership/survey.go
@@ -29,7 +29,7 @@
 		pending.Wait()
 		close(responses)
 	}()
-	found := survey{recordedTerm: r.record.Term}
+	found := survey{recordedTerm: r.base.Term}
 	for {
 		select {
 		case resp, more := <-responses:
