--- a/internal/leadership/expiry_model_test.go
+++ b/internal/leadership/expiry_model_test.go
@@ -79,6 +79,12 @@
 	return m
 }
 
+func (m *expiryModel) intN(n int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.random.IntN(n)
+}
+
 func (m *expiryModel) delay(ctx context.Context) {
 	m.mu.Lock()
 	d := time.Duration(m.random.Float64() * m.random.Float64() * float64(m.slow))
@@ -280,15 +286,15 @@
 	})
 	m.heal()
 	for end := m.f.clock() + modelDuration; m.f.clock() < end; {
-		time.Sleep(time.Duration(1+m.random.IntN(5)) * time.Second)
-		for range 1 + m.random.IntN(2) {
+		time.Sleep(time.Duration(1+m.intN(5)) * time.Second)
+		for range 1 + m.intN(2) {
 			m.disturb()
 		}
-		time.Sleep(time.Duration(500+m.random.IntN(7000)) * time.Millisecond)
-		if m.random.IntN(3) == 0 {
+		time.Sleep(time.Duration(500+m.intN(7000)) * time.Millisecond)
+		if m.intN(3) == 0 {
 			m.restart()
 		}
-		if m.random.IntN(4) > 0 {
+		if m.intN(4) > 0 {
 			m.heal()
 		}
 	}
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -225,14 +225,14 @@
 	if err != nil {
 		return err
 	}
-	confirmedOnly := false
-	i.f.set(func() { confirmedOnly = i.f.confirmedOnly[i.name] })
+	confirmedOnly, count := false, 0
+	i.f.set(func() { confirmedOnly, count = i.f.confirmedOnly[i.name], len(i.f.instances) })
 	i.f.delay(ctx)
 	s := follow.Snapshot{AsOf: sent}
 	for _, row := range rows {
 		s.Rows = append(s.Rows, follow.Row{Key: row.Key, Value: row.Value, Version: row.Revision})
 	}
-	i.view.Apply(s, Membership{Listed: true, Count: len(i.f.instances), RemoteLifetime: i.f.announced(), ConfirmedOnly: confirmedOnly})
+	i.view.Apply(s, Membership{Listed: true, Count: count, RemoteLifetime: i.f.announced(), ConfirmedOnly: confirmedOnly})
 	return nil
 }
 
