--- a/internal/backend/turn_test.go
+++ b/internal/backend/turn_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/request"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
 // instantDialer opens connections that are never used: the statements of these tests only hold
@@ -157,3 +158,30 @@
 		require.Equal(t, 1, l.inTime["order"])
 	})
 }
+
+// fullEndpoint refuses connections because it has too many.
+type fullEndpoint struct{}
+
+func (fullEndpoint) Dial(context.Context, catalog.Endpoint, string) (Conn, error) {
+	return nil, verdict.New(verdict.NotRun, verdict.CodeTooManyConnections, "too many connections")
+}
+
+// TestReadsLeaveAFullEndpoint covers an endpoint whose connections are those of machines that have
+// lost power: a read that another endpoint may run is refused at once, and what only this one may
+// run waits.
+func TestReadsLeaveAFullEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLoneEndpoint(t, time.Now())
+		l.pools.cfg.Dialer = fullEndpoint{}
+		wait := func(turn Turn) time.Duration {
+			ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+			defer cancel()
+			began := time.Now()
+			_, err := l.pools.Acquire(ctx, l.endpoint, "a", turn)
+			require.Error(t, err)
+			return time.Since(began)
+		}
+		require.Zero(t, wait(Turn{Movable: true}))
+		require.Equal(t, 400*time.Millisecond, wait(Turn{}))
+	})
+}
