--- a/internal/leadership/attestation.go
+++ b/internal/leadership/attestation.go
@@ -116,17 +116,19 @@
 	return c.cfg.PrimaryView.confirmTo(name, collecting)
 }
 
-// AttestTo is Attest for another instance that asks for the confirmation of its records.
+// AttestTo is Attest for another instance that asks for the confirmation of its records. It returns
+// nothing while this instance can confirm nothing: its own revocations would be missing.
 func (c *Controller) AttestTo(ctx context.Context, name string) Attestation {
 	collected := c.Attest(ctx)
-	// The collection may be older than a revocation by this instance.
-	if epochs, ok := c.Confirm(name, false); ok {
-		own := Attestation{Members: slices.Clone(collected.Members), Age: collected.Age}
-		own.merge(Attestation{Epochs: collected.Epochs}, nil)
-		own.merge(Attestation{Epochs: epochs, Members: []string{c.cfg.Self}}, map[string]struct{}{c.cfg.Self: {}})
-		return own
+	epochs, ok := c.Confirm(name, false)
+	if !ok {
+		return Attestation{}
 	}
-	return collected
+	// The collection may be older than a revocation by this instance.
+	own := Attestation{Members: slices.Clone(collected.Members), Age: collected.Age}
+	own.merge(Attestation{Epochs: collected.Epochs}, nil)
+	own.merge(Attestation{Epochs: epochs, Members: []string{c.cfg.Self}}, map[string]struct{}{c.cfg.Self: {}})
+	return own
 }
 
 // Attest returns what this instance and the others of its failure domain know. Calls within
--- a/internal/leadership/reliance_test.go
+++ b/internal/leadership/reliance_test.go
@@ -174,6 +174,19 @@
 	require.Equal(t, received-3*time.Second, r.lastConfirmation("b", map[string]Member{"b": {}, "c": {}}))
 }
 
+// TestAttestationWithoutOwnRecords covers an instance that has revoked a primary and has not read
+// the rows since its start: what it has collected before must not confirm the old one.
+func TestAttestationWithoutOwnRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := announcingFleet(t, nil, "a1", "a2", "b1")
+		restarted := f.newInstance("a1") // not running, so that it reads nothing
+		require.NotEmpty(t, restarted.controller.Attest(t.Context()).Members)
+		_, err := restarted.controller.Revoke(t.Context(), "db", 7)
+		require.NoError(t, err)
+		require.Empty(t, restarted.controller.AttestTo(t.Context(), "b1").Members)
+	})
+}
+
 // TestConfirmationsOfUnknownAge covers members that may have confirmed the records of others
 // without a trace: before a restart, for earlier versions, and of earlier versions.
 func TestConfirmationsOfUnknownAge(t *testing.T) {
