--- a/internal/leadership/expiry_model_test.go
+++ b/internal/leadership/expiry_model_test.go
@@ -188,15 +188,15 @@
 	m.slow, m.lossRate = 5*time.Millisecond, 0
 }
 
-// restart replaces an instance by one that remembers nothing.
+// restart replaces an instance by one that remembers nothing. Its statements end with it.
 func (m *expiryModel) restart() {
 	m.mu.Lock()
-	name := m.names[m.random.IntN(len(m.names))]
-	m.held = slices.DeleteFunc(m.held, func(u *Use) bool { return u.view == m.f.instance(name).view })
-	m.mu.Unlock()
-	m.f.instance(name).stop()
-	i := m.f.newInstance(name)
-	m.f.set(func() { m.f.instances[name] = i })
+	defer m.mu.Unlock()
+	old := m.f.instance(m.names[m.random.IntN(len(m.names))])
+	m.held = slices.DeleteFunc(m.held, func(u *Use) bool { return u.view == old.view })
+	old.stop()
+	i := m.f.newInstance(old.name)
+	m.f.set(func() { m.f.instances[old.name] = i })
 	i.start()
 }
 
