leadership: a use of a primary that has lapsed does not become valid again

Cause: a statement in flight at an instance that was cut off for longer than its record lasts is invalid, but the next copy of the rows renews the record; if it shows the replacement, uses from before it stay valid for the 150 ms in which statements may end. The promotion may have been ordered without waiting for this instance, so that a write at the old primary could be acknowledged.

Change: before a record is renewed, the uses that have lapsed are revoked.

Test: TestLapsedUseStaysInvalid fails before.

--- a/internal/leadership/confirmation.go
+++ b/internal/leadership/confirmation.go
@@ -56,6 +56,7 @@
 func (v *PrimaryView) applyConfirmation(sent time.Duration, answered int, epochs map[string]uint64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.endLapsedUses()
 	for service, epoch := range epochs {
 		if s := v.stateOf(service); !v.isForgotten(service, epoch) && epoch > v.records.services[service].Epoch && s.revokedEpoch < epoch {
 			s.revokedEpoch = epoch
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -240,6 +240,35 @@
 	})
 }
 
+// TestLapsedUseStaysInvalid covers a statement in flight at an instance that is cut off for longer
+// than its record lasts. When it reads the store again, the primary is being replaced, and the
+// promotion may have been ordered without waiting for this instance: what is left of the time to
+// end statements must not make its use valid again.
+func TestLapsedUseStaysInvalid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		view := NewPrimaryView(f.clock, zap.NewNop(), "a", f.registry)
+		apply := func(rows ...follow.Row) {
+			view.Apply(follow.Snapshot{Rows: rows, AsOf: f.clock()}, Membership{Listed: true, Count: 3})
+		}
+		apply()
+		use, err := view.Acquire("db")
+		require.NoError(t, err)
+		time.Sleep(RecordLifetime + leaseExpiryMargin)
+		require.False(t, use.Valid())
+		w := encodeRow(servicePrefix+"db", Record{Service: "db", Endpoint: "s1", Phase: Replacing, Epoch: 1, Holder: "b", Fence: 1, Ordered: "s2"})
+		apply(follow.Row{Key: w.Key, Value: w.Value, Version: 1})
+		require.False(t, use.Valid(), "after a copy that shows the replacement")
+
+		apply()
+		use, err = view.Acquire("db")
+		require.NoError(t, err)
+		time.Sleep(RecordLifetime + leaseExpiryMargin)
+		view.Renew(f.clock())
+		require.False(t, use.Valid(), "after a renewal")
+	})
+}
+
 // TestSecondIntentRestsOnTheSameRecord covers two instances that decide at the same time:
 // the second reads the first one's intent before it commits its own, which must then fail.
 // Otherwise both would promote a primary.
--- a/internal/leadership/primaryview.go
+++ b/internal/leadership/primaryview.go
@@ -113,6 +113,7 @@
 		return
 	}
 	v.mu.Lock()
+	v.endLapsedUses()
 	v.beginGeneration(decoded.generation)
 	v.records = decoded
 	for service, record := range decoded.services {
@@ -144,11 +145,26 @@
 // Renew records that the rows applied last were still current at asOf.
 func (v *PrimaryView) Renew(asOf time.Duration) {
 	v.mu.Lock()
+	v.endLapsedUses()
 	v.records.asOf = max(v.records.asOf, asOf)
 	v.mu.Unlock()
 	v.changed.Set(struct{}{})
 }
 
+// endLapsedUses revokes the uses whose record has expired: a newer one must not make them valid
+// again, since a replacement has not waited for them. The caller holds mu, and renews the record
+// afterwards.
+func (v *PrimaryView) endLapsedUses() {
+	age := v.staleness()
+	for _, s := range v.services {
+		for u := range s.uses {
+			if age >= v.lifetime(u.Endpoint) {
+				u.revoked.Store(true)
+			}
+		}
+	}
+}
+
 // logChange logs a new epoch or phase, and sets the drain deadline when a replacement
 // has begun. The caller holds mu.
 func (v *PrimaryView) logChange(service string, r Record) {
--- a/internal/leadership/reliance.go
+++ b/internal/leadership/reliance.go
@@ -90,6 +90,7 @@
 func (v *PrimaryView) relyOnStore() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.endLapsedUses()
 	v.reliance.confirmedOnly, v.reliance.storeSince, v.reliance.steadySince = false, v.clock(), v.clock()
 }
 
