backend, edge, leadership: less state for what the project already had

Found in reading the whole change. The pool kept its own moving average of how long a statement takes, beside that of Health; two functions committed the instance's own row in the same way; the time until a statement is given up was computed in each turn of a loop; whether an instance announces what it relies on was passed through three functions and is a field now. The statements of the test of a lone endpoint run on their connections, so that their latency is observed; its bounds are the same.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -51,10 +51,8 @@
 	idleSince     time.Duration
 	inTransaction bool
 	broken        bool
-	// occupies is true while the connection counts as occupying a slot of the endpoint, since
-	// takenAt.
+	// occupies is true while the connection counts as occupying a slot of the endpoint.
 	occupies bool
-	takenAt  time.Duration
 }
 
 // Needs is the session state that a statement requires.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -115,10 +115,8 @@
 	// busy counts the connections that occupy a slot of the endpoint: those in use outside
 	// transactions. notified counts the waiters that may take one.
 	busy, notified int
-	// heldFor is the moving average of the time for which a slot is occupied; wakes counts the
-	// waiters that were notified.
-	heldFor time.Duration
-	wakes   uint64
+	// wakes counts the waiters that were notified.
+	wakes uint64
 	// demand is observed while this instance is the connection owner.
 	demand demand
 	// Until ownShareUntil the pool is limited to its own share; before nextDialAt it opens
@@ -147,10 +145,9 @@
 		q.noteDemand(organisation)
 	}
 	t.setDefault(p.cfg.Clock())
-	c := claim{organisation: organisation, turn: t, occupies: owned && !t.Transaction}
+	c := claim{organisation: organisation, turn: t, occupies: owned && !t.Transaction, expires: expiryOf(ctx, p.cfg.Clock())}
 	for {
 		c.share, c.maxOpen, _ = p.limits(e)
-		c.expires = expiryOf(ctx, p.cfg.Clock())
 		pooled, evicted, dial, w := q.takeOrQueue(e, c)
 		c.notified = false
 		if evicted != nil {
@@ -294,11 +291,10 @@
 		q.noteClosed()
 		return nil, err
 	}
-	pc := &PooledConn{Endpoint: e, Organisation: c.organisation, conn: conn, pool: q, occupies: c.occupies, takenAt: q.pools.cfg.Clock()}
 	q.mu.Lock()
 	q.fullBackoff = 0
 	q.mu.Unlock()
-	return pc, nil
+	return &PooledConn{Endpoint: e, Organisation: c.organisation, conn: conn, pool: q, occupies: c.occupies}, nil
 }
 
 // noteFull starts the backoff and limits the pool to its own share, after the endpoint has
--- a/internal/backend/turn.go
+++ b/internal/backend/turn.go
@@ -20,11 +20,6 @@
 	// lateShare is the number of statements of which one at least is the one that is due for
 	// longest, although it is late.
 	lateShare = 4
-	// heldWeight is the weight of the latest statement in the moving average of the time for
-	// which a slot is occupied.
-	heldWeight = 0.05
-	// initialHeld is the assumed time before the first statement.
-	initialHeld = 20 * time.Millisecond
 	// maxMovableWait is the expected wait for a connection to a full endpoint from which a
 	// statement that another endpoint may run is refused.
 	maxMovableWait = 50 * time.Millisecond
@@ -92,26 +87,24 @@
 func (q *pool) occupy(pooled *PooledConn) {
 	q.busy++
 	if pooled != nil {
-		pooled.occupies, pooled.takenAt = true, q.pools.cfg.Clock()
+		pooled.occupies = true
 	}
 }
 
 // vacate ends the occupation of a slot by the connection, if it counts. The caller holds mu.
 func (q *pool) vacate(pc *PooledConn) {
-	if !pc.occupies {
-		return
+	if pc.occupies {
+		pc.occupies = false
+		q.busy--
 	}
-	pc.occupies = false
-	q.busy--
-	q.heldFor = q.held() + time.Duration(heldWeight*float64(q.pools.cfg.Clock()-pc.takenAt-q.held()))
 }
 
-// held returns the time for which a statement usually occupies a slot. The caller holds mu.
-func (q *pool) held() time.Duration {
-	if q.heldFor == 0 {
-		return initialHeld
-	}
-	return q.heldFor
+// latency returns the time for which a statement usually occupies a slot.
+func (q *pool) latency() time.Duration { return q.health.Load(q.id).Latency }
+
+// waitBehind returns the expected wait behind a number of statements, of which parallel run at once.
+func (q *pool) waitBehind(ahead, parallel int) time.Duration {
+	return time.Duration(ahead+1) * q.latency() / time.Duration(parallel)
 }
 
 // enqueue queues a statement. A full queue drops the statement that is due last. It returns nil if
@@ -127,16 +120,12 @@
 	if at >= maxWaiters {
 		return nil
 	}
-	if c.turn.Movable && q.pools.cfg.Clock() < q.nextDialAt {
-		if q.open == 0 || time.Duration(at+1)*q.held()/time.Duration(q.open) > maxMovableWait {
-			return nil
-		}
+	now := q.pools.cfg.Clock()
+	if c.turn.Movable && now < q.nextDialAt && (q.open == 0 || q.waitBehind(at, q.open) > maxMovableWait) {
+		return nil
 	}
-	if c.occupies && e.Slots > 0 {
-		wait := time.Duration(at+1) * q.held() / time.Duration(e.Slots)
-		if q.pools.cfg.Clock()+wait > c.expires {
-			return nil
-		}
+	if c.occupies && e.Slots > 0 && now+q.waitBehind(at, e.Slots) > c.expires {
+		return nil
 	}
 	w := &waiter{turn: c.turn, notify: make(chan struct{}, 1)}
 	q.waiters = slices.Insert(q.waiters, at, w)
@@ -157,7 +146,7 @@
 	}
 	next := 0
 	if q.wakes++; q.wakes%lateShare != 0 {
-		possible := q.pools.cfg.Clock() + q.held()
+		possible := q.pools.cfg.Clock() + q.latency()
 		next = max(0, slices.IndexFunc(q.waiters, func(w *waiter) bool { return w.turn.DueAt >= possible }))
 	}
 	q.notified++
--- a/internal/backend/turn_test.go
+++ b/internal/backend/turn_test.go
@@ -15,21 +15,21 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
-// instantDialer opens connections that are never used: the statements of these tests only hold
-// them.
-type instantDialer struct{}
-
-func (instantDialer) Dial(context.Context, catalog.Endpoint, string) (Conn, error) {
-	return instantConn{}, nil
-}
-
-type instantConn struct{}
-
-func (instantConn) Exchange(context.Context, []request.Command) ([]request.Answer, error) {
-	return nil, nil
+// slotted is an endpoint that serves statements by arrival in its slots. The text of a statement is
+// the time that it works.
+type slotted struct{ slots chan struct{} }
+
+func (s slotted) Dial(context.Context, catalog.Endpoint, string) (Conn, error) { return s, nil }
+
+func (s slotted) Exchange(_ context.Context, commands []request.Command) ([]request.Answer, error) {
+	s.slots <- struct{}{}
+	defer func() { <-s.slots }()
+	work, err := time.ParseDuration(commands[0].Text)
+	time.Sleep(work)
+	return make([]request.Answer, len(commands)), err
 }
-func (instantConn) Reusable() bool { return true }
-func (instantConn) Close()         {}
+func (slotted) Reusable() bool { return true }
+func (slotted) Close()         {}
 
 // kind is a kind of statement that arrives at an endpoint.
 type kind struct {
@@ -45,7 +45,6 @@
 type loneEndpoint struct {
 	pools    *Pools
 	endpoint catalog.Endpoint
-	slots    chan struct{} // of the endpoint, which serves statements by arrival
 
 	mu                    sync.Mutex
 	inTime, late, refused map[string]int
@@ -55,13 +54,13 @@
 func newLoneEndpoint(t *testing.T, began time.Time) *loneEndpoint {
 	clock := func() time.Duration { return time.Since(began) + time.Hour }
 	pools, err := NewPools(Config{
-		Dialer: instantDialer{}, Health: NewHealth(clock), Clock: clock, Members: func() int { return 9 },
+		Dialer: slotted{make(chan struct{}, 5)}, Health: NewHealth(clock), Clock: clock, Members: func() int { return 9 },
 		MaxConnections: func(string) int { return 34 }, Registry: func() *catalog.Registry { return catalog.NewRegistry(nil) },
 		Ownership: func(catalog.Endpoint) Ownership { return OwnedHere },
 	})
 	require.NoError(t, err)
 	return &loneEndpoint{
-		pools: pools, endpoint: catalog.Endpoint{ID: "s1", Service: "db", Slots: 5}, slots: make(chan struct{}, 5),
+		pools: pools, endpoint: catalog.Endpoint{ID: "s1", Service: "db", Slots: 5},
 		inTime: make(map[string]int), late: make(map[string]int), refused: make(map[string]int),
 	}
 }
@@ -72,9 +71,7 @@
 	defer cancel()
 	conn, err := l.pools.Acquire(ctx, l.endpoint, organisation, Turn{Priority: 1, DueAt: began + k.target})
 	if err == nil {
-		l.slots <- struct{}{}
-		time.Sleep(k.work)
-		<-l.slots
+		_, _, err = conn.Run(ctx, Needs{}, request.Command{Statement: request.Statement{Text: k.work.String()}})
 		conn.Release()
 	}
 	took := l.pools.cfg.Clock() - began
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -123,8 +123,7 @@
 	defer cancel()
 	i.ownRowMu.Lock()
 	defer i.ownRowMu.Unlock()
-	key := memberPrefix + i.cfg.Name
-	rows, now, err := i.cfg.Ports.Table.Get(ctx, key)
+	rows, now, err := i.cfg.Ports.Table.Get(ctx, memberPrefix+i.cfg.Name)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -135,11 +134,8 @@
 	self.RegisteredMs = registeredSince(rows[0], self, now)
 	age := time.Duration(now.UnixMilli()-self.RegisteredMs) * time.Millisecond
 	i.joining.begin(age < joiningPeriod, i.cfg.Clock())
-	conditions := []platform.Condition{{Key: key, Revision: rows[0].Revision}}
-	if result, err := i.cfg.Ports.Table.Commit(ctx, conditions, []platform.Write{memberWrite(self)}); err != nil {
+	if err := i.replaceOwnRow(ctx, rows[0], self); err != nil {
 		return trace.Wrap(err)
-	} else if !result.Applied {
-		return trace.CompareFailed("member row was changed concurrently")
 	}
 	if err := i.fleet.Refresh(ctx); err != nil {
 		return trace.Wrap(err)
@@ -162,8 +158,7 @@
 	defer cancel()
 	i.ownRowMu.Lock()
 	defer i.ownRowMu.Unlock()
-	key := memberPrefix + i.cfg.Name
-	rows, _, err := i.cfg.Ports.Table.Get(ctx, key)
+	rows, _, err := i.cfg.Ports.Table.Get(ctx, memberPrefix+i.cfg.Name)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -174,15 +169,23 @@
 	if row.ConfirmedOnly = 0; confirmedOnly {
 		row.ConfirmedOnly = confirmedOnlyIn(rows[0].Revision)
 	}
-	conditions := []platform.Condition{{Key: key, Revision: rows[0].Revision}}
-	result, err := i.cfg.Ports.Table.Commit(ctx, conditions, []platform.Write{memberWrite(row)})
+	if err := i.replaceOwnRow(ctx, rows[0], row); err != nil {
+		return trace.Wrap(err)
+	}
+	i.reliesOnStore = !confirmedOnly
+	return nil
+}
+
+// replaceOwnRow writes this instance's row unless it has changed since it was read.
+func (i *Instance) replaceOwnRow(ctx context.Context, read platform.Row, m member) error {
+	conditions := []platform.Condition{{Key: read.Key, Revision: read.Revision}}
+	result, err := i.cfg.Ports.Table.Commit(ctx, conditions, []platform.Write{memberWrite(m)})
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	if !result.Applied {
 		return trace.CompareFailed("member row was changed concurrently")
 	}
-	i.reliesOnStore = !confirmedOnly
 	return nil
 }
 
--- a/internal/leadership/attestation.go
+++ b/internal/leadership/attestation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -125,8 +126,7 @@
 		return Attestation{}
 	}
 	// The collection may be older than a revocation by this instance.
-	own := Attestation{Members: slices.Clone(collected.Members), Age: collected.Age}
-	own.merge(Attestation{Epochs: collected.Epochs}, nil)
+	own := Attestation{Epochs: maps.Clone(collected.Epochs), Members: slices.Clone(collected.Members), Age: collected.Age}
 	own.merge(Attestation{Epochs: epochs, Members: []string{c.cfg.Self}}, map[string]struct{}{c.cfg.Self: {}})
 	return own
 }
--- a/internal/leadership/confirmation.go
+++ b/internal/leadership/confirmation.go
@@ -72,17 +72,17 @@
 
 // untilConfirmation returns the time until the members have to be asked for confirmation, 0
 // if that is now. Instances that announce what they rely on always ask.
-func (v *PrimaryView) untilConfirmation(announces bool) time.Duration {
+func (v *PrimaryView) untilConfirmation() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.clock()
 	since, threshold := v.records.asOf, confirmThreshold
-	if announces {
+	if v.reliance.announced {
 		since, threshold = v.confirmedAt, calmConfirmInterval
 	}
 	switch {
 	case !v.records.loaded || !v.records.members.Listed || now-v.records.asOf >= MaxStoreOutage:
-		return v.confirmPause(announces)
+		return v.confirmPause()
 	case since == 0 || now-since > threshold:
 		return 0
 	default:
@@ -91,30 +91,29 @@
 }
 
 // confirmPause returns the least time between two requests. The caller holds mu.
-func (v *PrimaryView) confirmPause(announces bool) time.Duration {
-	if announces && v.confirmedAt == 0 {
+func (v *PrimaryView) confirmPause() time.Duration {
+	if v.reliance.announced && v.confirmedAt == 0 {
 		return startupConfirmInterval
 	}
 	return confirmInterval
 }
 
 // minConfirmInterval returns the least time between two requests.
-func (v *PrimaryView) minConfirmInterval(announces bool) time.Duration {
+func (v *PrimaryView) minConfirmInterval() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.confirmPause(announces)
+	return v.confirmPause()
 }
 
 // confirmRecords asks the members for confirmation: regularly if this instance announces what
 // it relies on, otherwise while the store does not serve it.
 func (c *Controller) confirmRecords(ctx context.Context) error {
-	announces := c.cfg.Announce != nil
 	for ctx.Err() == nil {
-		wait := c.cfg.PrimaryView.untilConfirmation(announces)
+		wait := c.cfg.PrimaryView.untilConfirmation()
 		if wait == 0 {
 			began := c.cfg.Clock()
 			c.requestConfirmation(ctx)
-			wait = max(0, c.cfg.PrimaryView.minConfirmInterval(announces)-(c.cfg.Clock()-began))
+			wait = max(0, c.cfg.PrimaryView.minConfirmInterval()-(c.cfg.Clock()-began))
 		}
 		pause.For(ctx, wait)
 	}
--- a/internal/leadership/reliance.go
+++ b/internal/leadership/reliance.go
@@ -34,6 +34,8 @@
 
 // reliance states what extends an instance's use of primaries.
 type reliance struct {
+	// announced is true if this instance announces what it relies on.
+	announced bool
 	// confirmedOnly is true if only confirmations by a majority do.
 	confirmedOnly bool
 	// storeSince is the time, if confirmedOnly is false, from which copies of the store do.
@@ -83,7 +85,7 @@
 func (v *PrimaryView) RelyOnConfirmations() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.reliance.confirmedOnly = true
+	v.reliance.announced, v.reliance.confirmedOnly = true, true
 }
 
 // relyOnStore lets copies of the store that are read from now on extend the use of primaries.
