share: new demand does not wait for requests to the table that failed before

The traces show a domain's allocator that waits 2.5 to 5 s before it asks the table: the delay had grown while only its base was missing, for which nobody waits, and went on for the demand that came then. The recall of the first request brought nothing, since the instance that demand had left had not yet noticed. Change: the delays of requests for the base and for demand are separate, and demand that was satisfied in between begins without one.

--- a/internal/share/allocation.go
+++ b/internal/share/allocation.go
@@ -66,14 +66,10 @@
 	recorded int64
 	// dirty requests an operation even if nothing changed here; guarded by mu
 	dirty bool
-	// backoffUntil is the earliest time at which the table is asked again after it
-	// had too few units; guarded by mu
-	backoffUntil time.Duration
-	unsuccessful int // guarded by mu; consecutive unsuccessful requests
-	// onlyBaseMissing is true when that shortage concerned only the base, not
-	// demand; guarded by mu
-	onlyBaseMissing bool
-	freedCh         chan struct{} // guarded by mu; closed when units become free
+	// demandShortage and baseShortage say when the table is asked again after it had too
+	// few units: for what holders want, and for the base alone; guarded by mu
+	demandShortage, baseShortage shortage
+	freedCh                      chan struct{} // guarded by mu; closed when units become free
 	// recalled is the time of the last recall, by holder; guarded by mu
 	recalled map[string]time.Duration
 
@@ -83,6 +79,18 @@
 	missing int64
 }
 
+// shortage is the state of the retries of a request for units that the table lacked.
+type shortage struct {
+	retryAt      time.Duration
+	unsuccessful int // consecutive unsuccessful requests
+}
+
+// record counts an unsuccessful request and delays the next one.
+func (s *shortage) record(now time.Duration, random float64) {
+	s.unsuccessful++
+	s.retryAt = now + backoff(s.unsuccessful, maxTableBackoff, random)
+}
+
 // operation is one request to the limit's ledger in the table.
 type operation struct {
 	sequence uint64
@@ -107,7 +115,8 @@
 	alloc.ledger = escrow.Ledger{}
 	alloc.tokensToReturn, alloc.pending, alloc.recorded = 0, nil, 0
 	alloc.cached, alloc.missing = nil, 0
-	alloc.ceilingUntil, alloc.backoffUntil, alloc.unsuccessful, alloc.surplusSince, alloc.baseSuspendedUntil = 0, 0, 0, 0, 0
+	alloc.demandShortage, alloc.baseShortage = shortage{}, shortage{}
+	alloc.ceilingUntil, alloc.surplusSince, alloc.baseSuspendedUntil = 0, 0, 0
 	alloc.notify()
 }
 
@@ -206,9 +215,22 @@
 	if goal <= alloc.ledger.Units {
 		return false
 	}
-	return now >= alloc.backoffUntil || alloc.onlyBaseMissing && alloc.ledger.TotalWant() > alloc.ledger.Units
+	return now >= alloc.currentShortage().retryAt
 }
 
+// currentShortage returns the state of the retries for what is missing now. The caller holds
+// mu.
+func (alloc *allocation) currentShortage() *shortage {
+	if alloc.demandMissing() {
+		return &alloc.demandShortage
+	}
+	return &alloc.baseShortage
+}
+
+// demandMissing reports whether the holders want more than the allocation has. The caller
+// holds mu.
+func (alloc *allocation) demandMissing() bool { return alloc.ledger.TotalWant() > alloc.ledger.Units }
+
 // shrinkDelay returns how long a low need must last before the allocation shrinks.
 // The caller holds mu.
 func (alloc *allocation) shrinkDelay() time.Duration {
--- a/internal/share/allocator.go
+++ b/internal/share/allocator.go
@@ -69,6 +69,10 @@
 	if err := alloc.ledger.Settle(alloc.limit, r); err != nil {
 		return escrow.Amount{}, err
 	}
+	if !alloc.demandMissing() {
+		// Demand that comes later is another shortage, which waits for no earlier one.
+		alloc.demandShortage = shortage{}
+	}
 	alloc.notify()
 	target := alloc.target(now, r.Holder)
 	if target < r.Held {
--- a/internal/share/recall.go
+++ b/internal/share/recall.go
@@ -82,7 +82,7 @@
 func (alloc *allocation) resetBackoff() {
 	alloc.mu.Lock()
 	defer alloc.mu.Unlock()
-	alloc.backoffUntil, alloc.stale = 0, true
+	alloc.demandShortage.retryAt, alloc.baseShortage.retryAt, alloc.stale = 0, 0, true
 }
 
 // handleRecall returns what this instance can spare: on a recall without Held, from
--- a/internal/share/row_updater.go
+++ b/internal/share/row_updater.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		event.ShareRowUnreadable.Emit(u.cfg.Log, resourceField(alloc.resource), errorField(err))
 		alloc.cached, alloc.dirty = nil, false
-		alloc.backoffUntil = u.cfg.Clock() + maxTableBackoff
+		alloc.currentShortage().retryAt = u.cfg.Clock() + maxTableBackoff
 		return
 	}
 	alloc.cached, alloc.stale = &cachedRow{revision: stored.Revision, readAt: u.cfg.Clock(), row: decoded}, false
@@ -159,7 +159,7 @@
 		alloc.ceilingUntil = 0
 	}
 	if granted.Units > 0 {
-		alloc.unsuccessful, alloc.backoffUntil = 0, 0
+		alloc.demandShortage, alloc.baseShortage = shortage{}, shortage{}
 	}
 	alloc.notify()
 }
@@ -249,12 +249,10 @@
 		return
 	}
 	alloc.mu.Lock()
-	alloc.unsuccessful++
-	alloc.backoffUntil = u.cfg.Clock() + backoff(alloc.unsuccessful, maxTableBackoff, u.cfg.Random())
-	want, held := alloc.ledger.TotalWant(), alloc.ledger.Units
-	alloc.onlyBaseMissing = want <= held
+	alloc.currentShortage().record(u.cfg.Clock(), u.cfg.Random())
+	want, held, demanded := alloc.ledger.TotalWant(), alloc.ledger.Units, alloc.demandMissing()
 	alloc.mu.Unlock()
-	if want > held {
+	if demanded {
 		u.recallDomains(alloc, alloc.cached.row.Ledger, want, held)
 	}
 	alloc.missing = 0
