share: a renewal that brought tokens is successful, whatever is returned after it

A renewal asks that allocator, then returns what was borrowed from others; the last response alone decided whether tokens had come, and a return brings none. After three such renewals callers are refused at once and the next one is up to 0.5 s away. Change: tokens of any response of a renewal count.

--- a/internal/share/account.go
+++ b/internal/share/account.go
@@ -32,7 +32,7 @@
 	// unitsBeforeRenewal is how many units were held before the last renewal;
 	// guarded by mu
 	unitsBeforeRenewal int64
-	// tokensReceived is true when the last response brought tokens; guarded by mu
+	// tokensReceived is true when a response of the last renewal brought tokens; guarded by mu
 	tokensReceived bool
 	// nextBorrow is the earliest time at which other failure domains are asked
 	// again, and borrowBackoff the current delay between two such attempts; guarded
--- a/internal/share/account_test.go
+++ b/internal/share/account_test.go
@@ -140,3 +140,27 @@
 	require.InDelta(t, rate*borrowHorizon.Seconds(), d.tokensAhead(now), rate*borrowHorizon.Seconds()/2)
 	require.Zero(t, d.tokensAhead(now+2*recentRateTime), "demand that no longer rises is served from its own holding")
 }
+
+// TestReturnAfterTokensIsNoFailure covers a renewal that brings tokens of the own domain's
+// allocator and then returns borrowed units to another one, whose response brings nothing:
+// callers whose demand exceeds the rate of the units held go on waiting for the next renewal.
+func TestReturnAfterTokensIsNoFailure(t *testing.T) {
+	now := time.Hour
+	a := accountAt(t, &now, escrow.Limit{Units: 10, Rate: 10, Burst: 10})
+	a.demand.recordUnmet(now, 20, a.limit)
+	for n := range uint64(maxUnsuccessfulRequests) {
+		now += callerRenewalInterval
+		want := a.updateDemand(now, 0)
+		own := a.request(now, "allocator", want, 2*n+2)
+		a.applyGrant(now, now, "allocator", own, &peerv1.ShareGrant{
+			Granted: &peerv1.ShareAmount{Units: 5, Tokens: 1}, LeaseMs: 10_000, Sequence: 2*n + 2,
+		})
+		lent := a.request(now, "lender", 1, 2*n+3)
+		a.applyGrant(now, now, "lender", lent, &peerv1.ShareGrant{LeaseMs: 10_000, Sequence: 2*n + 3})
+		a.demand.recordUnmet(now, 1, a.limit)
+		a.finishRenewal(now, want, nil, 1)
+	}
+	_, more := a.CanGrow()
+	require.True(t, more)
+	require.Equal(t, now+callerRenewalInterval, a.backoffUntil)
+}
--- a/internal/share/renewal.go
+++ b/internal/share/renewal.go
@@ -180,7 +180,7 @@
 	defer a.mu.Unlock()
 	a.expire(now)
 	a.demand.update(now)
-	a.unitsBeforeRenewal = a.held(now).Units
+	a.unitsBeforeRenewal, a.tokensReceived = a.held(now).Units, false
 	return a.want(now, minimum)
 }
 
@@ -327,7 +327,9 @@
 	if granted < held {
 		h.ceiling = granted
 	}
-	a.tokensReceived = g.GetGranted().GetTokens() >= 1
+	if g.GetGranted().GetTokens() >= 1 {
+		a.tokensReceived = true
+	}
 	a.notify()
 }
 
