share: demand that has stopped keeps no units during a shortage, also soon after a rise

Change: where others are short, demand that has stopped counts as none, before the rise is looked at.

--- a/internal/share/account_test.go
+++ b/internal/share/account_test.go
@@ -164,3 +164,26 @@
 	require.True(t, more)
 	require.Equal(t, now+callerRenewalInterval, a.backoffUntil)
 }
+
+// TestStoppedDemandKeepsNothing covers demand that rose and then moved away within a second:
+// during a shortage elsewhere the rise is no reason to keep units that nobody uses.
+func TestStoppedDemandKeepsNothing(t *testing.T) {
+	limit := escrow.Limit{Units: 1000, Rate: 200, Burst: 100}
+	now := time.Hour
+	var d demand
+	for range 12 { // 160 tokens per second for 600 ms
+		for range 8 {
+			d.recordUnmet(now, 1, limit)
+			now += 50 * time.Millisecond / 8
+		}
+		d.update(now)
+	}
+	d.missing = 0 // as after a renewal
+	require.True(t, d.rising(now))
+	require.Greater(t, d.wantRate(now, limit, true), limit.UnitsForRate(100))
+	now += 150 * time.Millisecond
+	d.update(now)
+	require.True(t, d.stopped(now))
+	require.True(t, d.rising(now))
+	require.LessOrEqual(t, d.wantRate(now, limit, true), limit.UnitsForTokens(wholeToken))
+}
--- a/internal/share/demand.go
+++ b/internal/share/demand.go
@@ -155,10 +155,10 @@
 		return 0
 	}
 	rate := d.rate
-	if shortage && d.stopped(now) {
+	switch {
+	case shortage && d.stopped(now):
 		rate = 0
-	}
-	if d.rising(now) {
+	case d.rising(now):
 		rate = max(rate, rampFactor*d.rateSinceRise(now))
 	}
 	saved := max(wholeToken+rate*reserveTime.Seconds(), d.missing)
