edge, leadership: a cut is noticed within a second by all instances of the failure domain

Change: a request that no other failure domain has answered after 0.1 s is the evidence; the others are told at once, and all probe while they read the store, for 0.25 s at most. Requests come every 0.6 s, so that the sum is 0.95 s. While the store serves an instance that no other domain answers, it repeats the check every 2 s at most. Nothing that decides the use of a primary changes.

--- a/internal/edge/cutoff.go
+++ b/internal/edge/cutoff.go
@@ -16,9 +16,12 @@
 	cutOffCheckInterval = 250 * time.Millisecond
 	// cutOffStoreTimeout bounds the read of the store in such a check. A store fifty times
 	// slower than usual answers within it.
-	cutOffStoreTimeout = 300 * time.Millisecond
+	cutOffStoreTimeout = 250 * time.Millisecond
 	// cutOffNoticeTimeout bounds the notices of the cut to the instances of the own domain.
 	cutOffNoticeTimeout = 300 * time.Millisecond
+	// silenceCheckInterval is the interval of the checks by an instance that no other failure
+	// domain answers, while the store does. When that fails, the next read tells.
+	silenceCheckInterval = 2 * time.Second
 	// storeFailureProbeInterval is the minimum interval between the probes of other failure
 	// domains while the store fails.
 	storeFailureProbeInterval = time.Second
@@ -29,30 +32,56 @@
 // the store answers, the instance continues to serve what it can.
 func (i *Instance) watchCutOff(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !i.cutOff.Load() {
-			select {
-			case <-i.admission.Unresponsive():
-			case <-i.outage.Failed():
-				i.probeWhileStoreFails(ctx)
-			case <-i.cutOffNoticed:
-				i.admission.ProbeOtherDomains(ctx)
-			case <-ctx.Done():
-				return nil
-			}
-		}
-		before := i.cutOff.Load()
-		if !before && !i.admission.DomainCutOff() {
-			continue // the next failed request counts at once
+		if i.cutOff.Load() {
+			i.checkCutOff(ctx)
+			pause.For(ctx, cutOffCheckInterval)
+			continue
 		}
-		i.checkCutOff(ctx)
-		if !before && i.cutOff.Load() {
-			i.noticeCutOff(ctx)
+		select {
+		case <-i.admission.Unresponsive():
+			if i.admission.DomainCutOff() { // otherwise the next failed request counts at once
+				i.checkAndNotice(ctx)
+			}
+		case <-i.outage.Failed():
+			i.probeWhileStoreFails(ctx)
+			if i.admission.DomainCutOff() {
+				i.checkAndNotice(ctx)
+			}
+		case <-i.remoteSilence:
+			i.checkSilence(ctx)
+		case <-i.cutOffNoticed:
+			i.checkCutOff(ctx)
+		case <-ctx.Done():
 		}
-		pause.For(ctx, cutOffCheckInterval)
 	}
 	return nil
 }
 
+// checkSilence is checkAndNotice after a request for confirmation without an answer. While the
+// store serves this instance, that happens at most once per silenceCheckInterval.
+func (i *Instance) checkSilence(ctx context.Context) {
+	if i.cfg.Clock() < i.silenceCheckAt {
+		return
+	}
+	i.checkAndNotice(ctx)
+	if !i.cutOff.Load() {
+		i.silenceCheckAt = i.cfg.Clock() + silenceCheckInterval
+	}
+}
+
+// checkAndNotice checks whether this failure domain is cut off, after no other one has answered
+// this instance, and makes the other instances of the domain check it at the same time.
+func (i *Instance) checkAndNotice(ctx context.Context) {
+	noticed := make(chan struct{})
+	go func() {
+		defer close(noticed)
+		i.noticeCutOff(ctx)
+	}()
+	i.checkCutOff(ctx)
+	<-noticed
+	pause.For(ctx, cutOffCheckInterval)
+}
+
 // probeWhileStoreFails probes instances of other failure domains, at most once per
 // storeFailureProbeInterval: a cut that separates this failure domain from the store may
 // separate it from them as well, and without requests to them that would go unnoticed.
@@ -64,13 +93,9 @@
 	}
 }
 
-// checkCutOff updates cutOff. Only when no other failure domain answers, it reads the store,
-// unless the last read failed, and probes those domains again.
+// checkCutOff updates cutOff: it probes other failure domains and meanwhile reads the store,
+// unless the last read failed.
 func (i *Instance) checkCutOff(ctx context.Context) {
-	if !i.admission.DomainCutOff() {
-		i.cutOff.Store(false)
-		return
-	}
 	probed := make(chan struct{})
 	go func() {
 		defer close(probed)
@@ -103,18 +128,20 @@
 
 // handleCutOff handles a notice of noticeCutOff. An instance that knows of the cut ignores it.
 func (i *Instance) handleCutOff(context.Context, empty) (empty, error) {
-	i.suspectCutOff()
+	i.signalUnlessCutOff(i.cutOffNoticed)
 	return empty{}, nil
 }
 
-// suspectCutOff makes watchCutOff check whether this failure domain is cut off, unless that is
-// known.
-func (i *Instance) suspectCutOff() {
+// recordRemoteSilence makes watchCutOff check whether this failure domain is cut off, unless that
+// is known.
+func (i *Instance) recordRemoteSilence() { i.signalUnlessCutOff(i.remoteSilence) }
+
+func (i *Instance) signalUnlessCutOff(signal chan<- struct{}) {
 	if i.cutOff.Load() {
 		return
 	}
 	select {
-	case i.cutOffNoticed <- struct{}{}:
+	case signal <- struct{}{}:
 	default:
 	}
 }
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -61,14 +61,17 @@
 	draining      atomic.Bool
 	// cutOff is true while neither the store nor another failure domain answers.
 	cutOff atomic.Bool
-	// cutOffNoticed receives a value when an instance of the own failure domain has found
-	// itself cut off, and when no majority confirms the records of primaries.
-	cutOffNoticed chan struct{}
+	// remoteSilence receives a value when no other failure domain has answered a request for
+	// confirmation, cutOffNoticed when another instance of the own domain suspects a cut.
+	remoteSilence, cutOffNoticed chan struct{}
 	// outage is the state of the store as seen by the followers.
 	outage *follow.Outage
 	// probedAt is when other failure domains were last probed because the store failed. Only
 	// the goroutine of watchCutOff uses it.
-	probedAt       time.Duration
+	probedAt time.Duration
+	// silenceCheckAt is the earliest time of the next check after a request for confirmation that
+	// no other failure domain answered. Only the goroutine of watchCutOff uses it.
+	silenceCheckAt time.Duration
 	reportedReason atomic.Pointer[string]
 	refreshLimiter *rate.Limiter
 	// fleetFingerprint is that of the rows applied last. Only applyFleet uses it, one call at
@@ -147,6 +150,7 @@
 		transactions:       newOwnedTransactions(),
 		ownerFallbacks:     cfg.Metrics.Labelled("edge_owner_fallbacks_total"),
 		missingSince:       make(map[string]time.Duration),
+		remoteSilence:      make(chan struct{}, 1),
 		cutOffNoticed:      make(chan struct{}, 1),
 		refreshLimiter:     rate.NewLimiter(rate.Every(minRefreshInterval), 1),
 	}
@@ -202,7 +206,7 @@
 		Self: i.cfg.Name, FailureDomain: i.cfg.FailureDomain, PrimaryView: i.primaryView, Refresh: i.fleet.Refresh, Registry: i.registry.Get,
 		RegistryComplete: i.registryComplete, Members: i.leadershipMembers, FreshMembers: i.freshMembers,
 		Reaches: i.reaches, Table: i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
-		Peers: peers{client: i.client, name: i.cfg.Name}, Health: i.health, SyncReplicas: i.syncReplicas, Announce: i.announceReliance, Unconfirmed: i.suspectCutOff,
+		Peers: peers{client: i.client, name: i.cfg.Name}, Health: i.health, SyncReplicas: i.syncReplicas, Announce: i.announceReliance, Silent: i.recordRemoteSilence,
 		Clock: i.cfg.Clock, Log: i.cfg.Log,
 	})
 	return trace.Wrap(err)
--- a/internal/leadership/attestation.go
+++ b/internal/leadership/attestation.go
@@ -49,8 +49,8 @@
 }
 
 // collect asks members for the latest epochs that they know, this instance excepted; with
-// forOthers, on behalf of other instances as well.
-func (c *Controller) collect(ctx context.Context, members []Member, forOthers bool) Attestation {
+// forOthers, on behalf of other instances as well. It calls answered for each that responds.
+func (c *Controller) collect(ctx context.Context, members []Member, forOthers bool, answered func(Member)) Attestation {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	responses := blackboard.NewTable[string, map[string]uint64]()
@@ -58,6 +58,7 @@
 		known, err := c.cfg.Peers.KnownEpochs(ctx, m, forOthers)
 		if err == nil {
 			responses.Put(m.Name, known)
+			answered(m)
 		}
 		return true, err
 	}) {
@@ -71,8 +72,8 @@
 }
 
 // collectFromDomains asks one member of each failure domain for the attestation of its domain,
-// a different one at each call, since it may have failed.
-func (c *Controller) collectFromDomains(ctx context.Context, members []Member) Attestation {
+// a different one at each call, since it may have failed. It calls answered for each that responds.
+func (c *Controller) collectFromDomains(ctx context.Context, members []Member, answered func(Member)) Attestation {
 	ctx, cancel := context.WithTimeout(ctx, attestTimeout)
 	defer cancel()
 	known := make(map[string]struct{})
@@ -101,6 +102,7 @@
 				return
 			}
 			responses.Put(domain, response)
+			answered(m)
 		})
 	}
 	pending.Wait()
@@ -143,7 +145,7 @@
 	now := c.cfg.Clock()
 	if c.attestedAt == 0 || now-c.attestedAt > attestationLifetime {
 		members := slices.DeleteFunc(slices.Clone(c.cfg.Members()), func(m Member) bool { return m.FailureDomain != c.cfg.FailureDomain })
-		collected := c.collect(ctx, members, true)
+		collected := c.collect(ctx, members, true, func(Member) {})
 		if epochs, ok := c.cfg.PrimaryView.KnownEpochs(); ok {
 			collected.merge(Attestation{Epochs: epochs, Members: []string{c.cfg.Self}}, map[string]struct{}{c.cfg.Self: {}})
 		}
--- a/internal/leadership/confirmation.go
+++ b/internal/leadership/confirmation.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/pause"
@@ -15,11 +17,14 @@
 	confirmInterval = 400 * time.Millisecond
 	// calmConfirmInterval is the time after a confirmation until the next request, if the use of
 	// primaries rests on confirmations: two more attempts fit into RecordLifetime.
-	calmConfirmInterval = 700 * time.Millisecond
+	calmConfirmInterval = 600 * time.Millisecond
 	// startupConfirmInterval is the time between requests before the first confirmation.
 	startupConfirmInterval = 100 * time.Millisecond
 	// confirmTimeout bounds one request.
 	confirmTimeout = 300 * time.Millisecond
+	// silenceThreshold is how long no other failure domain may answer such a request before
+	// this one is suspected to be cut off: several round trips between busy instances.
+	silenceThreshold = 100 * time.Millisecond
 	// maxDirectConfirmations is the number of members up to which each is asked directly.
 	maxDirectConfirmations = 12
 )
@@ -52,8 +57,8 @@
 
 // applyConfirmation merges the latest epochs known to the members that answered a request
 // sent at sent. An epoch above the cached one revokes the primary at once. If they are a
-// majority together with this instance, the record is confirmed as of sent, and it returns true.
-func (v *PrimaryView) applyConfirmation(sent time.Duration, answered int, epochs map[string]uint64) bool {
+// majority together with this instance, the record is confirmed as of sent.
+func (v *PrimaryView) applyConfirmation(sent time.Duration, answered int, epochs map[string]uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.endLapsedUses()
@@ -63,11 +68,9 @@
 			s.drainDeadline = 0
 		}
 	}
-	confirmed := 2*(answered+1) > v.records.members.Count
-	if confirmed {
+	if 2*(answered+1) > v.records.members.Count {
 		v.confirmedAt = max(v.confirmedAt, sent)
 	}
-	return confirmed
 }
 
 // untilConfirmation returns the time until the members have to be asked for confirmation, 0
@@ -125,13 +128,28 @@
 func (c *Controller) requestConfirmation(ctx context.Context) {
 	sent := c.cfg.Clock()
 	members := c.cfg.Members()
+	var remoteAnswered atomic.Bool
+	if c.cfg.Silent != nil && slices.ContainsFunc(members, c.isRemote) {
+		timer := time.AfterFunc(silenceThreshold, func() {
+			if !remoteAnswered.Load() {
+				c.cfg.Silent()
+			}
+		})
+		defer timer.Stop()
+	}
+	answered := func(m Member) {
+		if c.isRemote(m) {
+			remoteAnswered.Store(true)
+		}
+	}
 	var merged Attestation
 	if len(members) <= maxDirectConfirmations {
-		merged = c.collect(ctx, members, false)
+		merged = c.collect(ctx, members, false, answered)
 	} else {
-		merged = c.collectFromDomains(ctx, members)
-	}
-	if !c.cfg.PrimaryView.applyConfirmation(sent-merged.Age, len(merged.Members), merged.Epochs) && c.cfg.Unconfirmed != nil {
-		c.cfg.Unconfirmed()
+		merged = c.collectFromDomains(ctx, members, answered)
 	}
+	c.cfg.PrimaryView.applyConfirmation(sent-merged.Age, len(merged.Members), merged.Epochs)
 }
+
+// isRemote reports whether a member is in another failure domain.
+func (c *Controller) isRemote(m Member) bool { return m.FailureDomain != c.cfg.FailureDomain }
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -122,11 +122,11 @@
 	// use of primaries. If it is nil, copies of the store always do; otherwise
 	// PrimaryView.RelyOnConfirmations is called before this instance registers.
 	Announce func(ctx context.Context, confirmedOnly bool) error
-	// Unconfirmed, if set, is called after a request for confirmation that no majority has
-	// answered. It must not block.
-	Unconfirmed func()
-	Clock       lease.Clock
-	Log         *zap.Logger
+	// Silent, if set, is called when a request for confirmation has not been answered by any other
+	// failure domain after silenceThreshold. It must not block.
+	Silent func()
+	Clock  lease.Clock
+	Log    *zap.Logger
 }
 
 // CheckAndSetDefaults validates the configuration.
