leadership: a service of which no primary is known gets one

Cause: who is primary of a service that was never replaced is known from the registry alone. If its entry is missing when the instances start, since the server was lost or cut off while all were restarted, they find no primary and no reason to replace one, for as long as the entry stays away. Change: without a record and a registered primary for 2.5 s, while the registry is complete, a replacement begins, by the same steps: every member revokes, the longest log is promoted, and a primary that appears meanwhile is taken. Measured: TestServiceWithoutAKnownPrimary failed for a primary lost for good (no primary after 6 s). With a threshold of 0.5 s it fails where the entry comes back after 2 s.

--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -46,6 +46,10 @@
 	// missingThreshold is how long an entry must be missing from the registry before
 	// its endpoint counts as unregistered.
 	missingThreshold = 500 * time.Millisecond
+	// unknownThreshold is how long no registered endpoint may report itself as the primary of a
+	// service without a record before one is promoted. An endpoint that is alive has registered
+	// within 2 s of its or the store's return, and counts as gone after that.
+	unknownThreshold = 2*time.Second + missingThreshold
 	// attemptBackoff is the wait of one instance after an attempt on a service.
 	attemptBackoff = time.Second
 	// peerTimeout bounds a request to one instance.
@@ -60,6 +64,7 @@
 	reasonDraining     reason = "the primary is leaving"
 	reasonEvacuated    reason = "the failure domain of the primary is evacuated"
 	reasonUnregistered reason = "the primary is no longer registered"
+	reasonUnknown      reason = "no endpoint is registered as the primary"
 	reasonUnresponsive reason = "the primary answers hardly any instance"
 	reasonAbandoned    reason = "an earlier replacement has no holder"
 )
@@ -250,7 +255,10 @@
 		return reasonAbandoned, 0
 	}
 	primary, err := c.cfg.PrimaryView.Primary(service)
-	if err != nil {
+	switch {
+	case errors.Is(err, errNoPrimary) && c.cfg.RegistryComplete():
+		return reasonUnknown, unknownThreshold
+	case err != nil:
 		return reasonNone, 0
 	}
 	e, registered := c.cfg.Registry().Endpoints[primary.Endpoint]
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -33,6 +33,7 @@
 	servers           map[string]*server
 	draining          map[string]bool
 	evacuated         map[string]bool // endpoints whose failure domain is evacuated
+	unregistered      map[string]bool
 	syncReplicas      int
 	cut               map[string]bool // instances that reach only servers
 	loseNextResponse  bool            // the response to the next commit is lost
@@ -101,7 +102,7 @@
 			"s2": {status: ServerStatus{Term: 1, Received: position.Position{Term: 1, Offset: 9}}},
 			"s3": {status: ServerStatus{Term: 1, Received: position.Position{Term: 1, Offset: 8}}},
 		},
-		draining: make(map[string]bool), evacuated: make(map[string]bool), cut: make(map[string]bool), instances: make(map[string]*instance),
+		draining: make(map[string]bool), evacuated: make(map[string]bool), unregistered: make(map[string]bool), cut: make(map[string]bool), instances: make(map[string]*instance),
 	}
 	f.confirmedOnly = make(map[string]bool)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -127,6 +128,7 @@
 		Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
 		SyncReplicas: func(string) int { return f.syncReplicas },
 		Table:        i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
+		RegistryComplete: func() bool { return i.reach("store") == nil },
 		Reaches: func(_ context.Context, endpoint string) bool {
 			return f.isUp(name, endpoint) && !f.probeIsUnanswered(endpoint)
 		},
@@ -196,6 +198,9 @@
 	defer f.mu.Unlock()
 	var list []catalog.Endpoint
 	for _, id := range []string{"s1", "s2", "s3"} {
+		if f.unregistered[id] {
+			continue
+		}
 		role := catalog.RoleReplica
 		if f.servers[id].status.Primary {
 			role = catalog.RolePrimary
--- /dev/null
+++ b/internal/leadership/unknown_primary_test.go
@@ -0,0 +1,48 @@
+package leadership
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestServiceWithoutAKnownPrimary covers a primary that was never replaced, so that no record
+// names it, and whose registry entry is missing when all instances start: it was lost for good, or
+// is cut off, while they were restarted. Without a replacement the service takes no write until
+// the entry returns, which it may never do.
+func TestServiceWithoutAKnownPrimary(t *testing.T) {
+	cases := []struct {
+		name      string
+		returns   time.Duration // after which the entry is back; 0 for never
+		storeDown time.Duration // for how long the store is down at first
+		primary   string        // after 6 s
+	}{
+		{name: "lost for good", primary: "s2"},
+		{name: "back within the time of the registry", returns: 2 * time.Second, primary: "s1"},
+		{name: "the store does not tell", storeDown: 6 * time.Second, primary: ""},
+		{name: "the store returns, and the entry after it", storeDown: 3 * time.Second, returns: 5 * time.Second, primary: "s1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, "a", "b", "c")
+				f.set(func() { f.unregistered["s1"], f.storeDown = true, c.storeDown > 0 })
+				if c.returns == 0 {
+					f.set(func() { f.servers["s1"].down = true })
+				}
+				time.AfterFunc(c.storeDown, func() { f.set(func() { f.storeDown = false }) })
+				if c.returns > 0 {
+					time.AfterFunc(c.returns, func() { f.set(func() { f.unregistered["s1"] = false }) })
+				}
+				time.Sleep(6*time.Second - time.Millisecond)
+				for _, name := range []string{"a", "b", "c"} {
+					require.Equal(t, c.primary, f.primary(name), name)
+				}
+				require.LessOrEqual(t, len(f.ordered()), 1)
+				require.Equal(t, c.primary == "s2", len(f.ordered()) == 1)
+			})
+		})
+	}
+}
