edge: fewer reads of the store while a failure domain may be cut off

Change: only the instance that notices a cut reads the store, beside its probes; the others are told when neither answered, and probe. While cut off, the store is read once a second and other domains are probed every 0.25 s. Requests for confirmation come every 0.5 s; 0.95 s after the cut at most.

--- a/internal/edge/cutoff.go
+++ b/internal/edge/cutoff.go
@@ -12,8 +12,10 @@
 
 const (
 	// cutOffCheckInterval is the interval of the checks whether this failure domain is cut
-	// off from the store and the other failure domains.
+	// off from the other failure domains.
 	cutOffCheckInterval = 250 * time.Millisecond
+	// cutOffStoreInterval is the interval of the reads of the store while it is cut off.
+	cutOffStoreInterval = time.Second
 	// cutOffStoreTimeout bounds the read of the store in such a check. A store fifty times
 	// slower than usual answers within it.
 	cutOffStoreTimeout = 250 * time.Millisecond
@@ -33,8 +35,7 @@
 func (i *Instance) watchCutOff(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if i.cutOff.Load() {
-			i.checkCutOff(ctx)
-			pause.For(ctx, cutOffCheckInterval)
+			i.awaitReturn(ctx)
 			continue
 		}
 		select {
@@ -50,15 +51,32 @@
 		case <-i.remoteSilence:
 			i.checkSilence(ctx)
 		case <-i.cutOffNoticed:
-			i.checkCutOff(ctx)
+			i.checkNotice(ctx)
 		case <-ctx.Done():
 		}
 	}
 	return nil
 }
 
-// checkSilence is checkAndNotice after a request for confirmation without an answer. While the
-// store serves this instance, that happens at most once per silenceCheckInterval.
+// awaitReturn waits until another failure domain answers again, and until the store may be read
+// again.
+func (i *Instance) awaitReturn(ctx context.Context) {
+	for wait := cutOffStoreInterval; wait > 0 && i.admission.DomainCutOff(); wait -= cutOffCheckInterval {
+		if !pause.For(ctx, cutOffCheckInterval) {
+			return
+		}
+		i.admission.ProbeOtherDomains(ctx)
+	}
+	if !i.admission.DomainCutOff() {
+		i.cutOff.Store(false)
+		return
+	}
+	i.checkCutOff(ctx)
+}
+
+// checkSilence is checkAndNotice after a request for confirmation that no other failure domain
+// answered. While the store serves this instance, that happens at most once per
+// silenceCheckInterval.
 func (i *Instance) checkSilence(ctx context.Context) {
 	if i.cfg.Clock() < i.silenceCheckAt {
 		return
@@ -69,19 +87,24 @@
 	}
 }
 
-// checkAndNotice checks whether this failure domain is cut off, after no other one has answered
-// this instance, and makes the other instances of the domain check it at the same time.
+// checkAndNotice checks whether this failure domain is cut off, and tells the other instances of
+// the domain if so.
 func (i *Instance) checkAndNotice(ctx context.Context) {
-	noticed := make(chan struct{})
-	go func() {
-		defer close(noticed)
+	if i.checkCutOff(ctx); i.cutOff.Load() {
 		i.noticeCutOff(ctx)
-	}()
-	i.checkCutOff(ctx)
-	<-noticed
+	}
 	pause.For(ctx, cutOffCheckInterval)
 }
 
+// checkNotice follows the notice of another instance of this failure domain, which has found no
+// answer of the store, if no other domain answers this instance either. The store is read after that.
+func (i *Instance) checkNotice(ctx context.Context) {
+	if i.admission.ProbeOtherDomains(ctx); i.admission.DomainCutOff() {
+		i.cutOff.Store(true)
+		i.checkCutOff(ctx)
+	}
+}
+
 // probeWhileStoreFails probes instances of other failure domains, at most once per
 // storeFailureProbeInterval: a cut that separates this failure domain from the store may
 // separate it from them as well, and without requests to them that would go unnoticed.
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -62,7 +62,7 @@
 	// cutOff is true while neither the store nor another failure domain answers.
 	cutOff atomic.Bool
 	// remoteSilence receives a value when no other failure domain has answered a request for
-	// confirmation, cutOffNoticed when another instance of the own domain suspects a cut.
+	// confirmation, cutOffNoticed when another instance of the own domain has found a cut.
 	remoteSilence, cutOffNoticed chan struct{}
 	// outage is the state of the store as seen by the followers.
 	outage *follow.Outage
--- a/internal/leadership/confirmation.go
+++ b/internal/leadership/confirmation.go
@@ -17,7 +17,7 @@
 	confirmInterval = 400 * time.Millisecond
 	// calmConfirmInterval is the time after a confirmation until the next request, if the use of
 	// primaries rests on confirmations: two more attempts fit into RecordLifetime.
-	calmConfirmInterval = 600 * time.Millisecond
+	calmConfirmInterval = 500 * time.Millisecond
 	// startupConfirmInterval is the time between requests before the first confirmation.
 	startupConfirmInterval = 100 * time.Millisecond
 	// confirmTimeout bounds one request.
