edge, leadership: an instance that starts relies on the store until a majority confirms it

Cause: an instance registered with the announcement that only confirmations extend its use of primaries. Instances that start together, or beside a partition, get none at first: they are not ready for 0.3 s more, withdraw the announcement and announce again 3 s later, five calls of the store each. Change: the first row tells that copies of the store extend the use. They do so only once that row is written, since the row of an earlier process may still announce otherwise and replacements would not wait. After 3 s with confirmations the announcement follows, two calls. Measured: TestStartBesideAMinority fails on the code before (no use without confirmations), and on the nearest wrong version, which relies on copies before the row is written (0 to 2 s of use that a replacement would not wait for).

--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -34,6 +34,14 @@
 	version platform.Revision
 	reads   int
 	writes  int
+	// refuseCommits makes all commits fail.
+	refuseCommits bool
+}
+
+func (s *memoryStore) setRefusing(refusing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuseCommits = refusing
 }
 
 func (s *memoryStore) Get(_ context.Context, keys ...string) ([]platform.Row, time.Time, error) {
@@ -70,6 +78,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
+	if s.refuseCommits {
+		return platform.CommitResult{}, errStub
+	}
 	for _, c := range conditions {
 		if s.rows[c.Key].Revision != c.Revision {
 			return platform.CommitResult{}, nil
@@ -208,6 +219,8 @@
 	stop      context.CancelFunc
 	// stopOne stops single instances, by name, without deregistering them.
 	stopOne map[string]context.CancelFunc
+	began   time.Time
+	ctx     context.Context // ends with the fleet
 }
 
 // startFleet starts n instances in six failure domains at the same time.
@@ -216,43 +229,56 @@
 	f := &memoryFleet{
 		t: t, store: &memoryStore{latency: 4 * time.Millisecond, rows: make(map[string]platform.Row)},
 		network: &memoryNetwork{listeners: make(map[string]*memoryListener), domains: make(map[string]string)}, stop: cancel,
-		stopOne: make(map[string]context.CancelFunc),
+		stopOne: make(map[string]context.CancelFunc), began: time.Now(), ctx: ctx,
 	}
 	f.store.rows["config"] = platform.Row{Key: "config", Revision: 1, Value: []byte("x")}
 	f.store.version = 1
-	began := time.Now()
 	for k := range n {
 		domain := string(rune('a' + k%6))
-		address := fmt.Sprintf("10.0.%d.%d:1", k/250, k%250)
-		i, err := New(Config{
-			Name: fmt.Sprintf("edge-%s-%d", domain, k), FailureDomain: domain, PeerAddress: address,
-			Allowance: quota.Allowance{Window: time.Second}, Dial: f.network.dialFrom(domain), Log: zap.NewNop(), Metrics: metrics.NewSet(),
-			Clock: func() time.Duration { return time.Since(began) + time.Hour },
-			Ports: Ports{
-				Configuration: f.rowsFor(domain, "config"), Registry: f.rowsFor(domain, "server/"), Fleet: fleetRows{f.rowsFor(domain, "")},
-				DecodeConfiguration: func([]follow.Row) (*catalog.Configuration, error) {
-					return &catalog.Configuration{Version: 1, Organisations: map[string]catalog.Organisation{"shop": {Name: "shop", Rate: 100, Burst: 100}}}, nil
-				},
-				DecodeRegistry: func([]follow.Row, func(string, error)) *catalog.Registry { return catalog.NewRegistry(nil) },
-				Table:          f.store, Dialer: stubPorts{}, Servers: stubPorts{}, Promoter: stubPorts{},
-			},
-		})
-		require.NoError(t, err)
-		f.instances = append(f.instances, i)
-		ctx, stopOne := context.WithCancel(ctx)
-		f.stopOne[i.cfg.Name] = stopOne
-		server := &http.Server{Handler: i.Handler()}
-		listener := f.network.listen(address, domain)
-		f.running.Go(func() { _ = server.Serve(listener) })
-		f.running.Go(func() { _ = i.Run(ctx) })
-		f.running.Go(func() {
-			<-ctx.Done()
-			_ = server.Close()
-		})
+		f.instances = append(f.instances, f.start(fmt.Sprintf("edge-%s-%d", domain, k), domain, fmt.Sprintf("10.0.%d.%d:1", k/250, k%250)))
 	}
 	return f
 }
 
+// start starts an instance.
+func (f *memoryFleet) start(name, domain, address string) *Instance {
+	i, err := New(Config{
+		Name: name, FailureDomain: domain, PeerAddress: address,
+		Allowance: quota.Allowance{Window: time.Second}, Dial: f.network.dialFrom(domain), Log: zap.NewNop(), Metrics: metrics.NewSet(),
+		Clock: func() time.Duration { return time.Since(f.began) + time.Hour },
+		Ports: Ports{
+			Configuration: f.rowsFor(domain, "config"), Registry: f.rowsFor(domain, "server/"), Fleet: fleetRows{f.rowsFor(domain, "")},
+			DecodeConfiguration: func([]follow.Row) (*catalog.Configuration, error) {
+				return &catalog.Configuration{Version: 1, Organisations: map[string]catalog.Organisation{"shop": {Name: "shop", Rate: 100, Burst: 100}}}, nil
+			},
+			DecodeRegistry: func([]follow.Row, func(string, error)) *catalog.Registry { return catalog.NewRegistry(nil) },
+			Table:          f.store, Dialer: stubPorts{}, Servers: stubPorts{}, Promoter: stubPorts{},
+		},
+	})
+	require.NoError(f.t, err)
+	ctx, stopOne := context.WithCancel(f.ctx)
+	f.stopOne[name] = stopOne
+	server := &http.Server{Handler: i.Handler()}
+	listener := f.network.listen(address, domain)
+	f.running.Go(func() { _ = server.Serve(listener) })
+	f.running.Go(func() { _ = i.Run(ctx) })
+	f.running.Go(func() {
+		<-ctx.Done()
+		_ = server.Close()
+	})
+	return i
+}
+
+// restart starts an instance again in place of an earlier process, which leaves its row.
+func (f *memoryFleet) restart(earlier *Instance) *Instance {
+	f.stopOne[earlier.cfg.Name]()
+	time.Sleep(100 * time.Millisecond)
+	earlier.client.CloseIdle()
+	i := f.start(earlier.cfg.Name, earlier.cfg.FailureDomain, earlier.cfg.PeerAddress)
+	f.instances[slices.Index(f.instances, earlier)] = i
+	return i
+}
+
 // storeDialTimeout is the time after which a connection to the store fails in a cut.
 const storeDialTimeout = 250 * time.Millisecond
 
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -150,6 +150,7 @@
 		transactions:       newOwnedTransactions(),
 		ownerFallbacks:     cfg.Metrics.Labelled("edge_owner_fallbacks_total"),
 		missingSince:       make(map[string]time.Duration),
+		reliesOnStore:      true,
 		remoteSilence:      make(chan struct{}, 1),
 		cutOffNoticed:      make(chan struct{}, 1),
 		refreshLimiter:     rate.NewLimiter(rate.Every(minRefreshInterval), 1),
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -137,6 +137,9 @@
 	if err := i.replaceOwnRow(ctx, rows[0], self); err != nil {
 		return trace.Wrap(err)
 	}
+	if i.reliesOnStore {
+		i.primaryView.RelyOnStore()
+	}
 	if err := i.fleet.Refresh(ctx); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/edge/reliance_test.go
+++ b/internal/edge/reliance_test.go
@@ -65,3 +65,30 @@
 	row.Version = later
 	require.False(t, toLeadership(decodeMembers([]follow.Row{row}, nil, zap.NewNop()))[0].ConfirmedOnly)
 }
+
+// TestStartBesideAMinority covers an instance that starts while the others cannot confirm its
+// records, as after a restart of all beside a partition. The row of its earlier process announced
+// that only confirmations extend its use of primaries: copies of the store do so from the moment
+// on when its own row tells, and not before, since a replacement would not wait for that.
+func TestStartBesideAMinority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 12)
+		defer f.close()
+		time.Sleep(10 * time.Second)
+		f.cutOffExceptStore("a")
+		first := f.instances[0]
+		require.True(t, f.announced(first))
+		f.store.setRefusing(true)
+		restarted := f.restart(first)
+		time.Sleep(2 * time.Second)
+		require.True(t, f.announced(restarted))
+		require.GreaterOrEqual(t, restarted.primaryView.Staleness(), leadership.RecordLifetime)
+		f.store.setRefusing(false)
+		time.Sleep(registerRetryInterval + 100*time.Millisecond)
+		require.False(t, f.announced(restarted))
+		require.Less(t, restarted.primaryView.Staleness(), leadership.RecordLifetime)
+		f.heal()
+		time.Sleep(8 * time.Second)
+		require.True(t, f.announced(restarted))
+	})
+}
--- a/internal/leadership/reliance.go
+++ b/internal/leadership/reliance.go
@@ -88,10 +88,15 @@
 	v.reliance.announced, v.reliance.confirmedOnly = true, true
 }
 
-// relyOnStore lets copies of the store that are read from now on extend the use of primaries.
-func (v *PrimaryView) relyOnStore() {
+// RelyOnStore lets copies of the store that are read from now on extend the use of primaries,
+// unless they do already. It is called after this instance's row has ceased to announce that only
+// confirmations do, also if that was a row of an earlier process.
+func (v *PrimaryView) RelyOnStore() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.reliance.announced && !v.reliance.confirmedOnly {
+		return
+	}
 	v.endLapsedUses()
 	v.reliance.confirmedOnly, v.reliance.storeSince, v.reliance.steadySince = false, v.clock(), v.clock()
 }
@@ -196,7 +201,7 @@
 	if confirmedOnly {
 		return
 	}
-	c.cfg.PrimaryView.relyOnStore()
+	c.cfg.PrimaryView.RelyOnStore()
 	if err := c.cfg.Refresh(ctx); err != nil {
 		c.cfg.Log.Info("the rows could not be read after an announcement; they are read again later", zap.Error(err))
 	}
--- a/internal/leadership/reliance_test.go
+++ b/internal/leadership/reliance_test.go
@@ -121,7 +121,7 @@
 		_, err := view.Primary("db")
 		require.True(t, IsStale(err))
 		time.Sleep(time.Millisecond)
-		view.relyOnStore()
+		view.RelyOnStore()
 		_, err = view.Primary("db")
 		require.True(t, IsStale(err), "a copy from before the withdrawal extends the use")
 		read()
