edge: announcements use the row as last read, and checks of a cut are paced on both ways

Change: the announcement is conditional on the row as last read, and fails like before if that has changed. The check after unanswered token requests comes at most every 2 s while the store serves, as that after requests for confirmation; a store that stops serving is noticed as before.

--- a/internal/edge/cutoff.go
+++ b/internal/edge/cutoff.go
@@ -41,7 +41,7 @@
 		select {
 		case <-i.admission.Unresponsive():
 			if i.admission.DomainCutOff() { // otherwise the next failed request counts at once
-				i.checkAndNotice(ctx)
+				i.checkSilence(ctx)
 			}
 		case <-i.outage.Failed():
 			i.probeWhileStoreFails(ctx)
@@ -74,9 +74,8 @@
 	i.checkCutOff(ctx)
 }
 
-// checkSilence is checkAndNotice after a request for confirmation that no other failure domain
-// answered. While the store serves this instance, that happens at most once per
-// silenceCheckInterval.
+// checkSilence is checkAndNotice after requests that no other failure domain answered. While the
+// store serves this instance, that happens at most once per silenceCheckInterval.
 func (i *Instance) checkSilence(ctx context.Context) {
 	if i.cfg.Clock() < i.silenceCheckAt {
 		return
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -69,8 +69,8 @@
 	// probedAt is when other failure domains were last probed because the store failed. Only
 	// the goroutine of watchCutOff uses it.
 	probedAt time.Duration
-	// silenceCheckAt is the earliest time of the next check after a request for confirmation that
-	// no other failure domain answered. Only the goroutine of watchCutOff uses it.
+	// silenceCheckAt is the earliest time of the next check after requests that no other failure
+	// domain answered. Only the goroutine of watchCutOff uses it.
 	silenceCheckAt time.Duration
 	reportedReason atomic.Pointer[string]
 	refreshLimiter *rate.Limiter
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -134,7 +134,7 @@
 	self.RegisteredMs = registeredSince(rows[0], self, now)
 	age := time.Duration(now.UnixMilli()-self.RegisteredMs) * time.Millisecond
 	i.joining.begin(age < joiningPeriod, i.cfg.Clock())
-	if err := i.replaceOwnRow(ctx, rows[0], self); err != nil {
+	if err := i.replaceOwnRow(ctx, rows[0].Revision, self); err != nil {
 		return trace.Wrap(err)
 	}
 	if i.reliesOnStore {
@@ -161,18 +161,15 @@
 	defer cancel()
 	i.ownRowMu.Lock()
 	defer i.ownRowMu.Unlock()
-	rows, _, err := i.cfg.Ports.Table.Get(ctx, memberPrefix+i.cfg.Name)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	var row member
-	if !rows[0].Revision.Exists() || json.Unmarshal(rows[0].Value, &row) != nil || row.Incarnation != i.incarnation || row.Retired {
+	// The commit fails if the row has changed since it was read.
+	row, ok := i.ownRow()
+	if !ok || row.Incarnation != i.incarnation || row.Retired {
 		return trace.CompareFailed("this instance is not registered")
 	}
 	if row.ConfirmedOnly = 0; confirmedOnly {
-		row.ConfirmedOnly = confirmedOnlyIn(rows[0].Revision)
+		row.ConfirmedOnly = confirmedOnlyIn(row.version)
 	}
-	if err := i.replaceOwnRow(ctx, rows[0], row); err != nil {
+	if err := i.replaceOwnRow(ctx, row.version, row); err != nil {
 		return trace.Wrap(err)
 	}
 	i.reliesOnStore = !confirmedOnly
@@ -180,8 +177,8 @@
 }
 
 // replaceOwnRow writes this instance's row unless it has changed since it was read.
-func (i *Instance) replaceOwnRow(ctx context.Context, read platform.Row, m member) error {
-	conditions := []platform.Condition{{Key: read.Key, Revision: read.Revision}}
+func (i *Instance) replaceOwnRow(ctx context.Context, read platform.Revision, m member) error {
+	conditions := []platform.Condition{{Key: memberPrefix + i.cfg.Name, Revision: read}}
 	result, err := i.cfg.Ports.Table.Commit(ctx, conditions, []platform.Write{memberWrite(m)})
 	if err != nil {
 		return trace.Wrap(err)
@@ -233,6 +230,16 @@
 	return platform.Write{Key: memberPrefix + m.Name, Value: value}
 }
 
+// ownRow returns this instance's row as last read, false if there was none.
+func (i *Instance) ownRow() (member, bool) {
+	members := i.members.Get()
+	at := slices.IndexFunc(members, func(m member) bool { return m.Name == i.cfg.Name })
+	if at < 0 {
+		return member{}, false
+	}
+	return members[at], true
+}
+
 // isListed reports whether the members include this instance at its current address, by a
 // row of this or an earlier start that is not retired.
 func (i *Instance) isListed() bool { return i.listedIn(i.members.Get()) }
