share: an unreadable row delays requests for demand and for the base alike

Found in reading the change: the delay after a row that cannot be decoded was kept with the shortage of the moment, so that it ended when the other kind of shortage came, or when demand was satisfied for a moment. It is a field of its own. The package's tests of shortages, rows and accounts pass.

--- a/internal/share/allocation.go
+++ b/internal/share/allocation.go
@@ -69,7 +69,9 @@
 	// demandShortage and baseShortage say when the table is asked again after it had too
 	// few units: for what holders want, and for the base alone; guarded by mu
 	demandShortage, baseShortage shortage
-	freedCh                      chan struct{} // guarded by mu; closed when units become free
+	// unreadableUntil is when the row is read again after it could not be decoded; guarded by mu
+	unreadableUntil time.Duration
+	freedCh         chan struct{} // guarded by mu; closed when units become free
 	// recalled is the time of the last recall, by holder; guarded by mu
 	recalled map[string]time.Duration
 
@@ -116,7 +118,7 @@
 	alloc.tokensToReturn, alloc.pending, alloc.recorded = 0, nil, 0
 	alloc.cached, alloc.missing = nil, 0
 	alloc.demandShortage, alloc.baseShortage = shortage{}, shortage{}
-	alloc.ceilingUntil, alloc.surplusSince, alloc.baseSuspendedUntil = 0, 0, 0
+	alloc.ceilingUntil, alloc.unreadableUntil, alloc.surplusSince, alloc.baseSuspendedUntil = 0, 0, 0, 0
 	alloc.notify()
 }
 
@@ -215,7 +217,7 @@
 	if goal <= alloc.ledger.Units {
 		return false
 	}
-	return now >= alloc.currentShortage().retryAt
+	return now >= max(alloc.unreadableUntil, alloc.currentShortage().retryAt)
 }
 
 // currentShortage returns the state of the retries for what is missing now. The caller holds
--- a/internal/share/row_updater.go
+++ b/internal/share/row_updater.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		event.ShareRowUnreadable.Emit(u.cfg.Log, resourceField(alloc.resource), errorField(err))
 		alloc.cached, alloc.dirty = nil, false
-		alloc.currentShortage().retryAt = u.cfg.Clock() + maxTableBackoff
+		alloc.unreadableUntil = u.cfg.Clock() + maxTableBackoff
 		return
 	}
 	alloc.cached, alloc.stale = &cachedRow{revision: stored.Revision, readAt: u.cfg.Clock(), row: decoded}, false
