share: contested connections are shared evenly, however small the difference

Two domains with 9 and 2 of the contested connections: half of the difference, rounded down, is 3, a third of 9, which is tolerated since estimates of demand differ by as much. Whole units are not estimated, and nothing else changes that division. Change: the tolerance holds for rates only.

--- a/internal/share/recall.go
+++ b/internal/share/recall.go
@@ -26,9 +26,9 @@
 	// ceilingDuration bounds how long a recall lowers an allocation; the ceiling
 	// ends earlier once the table has recorded the return.
 	ceilingDuration = 250 * time.Millisecond
-	// contestedDivisor sets when an allocator gives up units that it needs itself:
+	// contestedDivisor sets when an allocator gives up units of a rate that it needs itself:
 	// when its excess over its fair share is more than 1/contestedDivisor of its
-	// units.
+	// units. Estimates of demand differ by as much; whole units need no tolerance.
 	contestedDivisor = 3
 	// minKeptDivisor sets what a failure domain keeps when others need all of a
 	// limit: 1/minKeptDivisor of the limit, at most its base.
@@ -159,7 +159,7 @@
 		return min(unneeded, missing)
 	}
 	excess := alloc.excess(held, want)
-	if excess*contestedDivisor <= units {
+	if alloc.limit.Rate > 0 && excess*contestedDivisor <= units {
 		return 0
 	}
 	return min(excess, missing, units-min(units, minKept))
--- a/internal/share/shortage_test.go
+++ b/internal/share/shortage_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	configv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/config/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/escrow"
 )
 
 // TestNewDemandWaitsForNoEarlierShortage covers demand that moves to another failure domain
@@ -59,3 +60,14 @@
 	f.drive(ctx, "one", perSecond, func() *node { return n })
 	return cancel
 }
+
+// TestContestedConnectionsAreSharedEvenly covers two failure domains that want more connections
+// to an endpoint than it has: the one with more gives up half of the difference, however little
+// that is, since nothing else would change the division.
+func TestContestedConnectionsAreSharedEvenly(t *testing.T) {
+	for _, c := range []struct{ units, held, spare int64 }{{9, 2, 3}, {6, 4, 1}, {5, 4, 0}, {4, 4, 0}, {2, 9, 0}} {
+		alloc := newAllocation(ConnectionResource("e"), escrow.Limit{Units: 20})
+		alloc.ledger = escrow.Ledger{Units: c.units, Entries: []escrow.Entry{{Holder: "h/1", Units: c.units, Want: 20}}}
+		require.Equal(t, c.spare, max(0, alloc.spare(c.held, 20)), "%+v", c)
+	}
+}
