--- a/review/stage/replicas.go
+++ b/review/stage/replicas.go
@@ -191,7 +191,7 @@
 	for n := 1; !stop.Load(); n++ {
 		if s == nil {
 			var err error
-			if s, err = openSession(at.front, hostGate, key); err != nil {
+			if s, err = openSession(at.front, hostUser, key); err != nil {
 				s = nil
 				time.Sleep(200 * time.Millisecond)
 				continue
