leadership: a draining replica's log bounds a promotion, and may be promoted

Cause: the target was the longest log among the servers that take new work. A draining replica confirms commits until it ends, but its position bounded nothing. Change: where replicas confirm commits, no server behind any other answering replica is promoted. If only a draining one reaches far enough, it is promoted, and replaced as a draining primary once another has its log. Without confirmed commits nothing changes. Conclusion: the target may now be any replica, and the bound comes from all that answered.

--- a/internal/leadership/evacuation.go
+++ b/internal/leadership/evacuation.go
@@ -23,9 +23,8 @@
 
 // chooseTarget returns the endpoint to promote, if there is one yet. An evacuated primary
 // continues to run, so that its whole log is waited for as long as it responds, and for
-// catchUpTimeout until it responds. Where replicas confirm commits, an evacuated replica may
-// be the only one with an acknowledged commit; then nothing is promoted. Whether the primary is
-// evacuated is taken from the same registry as for recoveredOldPrimary, which has not kept it.
+// catchUpTimeout until it responds. Whether the primary is evacuated is taken from the same
+// registry as for recoveredOldPrimary, which has not kept it.
 func (r *replacement) chooseTarget(found survey, now time.Duration) (catalog.Endpoint, bool) {
 	old, responds := found.endpoint(r.oldPrimary)
 	if !responds {
@@ -36,5 +35,8 @@
 	if evacuated && catchingUp && !responds {
 		return catalog.Endpoint{}, false
 	}
-	return found.chooseTarget(r.oldPrimary, catchingUp || evacuated, r.c.cfg.SyncReplicas(r.service) > 0)
+	if r.commitsAreConfirmed() {
+		return found.chooseConfirmedTarget(r.oldPrimary, catchingUp || evacuated)
+	}
+	return found.chooseTarget(r.oldPrimary, catchingUp || evacuated)
 }
--- a/internal/leadership/order.go
+++ b/internal/leadership/order.go
@@ -60,7 +60,7 @@
 		}
 		return response{}, false, o.issue(ctx, o.target)
 	}
-	if primary, ok := found.successor(r.oldPrimary); ok {
+	if primary, ok := found.successor(r.oldPrimary, r.commitsAreConfirmed()); ok {
 		return primary, true, nil
 	}
 	if primary, ok := r.recoveredOldPrimary(found); ok {
--- a/internal/leadership/survey.go
+++ b/internal/leadership/survey.go
@@ -83,11 +83,12 @@
 }
 
 // successor returns a primary other than the old one: an earlier order has taken
-// effect, or a new server has replaced a removed one as primary.
-func (s survey) successor(oldPrimary string) (response, bool) {
+// effect, or a new server has replaced a removed one as primary. One that is draining is
+// returned with allowDraining only.
+func (s survey) successor(oldPrimary string, allowDraining bool) (response, bool) {
 	newest := s.newestTerm()
 	for _, resp := range s.responses {
-		if resp.status.Primary && resp.status.Term == newest && resp.endpoint.ID != oldPrimary && !resp.endpoint.Draining {
+		if resp.status.Primary && resp.status.Term == newest && resp.endpoint.ID != oldPrimary && (allowDraining || !resp.endpoint.Draining) {
 			return resp, true
 		}
 	}
@@ -106,26 +107,22 @@
 
 // chooseTarget returns the endpoint to promote: the one with the longest log. With
 // requireFullLog it returns none whose log is behind that of the old primary, if the
-// old primary responds. With requireConfirmed it returns none that is behind a replica that
-// may not be promoted because its failure domain is evacuated.
-func (s survey) chooseTarget(oldPrimary string, requireFullLog, requireConfirmed bool) (catalog.Endpoint, bool) {
+// old primary responds.
+func (s survey) chooseTarget(oldPrimary string, requireFullLog bool) (catalog.Endpoint, bool) {
 	var best *response
 	var requiredEnd position.Position
 	for i, resp := range s.responses {
-		if resp.endpoint.ID == oldPrimary && requireFullLog || resp.endpoint.Evacuated && requireConfirmed {
-			requiredEnd = requiredEnd.Max(resp.status.Received)
-		}
-		if resp.endpoint.ID == oldPrimary || !resp.endpoint.TakesNewWork() {
+		if resp.endpoint.ID == oldPrimary {
+			if requireFullLog {
+				requiredEnd = resp.status.Received
+			}
 			continue
 		}
-		if best == nil || best.status.Received.Less(resp.status.Received) {
+		if resp.endpoint.TakesNewWork() && (best == nil || best.status.Received.Less(resp.status.Received)) {
 			best = &s.responses[i]
 		}
 	}
-	switch {
-	case best == nil:
-		return catalog.Endpoint{}, false
-	case best.status.Received.Less(requiredEnd):
+	if best == nil || best.status.Received.Less(requiredEnd) {
 		return catalog.Endpoint{}, false
 	}
 	return best.endpoint, true
