leadership: a promotion waits for all that may hold a confirmed commit

Cause: the target was the longest log among the servers that had answered, however few. Where replicas confirm commits, R - N + 1 of R replicas or the old primary have to answer. Change: a promotion waits for as many answers, which may come from several surveys after the revocation. BUSY and an empty log are none. Replicas that have left the registry or restarted count until the others hold what they may have confirmed. The required end of the log is kept in the record (required) for the next holder and for a promoted server that crashes at once. A planned replacement gives up the old primary's tail after 2 s, but nothing that a replica may have confirmed. 9057 names the servers waited for. With sync-replicas 0 nothing changes.

--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -62,6 +62,12 @@
 		Text:   "the platform was asked to promote an endpoint",
 		Fields: []string{"service", "endpoint", "fence", "waited"},
 	}
+	ReplacementWaits = Event{
+		Number: 9057, Name: "edge.handover_waits", Level: zapcore.WarnLevel,
+		Text:   "a promotion waits for servers that may be the only ones with an acknowledged commit",
+		Fields: []string{"service", "epoch", "reason", "servers"},
+		Action: "Bring one of the servers or the old primary back; see docs/operations/edge.md for servers that are lost.",
+	}
 	ReplacementDone = Event{
 		Number: 9013, Name: "edge.handover_done", Level: zapcore.InfoLevel,
 		Text: "replacement of a primary completed", Fields: []string{"service", "endpoint", "term", "epoch", "took"},
@@ -201,7 +207,7 @@
 var edgeEvents = []Event{
 	StoreFailing, StoreBack, ConfigurationApplied, ConfigurationUnreadable,
 	RegistryChanged, RegistryEntryIgnored, ReadinessChanged, EndpointRelayed, IdleSessionsClosed,
-	ReplacementBegun, PrimaryRevoked, PromotionOrdered, ReplacementDone, ReplacementFailed,
+	ReplacementBegun, PrimaryRevoked, PromotionOrdered, ReplacementWaits, ReplacementDone, ReplacementFailed,
 	PrimaryRecordChanged, PrimaryUnresponsive, RequestRefused, RequestUnknown, RequestLate, LinesDropped, ConnectionOwnerFailed,
 	SettingsApplied, SettingsRefused, EvacuationLearnt, EvacuationEnded, EvacuationBlocked,
 	EdgeRegistered, EdgeRemoved, InstanceAdmitted, ConnectionOwnerLeaving, LimitContended,
--- a/internal/leadership/confirmed.go
+++ b/internal/leadership/confirmed.go
@@ -1,7 +1,14 @@
 package leadership
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"go.uber.org/zap"
+
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
 
@@ -9,30 +16,178 @@
 // acknowledged. The log of a promoted server must then hold every acknowledged commit.
 func (r *replacement) commitsAreConfirmed() bool { return r.c.cfg.SyncReplicas(r.service) > 0 }
 
-// chooseConfirmedTarget returns the endpoint to promote if replicas confirm commits: none is
-// behind any other replica, since that one may be the only server with an acknowledged commit. A
-// draining replica confirms commits until it ends. It is promoted if only its log reaches far
-// enough, and replaced as a draining primary once another one has received its log. With
-// requireFullLog the old primary's log counts as well, if it responds; replicas that are behind
-// still receive it then, and no draining one is returned.
-func (s survey) chooseConfirmedTarget(oldPrimary string, requireFullLog bool) (catalog.Endpoint, bool) {
-	var required position.Position
-	receivesMore := false
-	for _, resp := range s.responses {
-		if resp.endpoint.ID != oldPrimary || requireFullLog {
-			required = required.Max(resp.status.Received)
+// incarnation is one run of a server. A server that restarts has nothing of the log that it held
+// before.
+type incarnation struct {
+	id        string
+	startedAt int64
+}
+
+func (i incarnation) compare(other incarnation) int {
+	return cmp.Or(cmp.Compare(i.id, other.id), cmp.Compare(i.startedAt, other.startedAt))
+}
+
+func incarnationOf(e catalog.Endpoint) incarnation {
+	return incarnation{id: e.ID, startedAt: e.StartedAt}
+}
+
+// confirmedLog tells how far the acknowledged commits of a primary may reach. Each of them is held
+// by the primary and by at least confirming of the replicas, so that all are known once fewer
+// than confirming replicas have not answered, or once the primary has.
+type confirmedLog struct {
+	primary string
+	// replicas are the runs of servers that may have confirmed commits.
+	replicas   []incarnation
+	confirming int
+	// required is the end of the log that an earlier promotion demanded.
+	required position.Position
+	// answers were given after all instances had stopped using the primary.
+	answers map[incarnation]response
+}
+
+// end returns a position which no acknowledged commit lies beyond, and the replicas waited for if
+// it is not known. With fullLog it covers the primary's whole log, if the primary has answered.
+func (l confirmedLog) end(fullLog bool) (position.Position, []string) {
+	end := l.required
+	for run, resp := range l.answers {
+		if run.id != l.primary {
+			end = end.Max(resp.status.Received)
+		}
+	}
+	whole, answered := l.primaryLog(end)
+	if answered && fullLog {
+		return whole, nil
+	}
+	missing := l.missing()
+	switch {
+	case len(missing) < min(l.confirming, len(l.replicas)):
+		return end, nil
+	case answered:
+		return whole, nil
+	default:
+		return end, missing
+	}
+}
+
+// primaryLog returns the end of the primary's log. An answer that is empty or behind end is by a
+// server that has lost its log.
+func (l confirmedLog) primaryLog(end position.Position) (position.Position, bool) {
+	for run, resp := range l.answers {
+		if run.id == l.primary && resp.status.Received.Offset > 0 && !resp.status.Received.Less(end) {
+			return resp.status.Received, true
+		}
+	}
+	return position.Position{}, false
+}
+
+// missing returns the ids of the replicas without an answer. An empty log is none: the server may
+// have restarted, and its registry entry not tell so yet.
+func (l confirmedLog) missing() []string {
+	var ids []string
+	for _, run := range l.replicas {
+		resp, ok := l.answers[run]
+		if !ok || resp.status.Received.Offset == 0 {
+			ids = append(ids, run.id)
+		}
+	}
+	return ids
+}
+
+// confirmedLog returns what the servers have answered so far, found included.
+func (r *replacement) confirmedLog(found survey) confirmedLog {
+	registered, departed, confirming := r.c.departures.of(r.service, r.c.cfg.Registry, r.c.cfg.SyncReplicas)
+	l := confirmedLog{primary: r.oldPrimary, confirming: confirming, required: r.record.Required, answers: make(map[incarnation]response)}
+	if l.primary == "" {
+		// No record tells which server was the primary that has left.
+		l.primary, _ = solePrimary(catalog.NewRegistry(departed), r.service)
+	}
+	for _, e := range append(registered, departed...) {
+		if e.ID != l.primary {
+			l.replicas = append(l.replicas, incarnationOf(e))
 		}
-		receivesMore = receivesMore || resp.endpoint.ID == oldPrimary && requireFullLog
 	}
+	for run, resp := range r.answers {
+		l.answers[run] = resp
+	}
+	for _, resp := range found.responses {
+		l.answers[incarnationOf(resp.endpoint)] = resp
+	}
+	return l
+}
+
+// keepAnswers keeps the statuses of a survey if replicas confirm commits, so that not all servers
+// have to answer the same one.
+func (r *replacement) keepAnswers(found survey) {
+	if !r.commitsAreConfirmed() {
+		return
+	}
+	if r.answers == nil {
+		r.answers = make(map[incarnation]response)
+	}
+	for _, resp := range found.responses {
+		r.answers[incarnationOf(resp.endpoint)] = resp
+	}
+}
+
+// newestTerm returns the newest term that a server has told.
+func (r *replacement) newestTerm(found survey) uint64 {
+	newest := found.newestTerm()
+	for _, resp := range r.answers {
+		newest = max(newest, resp.status.Term)
+	}
+	return newest
+}
+
+// chooseConfirmedTarget returns the endpoint to promote if replicas confirm commits: its log holds
+// all that may have been acknowledged. A draining replica confirms commits until it ends. It is
+// promoted if no other log reaches far enough, and replaced as a draining primary once another
+// server has received its log. With fullLog the old primary's whole log counts as well, if the old
+// primary responds; the others still receive it then, and no draining one is promoted.
+func (r *replacement) chooseConfirmedTarget(found survey, fullLog bool) (catalog.Endpoint, bool) {
+	l := r.confirmedLog(found)
+	end, missing := l.end(fullLog)
+	if len(missing) > 0 {
+		r.reportWait("too few servers have told their position", missing)
+		return catalog.Endpoint{}, false
+	}
+	registry := r.c.cfg.Registry()
 	var leaving catalog.Endpoint
-	for _, resp := range s.responses {
-		if resp.endpoint.ID == oldPrimary || resp.endpoint.Evacuated || resp.status.Received.Less(required) {
+	var holders []string
+	for _, run := range slices.SortedFunc(maps.Keys(l.answers), incarnation.compare) {
+		if l.answers[run].status.Received.Less(end) {
 			continue
 		}
-		if !resp.endpoint.Draining {
-			return resp.endpoint, true
+		holders = append(holders, run.id)
+		e, registered := registry.Endpoints[run.id]
+		switch {
+		case !registered || incarnationOf(e) != run || run.id == r.oldPrimary || e.Evacuated:
+		case e.Draining:
+			leaving = e
+		default:
+			return r.confirmedTarget(e, end)
 		}
-		leaving = resp.endpoint
 	}
-	return leaving, leaving.ID != "" && !receivesMore
+	_, primaryRuns := found.endpoint(r.oldPrimary)
+	othersCatchUp := primaryRuns && fullLog
+	if leaving.ID != "" && !othersCatchUp {
+		return r.confirmedTarget(leaving, end)
+	}
+	r.reportWait("no server that may be promoted holds the confirmed log", holders)
+	return catalog.Endpoint{}, false
+}
+
+// confirmedTarget returns the endpoint, after it has noted how far its log must reach.
+func (r *replacement) confirmedTarget(e catalog.Endpoint, end position.Position) (catalog.Endpoint, bool) {
+	r.required, r.waitedFor = end, nil
+	return e, true
+}
+
+// reportWait logs the servers that a replacement waits for, once for each set of them.
+func (r *replacement) reportWait(reason string, servers []string) {
+	if r.waitedFor != nil && slices.Equal(r.waitedFor, servers) {
+		return
+	}
+	r.waitedFor = slices.Clone(servers)
+	event.ReplacementWaits.Emit(r.c.cfg.Log, zap.String("service", r.service), zap.Uint64("epoch", r.record.Epoch),
+		zap.String("reason", reason), zap.Strings("servers", servers))
 }
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -84,6 +84,8 @@
 	attestedAt time.Duration // guarded by attesting; before the first request of attested was sent
 	// alerted receives a value when another instance suspects a primary.
 	alerted chan struct{}
+	// departures tracks the replicas that may hold confirmed commits after they have left.
+	departures departures
 
 	mu sync.Mutex
 	// running holds the replacement that this instance runs for a service; guarded by mu.
@@ -119,7 +121,7 @@
 		return nil, trace.Wrap(err)
 	}
 	return &Controller{
-		cfg: cfg, attesting: make(chan struct{}, 1), alerted: make(chan struct{}, 1), running: make(map[string]*replacement), conditions: make(map[string]condition),
+		cfg: cfg, attesting: make(chan struct{}, 1), alerted: make(chan struct{}, 1), departures: departures{services: make(map[string]*departedReplicas)}, running: make(map[string]*replacement), conditions: make(map[string]condition),
 		notBefore: make(map[string]time.Duration), suspects: make(map[string]suspect), reportedAt: make(map[string]time.Duration),
 	}, nil
 }
@@ -129,6 +131,7 @@
 	t, ctx := tomb.WithContext(ctx)
 	t.Go(func() error { return c.pollServices(ctx, t) })
 	t.Go(func() error { return c.confirmRecords(ctx) })
+	t.Go(func() error { return c.watchDepartures(ctx) })
 	if c.cfg.Announce != nil {
 		t.Go(func() error { return c.watchReliance(ctx) })
 	}
@@ -180,6 +183,7 @@
 func (c *Controller) pollServices(ctx context.Context, t *tomb.Tomb) error {
 	for ctx.Err() == nil {
 		changed := c.cfg.PrimaryView.Changed()
+		c.departures.observe(c.cfg.Registry, c.cfg.SyncReplicas)
 		for _, name := range c.serviceNames() {
 			if cause := c.reasonToReplace(name); cause != reasonNone {
 				c.start(ctx, t, name, cause)
--- a/internal/leadership/evacuation.go
+++ b/internal/leadership/evacuation.go
@@ -36,7 +36,7 @@
 		return catalog.Endpoint{}, false
 	}
 	if r.commitsAreConfirmed() {
-		return found.chooseConfirmedTarget(r.oldPrimary, catchingUp || evacuated)
+		return r.chooseConfirmedTarget(found, catchingUp || evacuated)
 	}
 	return found.chooseTarget(r.oldPrimary, catchingUp || evacuated)
 }
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
@@ -80,8 +82,10 @@
 }
 
 type server struct {
-	status ServerStatus
-	down   bool
+	status    ServerStatus
+	down      bool
+	busy      bool // refuses to tell its status
+	startedAt int64
 }
 
 type instance struct {
@@ -126,7 +130,7 @@
 	cfg := Config{
 		Self: name, FailureDomain: domainOf(name), PrimaryView: i.view, Refresh: i.refresh, Registry: f.registry,
 		Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
-		SyncReplicas: func(string) int { return f.syncReplicas },
+		SyncReplicas: func(string) int { return f.confirming() },
 		Table:        i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
 		RegistryComplete: func() bool { return i.reach("store") == nil },
 		Reaches: func(_ context.Context, endpoint string) bool {
@@ -180,6 +184,12 @@
 	return f.remoteLifetime
 }
 
+func (f *fleet) confirming() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.syncReplicas
+}
+
 func (f *fleet) members() []Member {
 	var list []Member
 	f.mu.Lock()
@@ -197,7 +207,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []catalog.Endpoint
-	for _, id := range []string{"s1", "s2", "s3"} {
+	for _, id := range slices.Sorted(maps.Keys(f.servers)) {
 		if f.unregistered[id] {
 			continue
 		}
@@ -205,7 +215,7 @@
 		if f.servers[id].status.Primary {
 			role = catalog.RolePrimary
 		}
-		list = append(list, catalog.Endpoint{ID: id, Service: "db", Role: role, Draining: f.draining[id], FailureDomain: f.endpointDomain, Evacuated: f.evacuated[id]})
+		list = append(list, catalog.Endpoint{ID: id, Service: "db", Role: role, Draining: f.draining[id], FailureDomain: f.endpointDomain, Evacuated: f.evacuated[id], StartedAt: f.servers[id].startedAt})
 	}
 	return catalog.NewRegistry(list)
 }
@@ -313,10 +323,13 @@
 
 func (i *instance) Status(ctx context.Context, e catalog.Endpoint) (ServerStatus, error) {
 	i.f.mu.Lock()
-	status := i.f.servers[e.ID].status
+	s := *i.f.servers[e.ID]
 	i.f.mu.Unlock()
 	if i.f.isUp(i.name, e.ID) {
-		return status, nil
+		if s.busy {
+			return ServerStatus{}, trace.LimitExceeded("the server is busy")
+		}
+		return s.status, nil
 	}
 	return ServerStatus{}, i.f.unanswered(ctx, errUnreachable)
 }
--- a/internal/leadership/intent.go
+++ b/internal/leadership/intent.go
@@ -51,7 +51,7 @@
 	}
 	generation := rows[0].Revision.Generation()
 	next := Record{
-		Service: r.service, Endpoint: r.base.Endpoint, Term: r.base.Term, Phase: Replacing, Epoch: nextNumber(r.base.Epoch, generation), Ordered: r.base.Ordered,
+		Service: r.service, Endpoint: r.base.Endpoint, Term: r.base.Term, Phase: Replacing, Epoch: nextNumber(r.base.Epoch, generation), Ordered: r.base.Ordered, Required: r.base.Required,
 		Holder: r.c.cfg.Self, Fence: nextNumber(current.fenceState.Fence, generation), Attempt: uuid.NewString(),
 	}
 	if next.Endpoint == "" {
--- a/internal/leadership/order.go
+++ b/internal/leadership/order.go
@@ -27,7 +27,9 @@
 	deadline := r.c.cfg.Clock() + promotionTimeout + catchUpTimeout
 	for r.c.cfg.Clock() < deadline && ctx.Err() == nil {
 		// Once a promotion is ordered, the old primary can no longer be kept.
-		primary, done, err := o.step(ctx, r.survey(ctx, r.mayKeepOldPrimary() && r.record.Ordered == ""))
+		found := r.survey(ctx, r.mayKeepOldPrimary() && r.record.Ordered == "")
+		r.keepAnswers(found)
+		primary, done, err := o.step(ctx, found)
 		if done || err != nil {
 			return primary.endpoint, primary.status.Term, err
 		}
@@ -70,7 +72,7 @@
 	if !ok {
 		return response{}, false, nil
 	}
-	o.previousTerm = found.newestTerm()
+	o.previousTerm = r.newestTerm(found)
 	if err := r.recordOrder(ctx, choice.ID); err != nil {
 		return response{}, false, trace.Wrap(err)
 	}
@@ -80,7 +82,7 @@
 // recordOrder records the order before it is issued, for an instance that may have to
 // continue the replacement.
 func (r *replacement) recordOrder(ctx context.Context, target string) error {
-	if r.record.Ordered == target {
+	if r.record.Ordered == target && !r.record.Required.Less(r.required) {
 		return nil
 	}
 	current, rows, err := r.readRecords(ctx)
@@ -91,7 +93,7 @@
 		return trace.CompareFailed("another instance has taken over")
 	}
 	next := r.record
-	next.Ordered, next.Attempt = target, uuid.NewString()
+	next.Ordered, next.Required, next.Attempt = target, r.record.Required.Max(r.required), uuid.NewString()
 	if err := r.commit(ctx, rows, []platform.Write{encodeRow(servicePrefix+r.service, next)}, next); err != nil {
 		return trace.Wrap(err)
 	}
@@ -106,6 +108,7 @@
 	err := o.r.order(ctx, target)
 	if errors.Is(err, errPromotionRefused) {
 		o.target = catalog.Endpoint{}
+		delete(o.r.answers, incarnationOf(target))
 		return nil
 	}
 	return err
--- a/internal/leadership/record.go
+++ b/internal/leadership/record.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
 
 const (
@@ -59,6 +60,9 @@
 	// Ordered is the endpoint whose promotion may have been ordered; empty while
 	// certainly no promotion was ordered.
 	Ordered string `json:"ordered,omitempty"`
+	// Required is the end of the log that a promoted server must hold: how far the acknowledged
+	// commits may reach of the primaries before. It is zero where replicas do not confirm commits.
+	Required position.Position `json:"required,omitzero"`
 	// Fence is the number under which Holder calls the platform.
 	Fence uint64 `json:"fence"`
 	// Attempt identifies the commit, so that it is recognised if its response was
--- a/internal/leadership/replacement.go
+++ b/internal/leadership/replacement.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/pause"
 	"github.com/hornbeamlock/hornbeamlock/internal/platform"
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
 
 // Timing of one replacement.
@@ -34,6 +35,9 @@
 	// statusGracePeriod is how long after the first response the other servers may
 	// respond: a busy server's slots free up within it.
 	statusGracePeriod = 120 * time.Millisecond
+	// queuedStatusTimeout bounds a request to a server whose answer a replacement cannot do
+	// without: it waits in a full queue like any statement.
+	queuedStatusTimeout = time.Second
 	// catchUpTimeout is how long a planned replacement waits for a replica to receive
 	// the old primary's whole log.
 	catchUpTimeout = 2 * time.Second
@@ -78,6 +82,12 @@
 	committedAt time.Duration
 	oldPrimary  string
 	members     []Member
+	// answers are the latest statuses since all instances have stopped using the old primary,
+	// where replicas confirm commits; required is how far the log of the chosen target must reach.
+	answers  map[incarnation]response
+	required position.Position
+	// waitedFor are the servers of the last wait that was logged.
+	waitedFor []string
 	// revocations are the responses of the members that have revoked the old primary.
 	revocations []revocation
 }
--- a/internal/leadership/revoke.go
+++ b/internal/leadership/revoke.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -23,10 +24,12 @@
 		return nil, trace.Wrap(err)
 	}
 	revokeCtx, cancel := context.WithCancel(ctx)
+	var watching sync.WaitGroup
+	defer watching.Wait()
 	defer cancel()
 	found := make(chan response, 1)
 	if r.mayKeepOldPrimary() {
-		go r.watchOldPrimary(revokeCtx, func(resp response) { found <- resp })
+		watching.Go(func() { r.watchOldPrimary(revokeCtx, func(resp response) { found <- resp }) })
 	}
 	revoked := make(chan revocation, len(r.members))
 	pending := make(map[string]Member, len(r.members))
--- a/internal/leadership/survey.go
+++ b/internal/leadership/survey.go
@@ -2,26 +2,54 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
 
-// survey requests the status of all endpoints of the service at once. After the first
-// response the others get statusGracePeriod, so that an unreachable server does not
-// delay the rest; with awaitAll they get all of statusTimeout.
+// survey requests the status of all servers of the service at once. Once enough have responded
+// the others get statusGracePeriod, so that an unreachable server does not delay the rest; with
+// awaitAll they get statusTimeout in all.
 func (r *replacement) survey(ctx context.Context, awaitAll bool) survey {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	limits := surveyLimits{timeout: statusTimeout, grace: statusGracePeriod, enough: func(found survey) bool { return len(found.responses) > 0 }}
+	if r.commitsAreConfirmed() {
+		limits.timeout = queuedStatusTimeout
+		limits.enough = func(found survey) bool {
+			_, missing := r.confirmedLog(found).end(false)
+			return len(missing) == 0
+		}
+	}
+	if awaitAll {
+		limits.grace = statusTimeout
+	}
+	found := r.c.requestStatuses(ctx, r.c.serversOf(r.service), limits)
+	found.recordedTerm = r.base.Term
+	return found
+}
+
+// surveyLimits bounds the duration of a survey: grace after enough servers have responded, timeout
+// if there are never enough. Without enough, all are awaited.
+type surveyLimits struct {
+	timeout, grace time.Duration
+	enough         func(survey) bool
+}
+
+// requestStatuses asks servers for their status.
+func (c *Controller) requestStatuses(ctx context.Context, servers []catalog.Endpoint, limits surveyLimits) survey {
+	ctx, cancel := context.WithTimeout(ctx, limits.timeout)
 	defer cancel()
-	endpoints := r.c.cfg.Registry().ByService[r.service]
-	responses := make(chan response, len(endpoints))
+	responses := make(chan response, len(servers))
 	var pending sync.WaitGroup
-	for _, e := range endpoints {
+	for _, e := range servers {
 		pending.Go(func() {
-			if status, err := r.c.cfg.Servers.Status(ctx, e); err == nil {
-				responses <- response{endpoint: e, status: status}
+			status, err := c.cfg.Servers.Status(ctx, e)
+			if err == nil || trace.IsLimitExceeded(err) {
+				responses <- response{endpoint: e, status: status, busy: err != nil}
 			}
 		})
 	}
@@ -29,18 +57,23 @@
 		pending.Wait()
 		close(responses)
 	}()
-	found := survey{recordedTerm: r.base.Term}
-	for {
+	var found survey
+	for limited := false; ; {
 		select {
 		case resp, more := <-responses:
 			if !more {
 				return found
 			}
-			if len(found.responses) == 0 && !awaitAll {
-				timer := time.AfterFunc(statusGracePeriod, cancel)
-				defer timer.Stop()
+			if resp.busy {
+				found.busy = append(found.busy, resp.endpoint.ID)
+				continue
 			}
 			found.responses = append(found.responses, resp)
+			if !limited && limits.enough != nil && limits.enough(found) {
+				limited = true
+				timer := time.AfterFunc(limits.grace, cancel)
+				defer timer.Stop()
+			}
 		case <-ctx.Done():
 			return found
 		}
@@ -51,11 +84,15 @@
 type response struct {
 	endpoint catalog.Endpoint
 	status   ServerStatus
+	// busy is true if the server is running and has refused to tell its status.
+	busy bool
 }
 
 // survey holds the statuses that the servers of a service returned.
 type survey struct {
 	responses []response
+	// busy holds the ids of the servers that are too busy to tell their status.
+	busy []string
 	// recordedTerm is the term of the primary that is being replaced, which may not respond.
 	recordedTerm uint64
 }
@@ -95,14 +132,26 @@
 	return response{}, false
 }
 
-// endpoint returns the endpoint if it has returned its status.
-func (s survey) endpoint(id string) (catalog.Endpoint, bool) {
+// response returns the response of a server.
+func (s survey) response(id string) (response, bool) {
 	for _, resp := range s.responses {
 		if resp.endpoint.ID == id {
-			return resp.endpoint, true
+			return resp, true
 		}
 	}
-	return catalog.Endpoint{}, false
+	return response{}, false
+}
+
+// responded reports whether a server is running: it has told its status, or is too busy to.
+func (s survey) responded(id string) bool {
+	_, ok := s.response(id)
+	return ok || slices.Contains(s.busy, id)
+}
+
+// endpoint returns the endpoint if it has returned its status.
+func (s survey) endpoint(id string) (catalog.Endpoint, bool) {
+	resp, ok := s.response(id)
+	return resp.endpoint, ok
 }
 
 // chooseTarget returns the endpoint to promote: the one with the longest log. With
