platform: a draining instance takes no statement that it cannot answer

Cause: until halfway through the drain only sessions at rest ended. A busy session went on, though its route's timeout no longer fitted into what was left, and what was in progress at the end got no answer. Ruled out: that the drain ended early, and that the statement was read but not passed on. Change: a session outside a transaction ends after an answer once the timeout of its next statement no longer fits.

--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -63,6 +63,14 @@
 // InTransaction reports whether the session has an open or failed transaction.
 func (s *Session) InTransaction() bool { return s.tx != nil }
 
+// StatementTimeout returns how long a statement may take that the caller sends next.
+func (s *Session) StatementTimeout() time.Duration {
+	if s.tx != nil {
+		return statementTimeout(s.tx.route)
+	}
+	return statementTimeout(s.p.cfg.Configuration().Routes[s.database])
+}
+
 // TransactionIdleTimeout returns how long the transaction may stay idle, or 0 for no limit. A
 // transaction that holds no connection has none.
 func (s *Session) TransactionIdleTimeout() time.Duration {
