--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -382,6 +382,9 @@
 	return i.runningForOthers.Load() > 0 || i.transactions.count() > 0
 }
 
+// RunsStatementsForOthers reports whether statements of other instances are in progress here.
+func (i *Instance) RunsStatementsForOthers() bool { return i.runningForOthers.Load() > 0 }
+
 // Draining reports whether Drain was called.
 func (i *Instance) Draining() bool { return i.draining.Load() }
 
