--- a/internal/backend/turn.go
+++ b/internal/backend/turn.go
@@ -79,7 +79,7 @@
 // hasSlot reports whether another statement may run, besides those that were notified. The
 // caller holds mu.
 func (q *pool) hasSlot(e catalog.Endpoint) bool {
-	return e.Slots <= 0 || q.busy+q.notified < e.Slots+spareSlots
+	return e.Slots <= 0 || q.busy+q.notified-spareSlots < e.Slots
 }
 
 // occupy counts a slot as occupied; pooled is nil if the connection is yet to be opened. The
