leadership: only configured services get a primary

Operators of similar systems told of odd registry entries. Here one that names a service of its own made every instance look after that service: without a primary for 2.5 s, an intent was committed and the stray server ordered to be promoted. Thousands of such entries would fill the store's writes. Cause: the services were taken from the registry alone. Change: the services of the configuration in force that have registered servers. Measured: TestServicesOfOtherWritersAreLeftAlone fails before (the stray server is ordered) and passes after; the tests of leadership, edge and platform pass. Conclusion: an entry for a service that is not configured is without effect.

--- a/internal/edge/evacuation.go
+++ b/internal/edge/evacuation.go
@@ -132,6 +132,12 @@
 // this instance has learnt of its evacuation.
 func (i *Instance) transactionGrace() time.Duration { return i.cfg.EvacuationBound * 3 / 5 }
 
+// isConfigured reports whether the configuration in force has the service.
+func (i *Instance) isConfigured(service string) bool {
+	_, ok := i.configuration.Get().Services[service]
+	return ok
+}
+
 // syncReplicas returns how many replicas confirm a commit of the service.
 func (i *Instance) syncReplicas(service string) int {
 	return i.configuration.Get().Services[service].SyncReplicas
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -218,11 +218,14 @@
 	return idlePollInterval
 }
 
+// serviceNames returns the configured services with registered servers.
 func (c *Controller) serviceNames() []string {
 	registry := c.cfg.Registry()
 	names := make([]string, 0, len(registry.ByService))
 	for name := range registry.ByService {
-		names = append(names, name)
+		if c.cfg.IsConfigured(name) {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	return names
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -1,6 +1,7 @@
 package leadership
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -85,6 +86,7 @@
 	status    ServerStatus
 	down      bool
 	busy      bool // refuses to tell its status
+	service   string
 	startedAt int64
 }
 
@@ -130,6 +132,7 @@
 	cfg := Config{
 		Self: name, FailureDomain: domainOf(name), PrimaryView: i.view, Refresh: i.refresh, Registry: f.registry,
 		Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
+		IsConfigured: func(service string) bool { return service == "db" },
 		SyncReplicas: func(string) int { return f.confirming() },
 		Table:        i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
 		RegistryComplete: func() bool { return i.reach("store") == nil },
@@ -215,7 +218,7 @@
 		if f.servers[id].status.Primary {
 			role = catalog.RolePrimary
 		}
-		list = append(list, catalog.Endpoint{ID: id, Service: "db", Role: role, Draining: f.draining[id], FailureDomain: f.endpointDomain, Evacuated: f.evacuated[id], StartedAt: f.servers[id].startedAt})
+		list = append(list, catalog.Endpoint{ID: id, Service: cmp.Or(f.servers[id].service, "db"), Role: role, Draining: f.draining[id], FailureDomain: f.endpointDomain, Evacuated: f.evacuated[id], StartedAt: f.servers[id].startedAt})
 	}
 	return catalog.NewRegistry(list)
 }
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -116,6 +116,9 @@
 	Promoter Promoter
 	Peers    Peers
 	Health   Health
+	// IsConfigured reports whether the operators have configured a service; nil means that all are.
+	// Servers may register for others, whose primaries are left alone.
+	IsConfigured func(service string) bool
 	// SyncReplicas returns how many replicas confirm a commit of the service before it is
 	// acknowledged; nil means none.
 	SyncReplicas func(service string) int
@@ -139,6 +142,9 @@
 	if c.RegistryComplete == nil {
 		c.RegistryComplete = func() bool { return true }
 	}
+	if c.IsConfigured == nil {
+		c.IsConfigured = func(string) bool { return true }
+	}
 	if c.SyncReplicas == nil {
 		c.SyncReplicas = func(string) int { return 0 }
 	}
--- a/internal/leadership/unknown_primary_test.go
+++ b/internal/leadership/unknown_primary_test.go
@@ -46,3 +46,15 @@
 		})
 	}
 }
+
+// TestServicesOfOtherWritersAreLeftAlone guards against promotions, and the calls of the store before
+// them, for a service that only a registry entry of another writer names.
+func TestServicesOfOtherWritersAreLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		f.set(func() { f.servers["stray"] = &server{service: "stray", status: f.servers["s2"].status} })
+		time.Sleep(10 * time.Second)
+		require.Empty(t, f.ordered())
+		require.Equal(t, "s1", f.primary("a"))
+	})
+}
