--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -27,6 +27,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
 	"github.com/hornbeamlock/hornbeamlock/internal/peerlink"
 	"github.com/hornbeamlock/hornbeamlock/internal/pipeline"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 	"github.com/hornbeamlock/hornbeamlock/internal/quota"
 )
 
@@ -84,6 +85,9 @@
 	// missingSince holds when the entry of each retained endpoint was first missing from the
 	// registry, by endpoint. Only the goroutine that follows the registry uses it.
 	missingSince map[string]time.Duration
+	// ignoredEntries holds the versions of the registry entries that named no endpoint when the
+	// registry was last applied.
+	ignoredEntries map[string]platform.Revision
 	// readerSkippedUntil holds, by instance, the time until which one that failed as a
 	// domain reader is skipped.
 	readerSkippedUntil *blackboard.Table[string, time.Duration]
--- a/internal/edge/malformed_test.go
+++ b/internal/edge/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log"
 	"net/http"
@@ -13,7 +14,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
 	"github.com/hornbeamlock/hornbeamlock/internal/quota"
 )
@@ -90,3 +94,31 @@
 		require.GreaterOrEqual(t, m.wants()["shop"][0], 0.0)
 	}
 }
+
+// TestIgnoredEntriesAreLoggedOnce guards against lines on thousands of odd registry entries with
+// each heartbeat of a server.
+func TestIgnoredEntriesAreLoggedOnce(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	i := newInstance(t, &fakeRows{}, &fakeRows{}, &fakeRows{}, nil)
+	i.cfg.Log = zap.New(core)
+	i.cfg.Ports.DecodeRegistry = func(rows []follow.Row, ignored func(string, error)) *catalog.Registry {
+		for _, row := range rows {
+			ignored(row.Key, errStub)
+		}
+		return catalog.NewRegistry(nil)
+	}
+	apply := func(rows ...follow.Row) int {
+		i.applyRegistry(follow.Snapshot{Rows: rows})
+		return len(lines.TakeAll())
+	}
+	require.Equal(t, 2, apply(follow.Row{Key: "a", Version: 1}, follow.Row{Key: "b", Version: 1}))
+	require.Equal(t, 1, apply(follow.Row{Key: "a", Version: 1}, follow.Row{Key: "b", Version: 2}))
+	require.Zero(t, apply(follow.Row{Key: "b", Version: 2}))
+	require.Equal(t, 1, apply(follow.Row{Key: "a", Version: 1}, follow.Row{Key: "b", Version: 2}), "the entry is new")
+	var many []follow.Row
+	for n := range 3000 {
+		many = append(many, follow.Row{Key: fmt.Sprintf("x%04d", n), Version: 3})
+	}
+	require.Equal(t, maxIgnoredReports, apply(many...))
+	require.Zero(t, apply(many...))
+}
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
 // missingGrace is how long an entry may be missing before its endpoint counts as
@@ -17,11 +18,12 @@
 // time.
 const missingGrace = 2 * time.Second
 
+// maxIgnoredReports limits the lines on ignored entries for one copy of the registry.
+const maxIgnoredReports = 20
+
 // applyRegistry applies a new copy of the registry.
 func (i *Instance) applyRegistry(s follow.Snapshot) {
-	read := i.cfg.Ports.DecodeRegistry(s.Rows, func(key string, err error) {
-		event.RegistryEntryIgnored.Emit(i.cfg.Log, zap.String("endpoint", key), zap.Error(err))
-	})
+	read := i.decodeRegistry(s.Rows)
 	warmUntil(read, i.cfg.Clock())
 	i.evacuation.mu.Lock()
 	before := i.registry.Get()
@@ -33,6 +35,24 @@
 	i.logRegistry(before, now)
 }
 
+// decodeRegistry decodes the registered endpoints. An entry that names none is logged once for each
+// version of it, since the registry changes with every heartbeat of a server.
+func (i *Instance) decodeRegistry(rows []follow.Row) *catalog.Registry {
+	ignored := make(map[string]platform.Revision)
+	reported := 0
+	read := i.cfg.Ports.DecodeRegistry(rows, func(key string, err error) {
+		row, _ := follow.FindRow(rows, key)
+		ignored[key] = row.Version
+		if before, known := i.ignoredEntries[key]; known && before == row.Version || reported == maxIgnoredReports {
+			return
+		}
+		reported++
+		event.RegistryEntryIgnored.Emit(i.cfg.Log, zap.String("endpoint", key), zap.Error(err), zap.Int("ignored", len(ignored)))
+	})
+	i.ignoredEntries = ignored
+	return read
+}
+
 // retainMissing adds the endpoints whose entries have been missing for less than
 // missingGrace, and schedules another read of the registry for the end of that time.
 func (i *Instance) retainMissing(before, read *catalog.Registry) *catalog.Registry {
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -32,7 +32,7 @@
 	RegistryEntryIgnored = Event{
 		Number: 9006, Name: "edge.registry_entry_ignored", Level: zapcore.WarnLevel,
 		Text:   "a registry entry names no usable endpoint",
-		Fields: []string{"endpoint", "error"}, Action: "Find out who wrote the entry.",
+		Fields: []string{"endpoint", "error", "ignored"}, Action: "Find out who wrote the entry.",
 	}
 	ReadinessChanged = Event{
 		Number: 9007, Name: "edge.readiness_changed", Level: zapcore.InfoLevel,
