leadership: an unreadable record concerns its own service only

Found in going through the rows that are decoded, after the report on odd registry entries. Cause: one record of a primary that could not be decoded was an error for all: no copy of the rows was applied any more, so that after 2 s no service had a primary, and none was replaced. Change: the service of that row has no primary until the row is readable, and nothing is promoted for it; the others go on. A row whose content names another service counts as unreadable. 9058 names the rows. The row with the last fence number still has to be readable. Measured: TestUnreadableRecordConcernsItsServiceOnly fails before, where the primary of db is lost with the row of another service, and passes after. Conclusion: no single row stops the services beside it.

--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -68,6 +68,11 @@
 		Fields: []string{"service", "epoch", "reason", "servers"},
 		Action: "Bring one of the servers or the old primary back; see docs/operations/edge.md for servers that are lost.",
 	}
+	RecordsUnreadable = Event{
+		Number: 9058, Name: "edge.records_unreadable", Level: zapcore.ErrorLevel,
+		Text:   "records of primaries cannot be read; their services have no primary until they can",
+		Fields: []string{"rows"}, Action: "Find out who wrote the rows, and restore their values.",
+	}
 	ReplacementDone = Event{
 		Number: 9013, Name: "edge.handover_done", Level: zapcore.InfoLevel,
 		Text: "replacement of a primary completed", Fields: []string{"service", "endpoint", "term", "epoch", "took"},
@@ -207,7 +212,7 @@
 var edgeEvents = []Event{
 	StoreFailing, StoreBack, ConfigurationApplied, ConfigurationUnreadable,
 	RegistryChanged, RegistryEntryIgnored, ReadinessChanged, EndpointRelayed, IdleSessionsClosed,
-	ReplacementBegun, PrimaryRevoked, PromotionOrdered, ReplacementWaits, ReplacementDone, ReplacementFailed,
+	ReplacementBegun, PrimaryRevoked, PromotionOrdered, ReplacementWaits, RecordsUnreadable, ReplacementDone, ReplacementFailed,
 	PrimaryRecordChanged, PrimaryUnresponsive, RequestRefused, RequestUnknown, RequestLate, LinesDropped, ConnectionOwnerFailed,
 	SettingsApplied, SettingsRefused, EvacuationLearnt, EvacuationEnded, EvacuationBlocked,
 	EdgeRegistered, EdgeRemoved, InstanceAdmitted, ConnectionOwnerLeaving, LimitContended,
--- a/internal/leadership/generation.go
+++ b/internal/leadership/generation.go
@@ -68,7 +68,7 @@
 func latestRecords(remembered, stored []follow.Row) (map[string]Record, error) {
 	latest := make(map[string]Record)
 	for _, rows := range [][]follow.Row{remembered, stored} {
-		decoded, err := decodeRecords(follow.Snapshot{Rows: rows})
+		decoded, _, err := decodeRecords(follow.Snapshot{Rows: rows})
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
--- a/internal/leadership/primaryview.go
+++ b/internal/leadership/primaryview.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,9 +62,11 @@
 	registry func() *catalog.Registry
 	changed  *blackboard.Cell[struct{}]
 
-	mu       sync.Mutex
-	records  records                  // guarded by mu
-	services map[string]*serviceState // guarded by mu
+	mu      sync.Mutex
+	records records // guarded by mu
+	// unreadable holds the keys of the rows that cannot be decoded; guarded by mu.
+	unreadable []string
+	services   map[string]*serviceState // guarded by mu
 	// confirmedAt is the last known time at which a majority of the members had no
 	// newer record, 0 if there was none; guarded by mu.
 	confirmedAt time.Duration
@@ -106,7 +109,7 @@
 // membership. An instance that is not listed is not waited for by others, and must not
 // use a primary.
 func (v *PrimaryView) Apply(s follow.Snapshot, members Membership) {
-	decoded, err := decodeRecords(s)
+	decoded, unreadable, err := decodeRecords(s)
 	decoded.members = members
 	if err != nil {
 		event.ReplacementFailed.Emit(v.log, zap.Error(err))
@@ -116,6 +119,10 @@
 	v.endLapsedUses()
 	v.beginGeneration(decoded.generation)
 	v.records = decoded
+	if len(unreadable) > 0 && !slices.Equal(unreadable, v.unreadable) {
+		event.RecordsUnreadable.Emit(v.log, zap.Strings("rows", unreadable))
+	}
+	v.unreadable = unreadable
 	for service, record := range decoded.services {
 		v.logChange(service, record)
 	}
--- a/internal/leadership/record.go
+++ b/internal/leadership/record.go
@@ -102,23 +102,28 @@
 	ConfirmedOnly bool
 }
 
-// decodeRecords decodes the rows of a snapshot. A row that cannot be decoded is an
-// error: it may revoke a primary.
-func decodeRecords(s follow.Snapshot) (records, error) {
-	r := records{services: make(map[string]Record), asOf: s.AsOf, generation: s.Version.Generation(), loaded: s.Loaded()}
+// decodeRecords decodes the rows of a snapshot. A service's row that cannot be decoded may revoke
+// its primary: the service has none to use until the row is readable, and the others are not
+// affected. Such rows are returned as unreadable. The row with the last fence number has to be
+// readable.
+func decodeRecords(s follow.Snapshot) (r records, unreadable []string, err error) {
+	r = records{services: make(map[string]Record), asOf: s.AsOf, generation: s.Version.Generation(), loaded: s.Loaded()}
 	for _, row := range s.Rows {
-		switch {
-		case row.Key == fenceKey:
+		if row.Key == fenceKey {
 			if err := json.Unmarshal(row.Value, &r.fenceState); err != nil {
-				return r, trace.BadParameter("row %s: %v", row.Key, err)
+				return r, nil, trace.BadParameter("row %s: %v", row.Key, err)
 			}
-		case strings.HasPrefix(row.Key, servicePrefix):
-			var record Record
-			if err := json.Unmarshal(row.Value, &record); err != nil {
-				return r, trace.BadParameter("row %s: %v", row.Key, err)
-			}
-			r.services[record.Service] = record
 		}
+		service, ok := strings.CutPrefix(row.Key, servicePrefix)
+		if !ok {
+			continue
+		}
+		var record Record
+		if err := json.Unmarshal(row.Value, &record); err != nil || record.Service != service {
+			record = Record{Service: service, Phase: Replacing, Ordered: unknownEndpoint}
+			unreadable = append(unreadable, row.Key)
+		}
+		r.services[service] = record
 	}
-	return r, nil
+	return r, unreadable, nil
 }
--- a/internal/leadership/unknown_primary_test.go
+++ b/internal/leadership/unknown_primary_test.go
@@ -1,11 +1,14 @@
 package leadership
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
 // TestServiceWithoutAKnownPrimary covers a primary that was never replaced, so that no record
@@ -58,3 +61,34 @@
 		require.Equal(t, "s1", f.primary("a"))
 	})
 }
+
+// TestUnreadableRecordConcernsItsServiceOnly guards against one row that cannot be decoded, and keeps
+// the primaries of all services from being used and replaced.
+func TestUnreadableRecordConcernsItsServiceOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		write := func(service, value string) {
+			f.set(func() {
+				f.revision++
+				f.rows[servicePrefix+service] = platform.Row{Key: servicePrefix + service, Value: []byte(value), Revision: f.revision}
+			})
+		}
+		write("other", strings.Repeat("[", 20_000))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, "s1", f.primary("a"))
+		f.set(func() { f.servers["s1"].down = true })
+		time.Sleep(3 * time.Second)
+		require.Equal(t, "s2", f.primary("a"))
+
+		sound := string(f.rows[servicePrefix+"db"].Value)
+		for _, odd := range []string{`{"service":7}`, `{"service":"other","endpoint":"s3","phase":"settled","epoch":9}`, "null"} {
+			write("db", odd)
+			time.Sleep(4 * time.Second)
+			require.Empty(t, f.primary("a"), odd)
+			require.Len(t, f.ordered(), 1, "a promotion was ordered though the last one is not known")
+			write("db", sound)
+			time.Sleep(2 * time.Second)
+			require.Equal(t, "s2", f.primary("a"))
+		}
+	})
+}
