backend: a statement is sent once the connection has its session's values

Cause: SET, RESET, PREPARE and the statement were sent in one exchange, and the server ran the statement before the answer to SET was looked at. Ruled out: mixed up sessions and reused connections; in the record the statement follows the failed SET at once, and the connection is closed after it. Change: SET and RESET are sent first. PREPARE stays with its statement, whose name is new to the server, so that it cannot run if PREPARE fails. A failure is a refusal as not run.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -23,6 +23,8 @@
 	dials int
 	sent  []request.Command
 	fail  error
+	// refuses is a kind of statement that the endpoint answers with an error, 0 for none.
+	refuses request.Kind
 }
 
 type fakeConn struct {
@@ -48,7 +50,13 @@
 		return nil, c.e.fail
 	}
 	c.e.sent = append(c.e.sent, commands...)
-	return make([]request.Answer, len(commands)), nil
+	answers := make([]request.Answer, len(commands))
+	for i, command := range commands {
+		if c.e.refuses != 0 && command.Kind == c.e.refuses {
+			answers[i].Err = verdict.New(verdict.Ran, verdict.CodeStatementFailed, "failed")
+		}
+	}
+	return answers, nil
 }
 
 func (c *fakeConn) Reusable() bool { return !c.closed }
@@ -169,6 +177,45 @@
 	require.Equal(t, []request.Kind{request.Set, request.Read}, run(map[string]string{"colour": "red"}))
 }
 
+// TestStatementDoesNotRunWithoutItsSession guards against a statement that an endpoint runs although it
+// has failed the SET or RESET before, with the values of the connection's last session.
+func TestStatementDoesNotRunWithoutItsSession(t *testing.T) {
+	execute := request.Command{Statement: request.Statement{ID: "x", Kind: request.Execute, Name: "p", Prepared: request.Prepared{Shape: "READ q"}}}
+	needs := Needs{Values: map[string]string{"branch": "north"}}
+	prepared := Needs{Values: needs.Values, Prepared: &execute.Prepared}
+	for _, c := range []struct {
+		name    string
+		refuses request.Kind
+		needs   Needs
+		command request.Command
+		sent    int // commands that the endpoint may receive
+	}{
+		{"SET", request.Set, needs, read(), 1},
+		{"SET of another session", request.Set, Needs{Values: map[string]string{"branch": "south"}}, read(), 1},
+		{"RESET", request.Reset, Needs{}, read(), 1},
+		{"SET before PREPARE", request.Set, prepared, execute, 1},
+		{"PREPARE", request.Prepare, prepared, execute, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := &fakeEndpoint{limit: 1}
+			p := newPools(t, e, 1)
+			pooled, err := p.Acquire(t.Context(), testEndpoint, "a", Turn{})
+			require.NoError(t, err)
+			if c.refuses == request.Reset || c.needs.Values["branch"] == "south" {
+				_, _, err = pooled.Run(t.Context(), needs, read())
+				require.NoError(t, err)
+			}
+			e.refuses, e.sent = c.refuses, nil
+			_, sent, err := pooled.Run(t.Context(), c.needs, c.command)
+			require.Equal(t, verdict.NotRun, verdict.Of(err))
+			require.False(t, sent)
+			require.Len(t, e.sent, c.sent, "the statement was sent")
+			pooled.Release()
+			require.Zero(t, e.open, "the connection is kept, with values of no session")
+		})
+	}
+}
+
 func TestFailedConnectionIsNotReused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &fakeEndpoint{limit: 2, fail: errors.New("reset")}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -62,39 +62,63 @@
 	Prepared *request.Prepared `json:",omitempty"`
 }
 
-// Run brings the connection's session state in line with needs, sends the statement in the
-// same exchange and returns its answer. sent is false only when the endpoint certainly has
-// not received the statement.
+// Run brings the connection's session state in line with needs, sends the statement and returns
+// its answer. sent is false only when the endpoint certainly has not received the statement, or
+// cannot have run it.
 func (pc *PooledConn) Run(ctx context.Context, needs Needs, command request.Command) (answer request.Answer, sent bool, err error) {
 	if !pc.conn.Reusable() {
 		pc.broken = true
 		return answer, false, errClosed
 	}
-	commands := pc.alignValues(needs.Values)
+	// The endpoint runs what follows a failed SET or RESET, with the values of another session.
+	if values := pc.alignValues(needs.Values); len(values) > 0 {
+		answers, err := pc.exchange(ctx, values)
+		if err == nil {
+			err = setupError(answers)
+		}
+		if err != nil {
+			pc.broken = true
+			return answer, false, err
+		}
+	}
+	var commands []request.Command
 	if needs.Prepared != nil {
-		var prepare []request.Command
-		command.Alias, prepare = pc.alias(*needs.Prepared)
-		commands = append(commands, prepare...)
+		command.Alias, commands = pc.alias(*needs.Prepared)
 	}
-	done := pc.pool.health.startStatement(pc.Endpoint.ID)
-	answers, err := pc.conn.Exchange(ctx, append(commands, command))
+	answers, err := pc.exchange(ctx, append(commands, command))
 	if err != nil {
-		done(err, false)
 		pc.broken = true
 		return answer, true, err
 	}
-	done(nil, slices.ContainsFunc(answers, CannotServe))
-	for _, a := range answers[:len(answers)-1] {
-		if a.Err != nil {
-			pc.broken = true
-			return answer, true, a.Err
-		}
+	// A statement whose PREPARE has failed does not run, because its name is new to the endpoint.
+	if err := setupError(answers[:len(answers)-1]); err != nil {
+		pc.broken = true
+		return answer, false, err
 	}
 	answer = answers[len(answers)-1]
 	pc.inTransaction = answer.Transaction != request.Idle
 	return answer, true, nil
 }
 
+// exchange sends commands and records how the endpoint responds.
+func (pc *PooledConn) exchange(ctx context.Context, commands []request.Command) ([]request.Answer, error) {
+	done := pc.pool.health.startStatement(pc.Endpoint.ID)
+	answers, err := pc.conn.Exchange(ctx, commands)
+	done(err, slices.ContainsFunc(answers, CannotServe))
+	return answers, err
+}
+
+// setupError returns a refusal if the endpoint has not carried out one of the commands before a
+// statement.
+func setupError(answers []request.Answer) error {
+	for _, a := range answers {
+		if a.Err != nil {
+			return verdict.New(verdict.NotRun, verdict.CodeCannotConnectNow, "the endpoint did not take over the session: %s", a.Err.Message).WithCause(a.Err)
+		}
+	}
+	return nil
+}
+
 // CannotServe reports whether an answer is an error of an endpoint that cannot serve the
 // statement, although another endpoint may.
 func CannotServe(a request.Answer) bool {
--- a/internal/edge/owner_statement.go
+++ b/internal/edge/owner_statement.go
@@ -286,6 +286,10 @@
 		return readResult{Error: "the requester has gone"}
 	}
 	answer, sent, err := link.Run(ctx, m.Needs, m.Command)
+	var refused *verdict.Error
+	if errors.As(err, &refused) && !sent && m.Transaction == nil {
+		return encodeRead(request.Answer{Err: refused})
+	}
 	if err != nil {
 		return readResult{Sent: sent, Error: trace.UserMessage(err)}
 	}
