--- a/internal/leadership/confirmed.go
+++ b/internal/leadership/confirmed.go
@@ -33,7 +33,7 @@
 
 // confirmedLog tells how far the acknowledged commits of a primary may reach. Each of them is held
 // by the primary and by at least confirming of the replicas, so that all are known once fewer
-// than confirming replicas have not answered, or once the primary has.
+// than confirming replicas have not reported their position, or once the primary has.
 type confirmedLog struct {
 	primary string
 	// replicas are the runs of servers that may have confirmed commits.
@@ -41,38 +41,38 @@
 	confirming int
 	// required is the end of the log that an earlier promotion demanded.
 	required position.Position
-	// answers were given after all instances had stopped using the primary.
-	answers map[incarnation]response
+	// responses were received after all instances had stopped using the primary.
+	responses map[incarnation]response
 }
 
 // end returns a position which no acknowledged commit lies beyond, and the replicas waited for if
-// it is not known. With fullLog it covers the primary's whole log, if the primary has answered.
+// it is not known. With fullLog it covers the primary's whole log, if the primary has responded.
 func (l confirmedLog) end(fullLog bool) (position.Position, []string) {
 	end := l.required
-	for run, resp := range l.answers {
+	for run, resp := range l.responses {
 		if run.id != l.primary {
 			end = end.Max(resp.status.Received)
 		}
 	}
-	whole, answered := l.primaryLog(end)
-	if answered && fullLog {
+	whole, responded := l.primaryLog(end)
+	if responded && fullLog {
 		return whole, nil
 	}
 	missing := l.missing()
 	switch {
 	case len(missing) < min(l.confirming, len(l.replicas)):
 		return end, nil
-	case answered:
+	case responded:
 		return whole, nil
 	default:
 		return end, missing
 	}
 }
 
-// primaryLog returns the end of the primary's log. An answer that is empty or behind end is by a
-// server that has lost its log.
+// primaryLog returns the end of the primary's log. A server whose log is empty or behind end has
+// lost it.
 func (l confirmedLog) primaryLog(end position.Position) (position.Position, bool) {
-	for run, resp := range l.answers {
+	for run, resp := range l.responses {
 		if run.id == l.primary && resp.status.Received.Offset > 0 && !resp.status.Received.Less(end) {
 			return resp.status.Received, true
 		}
@@ -80,12 +80,12 @@
 	return position.Position{}, false
 }
 
-// missing returns the ids of the replicas without an answer. An empty log is none: the server may
-// have restarted, and its registry entry not tell so yet.
+// missing returns the ids of the replicas that have not responded. An empty log is no response: the
+// server may have restarted before its registry entry shows it.
 func (l confirmedLog) missing() []string {
 	var ids []string
 	for _, run := range l.replicas {
-		resp, ok := l.answers[run]
+		resp, ok := l.responses[run]
 		if !ok || resp.status.Received.Offset == 0 {
 			ids = append(ids, run.id)
 		}
@@ -93,10 +93,10 @@
 	return ids
 }
 
-// confirmedLog returns what the servers have answered so far, found included.
+// confirmedLog returns what the servers have reported so far, found included.
 func (r *replacement) confirmedLog(found survey) confirmedLog {
 	registered, departed, confirming := r.c.departures.of(r.service, r.c.cfg.Registry, r.c.cfg.SyncReplicas)
-	l := confirmedLog{primary: r.oldPrimary, confirming: confirming, required: r.record.Required, answers: make(map[incarnation]response)}
+	l := confirmedLog{primary: r.oldPrimary, confirming: confirming, required: r.record.Required, responses: make(map[incarnation]response)}
 	if l.primary == "" {
 		// No record tells which server was the primary that has left.
 		l.primary, _ = solePrimary(catalog.NewRegistry(departed), r.service)
@@ -106,33 +106,33 @@
 			l.replicas = append(l.replicas, incarnationOf(e))
 		}
 	}
-	for run, resp := range r.answers {
-		l.answers[run] = resp
+	for run, resp := range r.responses {
+		l.responses[run] = resp
 	}
 	for _, resp := range found.responses {
-		l.answers[incarnationOf(resp.endpoint)] = resp
+		l.responses[incarnationOf(resp.endpoint)] = resp
 	}
 	return l
 }
 
-// keepAnswers keeps the statuses of a survey if replicas confirm commits, so that not all servers
-// have to answer the same one.
-func (r *replacement) keepAnswers(found survey) {
+// keepResponses keeps the responses to a survey if replicas confirm commits, so that not all servers
+// have to respond to the same one.
+func (r *replacement) keepResponses(found survey) {
 	if !r.commitsAreConfirmed() {
 		return
 	}
-	if r.answers == nil {
-		r.answers = make(map[incarnation]response)
+	if r.responses == nil {
+		r.responses = make(map[incarnation]response)
 	}
 	for _, resp := range found.responses {
-		r.answers[incarnationOf(resp.endpoint)] = resp
+		r.responses[incarnationOf(resp.endpoint)] = resp
 	}
 }
 
-// newestTerm returns the newest term that a server has told.
+// newestTerm returns the newest term that a server has reported.
 func (r *replacement) newestTerm(found survey) uint64 {
 	newest := found.newestTerm()
-	for _, resp := range r.answers {
+	for _, resp := range r.responses {
 		newest = max(newest, resp.status.Term)
 	}
 	return newest
@@ -147,14 +147,14 @@
 	l := r.confirmedLog(found)
 	end, missing := l.end(fullLog)
 	if len(missing) > 0 {
-		r.reportWait("too few servers have told their position", missing)
+		r.reportWait("too few servers have reported their position", missing)
 		return catalog.Endpoint{}, false
 	}
 	registry := r.c.cfg.Registry()
-	var leaving catalog.Endpoint
+	var draining catalog.Endpoint
 	var holders []string
-	for _, run := range slices.SortedFunc(maps.Keys(l.answers), incarnation.compare) {
-		if l.answers[run].status.Received.Less(end) {
+	for _, run := range slices.SortedFunc(maps.Keys(l.responses), incarnation.compare) {
+		if l.responses[run].status.Received.Less(end) {
 			continue
 		}
 		holders = append(holders, run.id)
@@ -162,21 +162,21 @@
 		switch {
 		case !registered || incarnationOf(e) != run || run.id == r.oldPrimary || e.Evacuated:
 		case e.Draining:
-			leaving = e
+			draining = e
 		default:
 			return r.confirmedTarget(e, end)
 		}
 	}
 	_, primaryRuns := found.endpoint(r.oldPrimary)
 	othersCatchUp := primaryRuns && fullLog
-	if leaving.ID != "" && !othersCatchUp {
-		return r.confirmedTarget(leaving, end)
+	if draining.ID != "" && !othersCatchUp {
+		return r.confirmedTarget(draining, end)
 	}
 	r.reportWait("no server that may be promoted holds the confirmed log", holders)
 	return catalog.Endpoint{}, false
 }
 
-// confirmedTarget returns the endpoint, after it has noted how far its log must reach.
+// confirmedTarget returns the endpoint, and records how far its log must reach.
 func (r *replacement) confirmedTarget(e catalog.Endpoint, end position.Position) (catalog.Endpoint, bool) {
 	r.required, r.waitedFor = end, nil
 	return e, true
--- a/internal/leadership/departures.go
+++ b/internal/leadership/departures.go
@@ -81,18 +81,18 @@
 	for run, e := range s.registered {
 		if _, ok := now[run]; !ok {
 			s.departed[run] = e
-			s.restart()
+			s.restartCheck()
 		}
 	}
 	if syncReplicas != s.syncReplicas {
 		s.syncReplicas, s.confirming = syncReplicas, min(s.confirming, syncReplicas)
-		s.restart()
+		s.restartCheck()
 	}
 	s.registered = now
 }
 
-// restart discards the check in progress.
-func (s *departedReplicas) restart() {
+// restartCheck discards the check in progress.
+func (s *departedReplicas) restartCheck() {
 	s.version++
 	s.begun = false
 }
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -85,7 +85,7 @@
 type server struct {
 	status    ServerStatus
 	down      bool
-	busy      bool // refuses to tell its status
+	busy      bool // refuses to report its status
 	service   string
 	startedAt int64
 }
--- a/internal/leadership/order.go
+++ b/internal/leadership/order.go
@@ -28,7 +28,7 @@
 	for r.c.cfg.Clock() < deadline && ctx.Err() == nil {
 		// Once a promotion is ordered, the old primary can no longer be kept.
 		found := r.survey(ctx, r.mayKeepOldPrimary() && r.record.Ordered == "")
-		r.keepAnswers(found)
+		r.keepResponses(found)
 		primary, done, err := o.step(ctx, found)
 		if done || err != nil {
 			return primary.endpoint, primary.status.Term, err
@@ -108,7 +108,7 @@
 	err := o.r.order(ctx, target)
 	if errors.Is(err, errPromotionRefused) {
 		o.target = catalog.Endpoint{}
-		delete(o.r.answers, incarnationOf(target))
+		delete(o.r.responses, incarnationOf(target))
 		return nil
 	}
 	return err
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -26,7 +26,7 @@
 
 // Servers calls database servers.
 type Servers interface {
-	// Status returns the state of a server, and LimitExceeded if it is running and refuses to tell.
+	// Status returns the state of a server, and LimitExceeded if it is running and refuses to report it.
 	Status(ctx context.Context, e catalog.Endpoint) (ServerStatus, error)
 	// StepDown demotes a primary of a term below term to a replica.
 	StepDown(ctx context.Context, e catalog.Endpoint, term uint64) error
--- a/internal/leadership/replacement.go
+++ b/internal/leadership/replacement.go
@@ -82,10 +82,10 @@
 	committedAt time.Duration
 	oldPrimary  string
 	members     []Member
-	// answers are the latest statuses since all instances have stopped using the old primary,
+	// responses are the latest statuses since all instances have stopped using the old primary,
 	// where replicas confirm commits; required is how far the log of the chosen target must reach.
-	answers  map[incarnation]response
-	required position.Position
+	responses map[incarnation]response
+	required  position.Position
 	// waitedFor are the servers of the last wait that was logged.
 	waitedFor []string
 	// revocations are the responses of the members that have revoked the old primary.
--- a/internal/leadership/survey.go
+++ b/internal/leadership/survey.go
@@ -84,14 +84,14 @@
 type response struct {
 	endpoint catalog.Endpoint
 	status   ServerStatus
-	// busy is true if the server is running and has refused to tell its status.
+	// busy is true if the server is running and has refused to report its status.
 	busy bool
 }
 
 // survey holds the statuses that the servers of a service returned.
 type survey struct {
 	responses []response
-	// busy holds the ids of the servers that are too busy to tell their status.
+	// busy holds the ids of the servers that are too busy to report their status.
 	busy []string
 	// recordedTerm is the term of the primary that is being replaced, which may not respond.
 	recordedTerm uint64
@@ -142,7 +142,7 @@
 	return response{}, false
 }
 
-// responded reports whether a server is running: it has told its status, or is too busy to.
+// responded reports whether a server is running: it has reported its status, or is too busy to.
 func (s survey) responded(id string) bool {
 	_, ok := s.response(id)
 	return ok || slices.Contains(s.busy, id)
