backend: a statement after a failed PREPARE is not run only if the endpoint says so

Found in reading the change: PREPARE is sent with its statement, and an error for it was taken for the proof that the statement cannot have run. FAILED means that there was a run, so that the name may exist and the statement run; it was then reported as not run, and could be sent again. The fake endpoint of TestStatementDoesNotRunWithoutItsSession now refuses the unknown name, as a server does; before, it answered with success. Measured: TestStatementMayRunAfterAFailedPrepare fails before and passes after. Conclusion: "has not run" rests on the statement's own answer.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -23,8 +23,10 @@
 	dials int
 	sent  []request.Command
 	fail  error
-	// refuses is a kind of statement that the endpoint answers with an error, 0 for none.
-	refuses request.Kind
+	// refuses is a kind of statement that the endpoint answers with an error, 0 for none. A refused
+	// PREPARE is carried out nevertheless if prepares is true, as FAILED allows.
+	refuses  request.Kind
+	prepares bool
 }
 
 type fakeConn struct {
@@ -55,6 +57,9 @@
 		if c.e.refuses != 0 && command.Kind == c.e.refuses {
 			answers[i].Err = verdict.New(verdict.Ran, verdict.CodeStatementFailed, "failed")
 		}
+		if c.e.refuses == request.Prepare && !c.e.prepares && command.Kind == request.Execute {
+			answers[i].Err = verdict.New(verdict.NotRun, verdict.CodeUndefinedPreparedStmt, "no such name")
+		}
 	}
 	return answers, nil
 }
@@ -216,6 +221,21 @@
 	}
 }
 
+// TestStatementMayRunAfterAFailedPrepare guards against telling that a statement has not run, and sending
+// it again, where the endpoint has carried out the PREPARE that it has answered with an error.
+func TestStatementMayRunAfterAFailedPrepare(t *testing.T) {
+	execute := request.Command{Statement: request.Statement{ID: "x", Kind: request.Execute, Name: "p", Prepared: request.Prepared{Shape: "WRITE q", Writes: true}}}
+	e := &fakeEndpoint{limit: 1, refuses: request.Prepare, prepares: true}
+	pooled, err := newPools(t, e, 1).Acquire(t.Context(), testEndpoint, "a", Turn{})
+	require.NoError(t, err)
+	_, sent, err := pooled.Run(t.Context(), Needs{Prepared: &execute.Prepared}, execute)
+	require.Error(t, err)
+	require.True(t, sent)
+	require.NotEqual(t, verdict.NotRun, verdict.Of(err))
+	pooled.Release()
+	require.Zero(t, e.open)
+}
+
 func TestFailedConnectionIsNotReused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &fakeEndpoint{limit: 2, fail: errors.New("reset")}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -90,16 +91,22 @@
 		pc.broken = true
 		return answer, true, err
 	}
-	// A statement whose PREPARE has failed does not run, because its name is new to the endpoint.
+	last := answers[len(answers)-1]
 	if err := setupError(answers[:len(answers)-1]); err != nil {
 		pc.broken = true
-		return answer, false, err
+		// The name is new to the endpoint: it is unknown there unless the PREPARE has had its effect.
+		if last.Err != nil && last.Err.Verdict == verdict.NotRun {
+			return answer, false, err
+		}
+		return answer, true, errPrepareFailed
 	}
-	answer = answers[len(answers)-1]
+	answer = last
 	pc.inTransaction = answer.Transaction != request.Idle
 	return answer, true, nil
 }
 
+var errPrepareFailed = errors.New("backend: the endpoint answered PREPARE with an error, and may have run the statement")
+
 // exchange sends commands and records how the endpoint responds.
 func (pc *PooledConn) exchange(ctx context.Context, commands []request.Command) ([]request.Answer, error) {
 	done := pc.pool.health.startStatement(pc.Endpoint.ID)
