leadership: an order is repeated only for a server that still holds the required log

Found in reading the change: an order without effect was repeated after 1.5 s without a look at its target, which may have restarted with an empty log meanwhile. Where replicas confirm commits these are lost then. Ruled out as a mend: ordering another target at once, since the first order may still take effect. Change: the order is repeated if the target's present log reaches as far as the record requires. Nothing changes with sync-replicas 0. Measured: TestRepeatedOrderNeedsTheLog fails before (two orders). Conclusion: every order of this instance rests on a log that was reported by its target's present run.

--- a/internal/leadership/confirmed.go
+++ b/internal/leadership/confirmed.go
@@ -182,6 +182,13 @@
 	return e, true
 }
 
+// holdsRequired reports whether a server has responded with a log that reaches far enough. One
+// that has restarted since it was chosen has lost it.
+func (r *replacement) holdsRequired(found survey, id string) bool {
+	resp, ok := found.response(id)
+	return ok && !resp.status.Received.Less(r.record.Required)
+}
+
 // reportWait logs the servers that a replacement waits for, once for each set of them.
 func (r *replacement) reportWait(reason string, servers []string) {
 	if r.waitedFor != nil && slices.Equal(r.waitedFor, servers) {
--- a/internal/leadership/confirmed_model_test.go
+++ b/internal/leadership/confirmed_model_test.go
@@ -27,7 +27,7 @@
 
 // confirmedModel plays random faults to the servers of a service whose replicas confirm commits:
 // crashes, restarts with an empty log, replicas that are deaf, busy, draining, cut off from the
-// instances or without an entry. Its primary commits all the time, and a commit is acknowledged
+// instances or without an entry, orders without effect. Its primary commits all the time, and a commit is acknowledged
 // once enough replicas have received it while the primary may be used.
 type confirmedModel struct {
 	f       *fleet
@@ -90,7 +90,7 @@
 	ids := slices.Sorted(maps.Keys(m.f.servers))
 	id := ids[m.random.IntN(len(ids))]
 	s := m.f.servers[id]
-	switch m.random.IntN(8) {
+	switch m.random.IntN(9) {
 	case 0, 1:
 		m.f.servers[m.primary].down = true
 	case 2:
@@ -110,6 +110,8 @@
 		m.f.draining[id] = !m.f.draining[id]
 	case 7:
 		m.f.unregistered[id] = !m.f.unregistered[id] && id != m.primary
+	case 8:
+		m.f.lostOrders = 1
 	}
 }
 
@@ -120,8 +122,10 @@
 		if end := m.f.servers[target].status.Received; target != m.primary && end.Less(m.acked) {
 			return fmt.Errorf("%s was promoted with its log up to %s, acknowledged up to %s", target, end, m.acked)
 		}
-		m.f.servers[m.primary].status.Primary = target == m.primary
-		m.primary = target
+		if m.f.servers[target].status.Primary { // otherwise the order had no effect
+			m.f.servers[m.primary].status.Primary = target == m.primary
+			m.primary = target
+		}
 	}
 	return nil
 }
--- a/internal/leadership/confirmed_test.go
+++ b/internal/leadership/confirmed_test.go
@@ -134,3 +134,24 @@
 		})
 	}
 }
+
+// TestRepeatedOrderNeedsTheLog guards against repeating an order without effect for a server that has
+// lost its log since.
+func TestRepeatedOrderNeedsTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		f.set(func() { f.syncReplicas = 1 })
+		time.Sleep(1070 * time.Millisecond)
+		f.set(func() { f.servers["s1"].down, f.lostOrders = true, 1 })
+		for len(f.ordered()) == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		f.set(func() { f.servers["s2"].startedAt, f.servers["s2"].status.Received = 7, position.Position{} })
+		time.Sleep(20 * time.Second)
+		require.Len(t, f.ordered(), 1, "a server without an acknowledged commit was ordered again")
+		f.set(func() { f.servers["s1"].down, f.servers["s1"].status.Primary = false, false })
+		f.set(func() { f.servers["s2"].status.Received = at(1, 9) })
+		time.Sleep(10 * time.Second)
+		require.Equal(t, "s2", f.primary("a"))
+	})
+}
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -48,7 +48,9 @@
 	storeDown bool
 	joining   map[string]time.Duration
 	orders    []Promotion
-	instances map[string]*instance
+	// lostOrders is the number of further orders that the platform accepts without effect.
+	lostOrders int
+	instances  map[string]*instance
 	// remoteLifetime is what all instances announce; endpointDomain is the failure domain of
 	// all servers.
 	remoteLifetime time.Duration
@@ -354,6 +356,10 @@
 	i.f.mu.Lock()
 	defer i.f.mu.Unlock()
 	i.f.orders = append(i.f.orders, p)
+	if i.f.lostOrders > 0 {
+		i.f.lostOrders--
+		return errUnreachable
+	}
 	s := i.f.servers[p.Endpoint]
 	s.status.Primary = true
 	for _, other := range i.f.servers {
--- a/internal/leadership/order.go
+++ b/internal/leadership/order.go
@@ -57,7 +57,7 @@
 		if primary, ok := found.promotedPrimary(o.target.ID, o.previousTerm); ok {
 			return primary, true, nil
 		}
-		if now-o.orderedAt < promotionRetryInterval {
+		if now-o.orderedAt < promotionRetryInterval || r.commitsAreConfirmed() && !r.holdsRequired(found, o.target.ID) {
 			return response{}, false, nil
 		}
 		return response{}, false, o.issue(ctx, o.target)
