--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -107,6 +107,11 @@
 		Text:   "request answered later than its latency objective",
 		Fields: []string{"request", "organisation", "database", "service", "statement", "endpoint", "waited", "queued", "attempts", "configuration"},
 	}
+	MessagePassed = Event{
+		Number: 9060, Name: "edge.message", Level: zapcore.DebugLevel,
+		Text:   "message of a caller or an endpoint",
+		Fields: []string{"connection", "peer", "direction", "kind", "request", "bytes", "checksum"},
+	}
 	LinesDropped = Event{
 		Number: 9023, Name: "edge.lines_dropped", Level: zapcore.WarnLevel,
 		Text: "request log lines beyond the limit per second were dropped", Fields: []string{"kind", "count"},
@@ -213,7 +218,7 @@
 	StoreFailing, StoreBack, ConfigurationApplied, ConfigurationUnreadable,
 	RegistryChanged, RegistryEntryIgnored, ReadinessChanged, EndpointRelayed, IdleSessionsClosed,
 	ReplacementBegun, PrimaryRevoked, PromotionOrdered, ReplacementWaits, RecordsUnreadable, ReplacementDone, ReplacementFailed,
-	PrimaryRecordChanged, PrimaryUnresponsive, RequestRefused, RequestUnknown, RequestLate, LinesDropped, ConnectionOwnerFailed,
+	PrimaryRecordChanged, PrimaryUnresponsive, RequestRefused, RequestUnknown, RequestLate, MessagePassed, LinesDropped, ConnectionOwnerFailed,
 	SettingsApplied, SettingsRefused, EvacuationLearnt, EvacuationEnded, EvacuationBlocked,
 	EdgeRegistered, EdgeRemoved, InstanceAdmitted, ConnectionOwnerLeaving, LimitContended,
 	CopyDropped, CopiesUsable, SessionRefused, ConfigurationKept, StoreReturned, GenerationRestored, RelianceAnnounced,
