--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -50,7 +50,8 @@
 	Value string `json:",omitzero"`
 	// Prepared is the content of the prepared statement, for Prepare and Execute.
 	Prepared Prepared `json:",omitzero"`
-	// Arguments are the arguments of Execute.
+	// Arguments are the arguments of Execute, without the blank before them. Only Text tells
+	// empty arguments from none.
 	Arguments string `json:",omitzero"`
 }
 
