platform: a row without a field stays one

Cause: what follows the first blank was kept, and not whether there is one.

Change: the answer carries the indexes of such rows, also between instances.

Measured: TestAnswersAreForwardedByteForByte failed before, at such rows only: rows, signatures and error texts with each byte first, last, alone, doubled and in the middle were already the server's own. It passes with the race detector.

Why it works: a message has no other form than its word, or its word, a blank and what follows.

--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -86,6 +86,9 @@
 // Answer is an endpoint's answer to one command.
 type Answer struct {
 	Rows []string `json:",omitzero"`
+	// BareRows are the indexes of the rows that have no field at all, in ascending order. In Rows
+	// they are as empty as those with an empty field.
+	BareRows []int `json:",omitzero"`
 	// Signature is the endpoint's proof that it ran the statement.
 	Signature string `json:",omitzero"`
 	// Err is set instead of a signature.
