edge: texts pass between instances byte for byte

What callers saw: an error of an endpoint that came by way of a connection owner had each byte that is not UTF-8 replaced. Statements with such bytes did not use the owner outside transactions, nor to begin one.

Cause: messages between instances are JSON. A requester checked a list of fields and escaped another list, and nothing checked the text of an error.

Change: a message or a result with any string that JSON would change is sent with all its strings escaped, which are found by reflection. Escaped statements have a message name of their own, so that an owner of an earlier version does not run them; the requester then uses its own connection, and the owner is not taken for failed. A requester of an earlier version sees no text instead of a changed one, and its escaped statements in transactions are still understood.

--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -28,6 +28,7 @@
 	messageRead         = "read"        // runs a read at the connection owner
 	messageStatement    = "statement"   // runs a statement for the primary at the connection owner
 	messageTransaction  = "transaction" // runs a statement of a transaction at the connection owner
+	messageEscaped      = "escaped"     // any of the three, with all its strings escaped
 	messageDiscard      = "discard"     // rolls back a transaction at the connection owner
 	messageAcknowledge  = "knows"       // checks whether the recipient lists the sender as a member
 	messageCutOff       = "cutoff"      // tells an instance that its failure domain may be cut off
@@ -134,9 +135,10 @@
 		return empty{}, nil
 	})
 	i.registerRelay()
-	peerlink.Handle(i.server, messageRead, i.handleRead)
-	peerlink.Handle(i.server, messageStatement, i.handleRead)
-	peerlink.Handle(i.server, messageTransaction, i.handleTransaction)
+	peerlink.Handle(i.server, messageRead, escapedResult(i.handleRead))
+	peerlink.Handle(i.server, messageStatement, escapedResult(i.handleRead))
+	peerlink.Handle(i.server, messageTransaction, escapedResult(i.handleTransaction))
+	peerlink.Handle(i.server, messageEscaped, escapedResult(i.handleEscaped))
 	peerlink.Handle(i.server, messageDiscard, i.handleDiscard)
 	peerlink.Handle(i.server, messageAcknowledge, i.handleAcknowledge)
 	peerlink.Handle(i.server, messageAware, i.handleAware)
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"time"
-	"unicode/utf8"
 
-	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/backend"
@@ -37,8 +33,7 @@
 	ownerResponseReserve = 5 * time.Millisecond
 )
 
-// readMessage is a statement for a connection owner to run. Strings that come from callers
-// are checked to be valid UTF-8, because JSON would change others.
+// readMessage is a statement for a connection owner to run; see named.
 type readMessage struct {
 	Endpoint     string        `json:"endpoint,omitempty"`
 	Organisation string        `json:"organisation,omitempty"`
@@ -77,6 +72,8 @@
 	// BeginRefused is true if the answer is the endpoint's error in response to the begin of
 	// the transaction, so that the statement was not sent.
 	BeginRefused bool `json:"begin_refused,omitempty"`
+	// Escaped is the result with its strings escaped, if JSON would change one.
+	Escaped *readResult `json:"escaped,omitempty"`
 }
 
 func (i *Instance) maxConnections(service string) int {
@@ -95,62 +92,12 @@
 	}
 }
 
-// forwardRead has a connection owner run a read. Sent is false only if the endpoint cannot
-// have received it.
-func (i *Instance) forwardRead(ctx context.Context, m member, message readMessage) (answer request.Answer, sent bool, err error) {
-	if !isUTF8(message) {
-		return answer, false, errNotUTF8
-	}
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return answer, false, trace.BadParameter("a read at a connection owner needs a deadline")
-	}
-	message.Timeout, message.Leaving = time.Until(deadline)-ownerResponseReserve, i.leaving.Get()
-	defer i.checkSilentOwner(m, message.Endpoint).Stop()
-	began := i.cfg.Clock()
-	var result readResult
-	if err := i.client.Call(ctx, m.Address, messageRead, message, &result); err != nil {
-		i.recordOwnerError(m, message.Endpoint, err)
-		return answer, !isDialError(err), trace.Wrap(err)
-	}
-	if err := i.checkOwnerReply(m, message.Endpoint, result); err != nil {
-		return answer, result.Sent, err
-	}
-	answer = result.decode()
-	i.health.ObserveViaOwner(message.Endpoint, i.cfg.Clock()-began, backend.CannotServe(answer))
-	return answer, true, nil
-}
-
-// isDialError reports whether err is a failure to connect, so that nothing was sent.
-func isDialError(err error) bool {
-	var failed *net.OpError
-	return errors.As(err, &failed) && failed.Op == "dial"
-}
-
 // markOwnerFailed skips an endpoint's connection owner for ownerBackoff.
 func (i *Instance) markOwnerFailed(m member, endpoint string, err error) {
 	i.ownerSkippedUntil.Put(endpoint, i.cfg.Clock()+ownerBackoff)
 	event.ConnectionOwnerFailed.Emit(i.cfg.Log, zap.String("member", m.Name), zap.String("endpoint", endpoint), zap.Error(err))
 }
 
-var errNotUTF8 = errors.New("edge: a read that is not text cannot be passed on")
-
-// isUTF8 reports whether JSON encoding preserves the message.
-func isUTF8(m readMessage) bool {
-	for name, value := range m.Needs.Values {
-		if !utf8.ValidString(name) || !utf8.ValidString(value) {
-			return false
-		}
-	}
-	st := m.Command.Statement
-	for _, text := range []string{st.ID, st.Text, st.Name, st.Value, st.Arguments, st.Prepared.Shape, m.Organisation} {
-		if !utf8.ValidString(text) {
-			return false
-		}
-	}
-	return true
-}
-
 // handleRead runs a statement outside a transaction for another instance.
 func (i *Instance) handleRead(ctx context.Context, m readMessage) (readResult, error) {
 	i.runningForOthers.Add(1)
--- a/internal/edge/owner_begin.go
+++ b/internal/edge/owner_begin.go
@@ -174,7 +174,7 @@
 		return readResult{}, trace.BadParameter("the message names no transaction")
 	}
 	if step.Escaped {
-		m.Needs, m.Command = unescapeNeeds(m.Needs), unescapeCommand(m.Command)
+		m.Needs, m.Command = mapText(m.Needs, unescape), mapText(m.Command, unescape)
 	}
 	tx, result := i.takeTransaction(m)
 	if tx == nil {
--- a/internal/edge/owner_statement.go
+++ b/internal/edge/owner_statement.go
@@ -49,6 +49,8 @@
 const (
 	fallbackUnresponsive = "unresponsive"
 	fallbackFailed       = "failed"
+	// fallbackEarlierVersion means that the owner does not understand escaped messages.
+	fallbackEarlierVersion = "earlier_version"
 )
 
 var (
@@ -105,14 +107,11 @@
 
 // Run implements pipeline.OwnerPath.
 func (p ownerPath) Run(ctx context.Context, use *leadership.Use, needs backend.Needs, command request.Command) (answer request.Answer, sent bool, err error) {
-	message := p.message(use, needs, command)
+	name := messageStatement
 	if use == nil {
-		return p.i.forwardRead(ctx, p.owner, message)
+		name = messageRead
 	}
-	if !isUTF8(message) {
-		return answer, false, errNotUTF8
-	}
-	result, err := p.call(ctx, messageStatement, message)
+	result, err := p.call(ctx, name, p.message(use, needs, command))
 	if err != nil {
 		return answer, result.Sent, err
 	}
@@ -132,12 +131,18 @@
 	}
 	i := p.i
 	message.Timeout, message.Leaving = time.Until(deadline)-ownerResponseReserve, i.leaving.Get()
+	name, message = message.named(name)
 	defer i.checkSilentOwner(p.owner, p.endpoint.ID).Stop()
 	began := i.cfg.Clock()
-	if sent, err := i.client.CallOnce(ctx, p.owner.Address, name, message, &result); err != nil {
+	switch sent, err := i.client.CallOnce(ctx, p.owner.Address, name, message, &result); {
+	case trace.IsNotFound(err) && name == messageEscaped:
+		i.countOwnerFallback(fallbackEarlierVersion)
+		return readResult{}, trace.Wrap(err)
+	case err != nil:
 		i.recordOwnerError(p.owner, p.endpoint.ID, err)
 		return readResult{Sent: sent}, trace.Wrap(err)
 	}
+	result = result.unescaped()
 	if err := i.checkOwnerReply(p.owner, p.endpoint.ID, result); err != nil {
 		return result, err
 	}
--- /dev/null
+++ b/internal/edge/owner_text_test.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/backend"
+	"github.com/hornbeamlock/hornbeamlock/internal/request"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// everyByte holds each byte once, so that it is not UTF-8.
+var everyByte = func() string {
+	text := make([]byte, 256)
+	for n := range text {
+		text[n] = byte(n)
+	}
+	return string(text)
+}()
+
+// Guards against a refusal whose text changes on the way through a connection owner.
+func TestErrorTextPassesThroughOwnerByteForByte(t *testing.T) {
+	for _, text := range []string{everyByte, "\xff", "caf\xe9", "\ufffd", "\r", ""} {
+		r := newOwnerFixture(t)
+		r.ownerDialer.answer = request.Answer{Err: verdict.New(verdict.NotRun, verdict.CodeBehind, "%s", text)}
+		answer, sent, err := r.read(t, backend.Needs{}, "READ 1")
+		require.NoError(t, err)
+		require.True(t, sent)
+		require.Equal(t, r.ownerDialer.answer.Err, answer.Err)
+	}
+}
+
+// Guards against a statement, value or shape that changes on the way to a connection owner, or
+// does not go there although JSON can hold it escaped.
+func TestStatementPassesThroughOwnerByteForByte(t *testing.T) {
+	for _, text := range []string{everyByte, "\xff", "\xc3", "é", "\r\r", "\x00", " "} {
+		r := newOwnerFixture(t)
+		needs := backend.Needs{Values: map[string]string{"v" + text: text, "empty": ""}, Prepared: &request.Prepared{Shape: text}}
+		_, _, err := r.read(t, needs, "READ "+text)
+		require.NoError(t, err)
+		values := make(map[string]string)
+		for _, c := range r.ownerDialer.sent {
+			switch c.Kind {
+			case request.Set:
+				values[c.Name] = c.Value
+			case request.Prepare:
+				require.Equal(t, *needs.Prepared, c.Prepared)
+			default:
+				require.Equal(t, "READ "+text, c.Text)
+			}
+		}
+		require.Equal(t, needs.Values, values)
+	}
+}
+
+// earlierOwner makes the owner one of an earlier version, which has no handler of escaped
+// messages.
+func (r *ownerFixture) earlierOwner(t *testing.T) {
+	handler := r.owner.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/peer/escaped" {
+			http.NotFound(w, request)
+			return
+		}
+		handler.ServeHTTP(w, request)
+	}))
+	t.Cleanup(server.Close)
+	members := r.requester.members.Get()
+	members[1].Address = server.Listener.Addr().String()
+	r.requester.members.Set(members)
+	r.requester.assignOwners()
+}
+
+// TestTextAtOwnerOfEarlierVersion checks that an owner of an earlier version is sent no text
+// that it would change, that nothing runs there, and that it goes on serving other statements.
+func TestTextAtOwnerOfEarlierVersion(t *testing.T) {
+	r := newOwnerFixture(t)
+	r.earlierOwner(t)
+	_, sent, err := r.read(t, backend.Needs{}, "READ \xff")
+	require.Error(t, err)
+	require.False(t, sent)
+	require.Empty(t, r.ownerDialer.sent)
+	_, ok := r.requester.viaOwner(r.endpoint, "shop", backend.Turn{Priority: 1})
+	require.True(t, ok, "the refusal shows no failure of the owner")
+	_, _, err = r.read(t, backend.Needs{}, "READ 1")
+	require.NoError(t, err)
+
+	f := newTransactionFixture(t)
+	f.earlierOwner(t)
+	begun, err := f.begin(statementOf(request.Write, "W1"))
+	require.NoError(t, err)
+	sent, err = f.run(begun.Conn, statementOf(request.Write, "\xff"))
+	require.Error(t, err)
+	require.False(t, sent)
+	begun.Conn.Discard()
+	f.requireRolledBack()
+}
+
+// TestRequesterOfEarlierVersion checks that an owner understands the escaped statements of
+// transactions of earlier versions, and shows them no changed text of an error.
+func TestRequesterOfEarlierVersion(t *testing.T) {
+	f := newTransactionFixture(t)
+	begun, err := f.begin(statementOf(request.Write, "W1"))
+	require.NoError(t, err)
+	post := func(name, message string) readResult {
+		response, err := http.Post(f.ownerFixture.server.URL+"/peer/"+name, "application/json", bytes.NewReader([]byte(message)))
+		require.NoError(t, err)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		var result readResult
+		require.NoError(t, json.Unmarshal(body, &result), string(body))
+		return result
+	}
+	id := begun.Conn.(*ownerConn).id
+	result := post(messageTransaction, `{"timeout_ns":500000000,"needs":{"Values":{"colour":"red","\u00ff":"\u00c3\u00a9"}},`+
+		`"command":{"ID":"7","Kind":5,"Text":"WRITE \u00ff"},"transaction":{"id":"`+id+`","requester":"`+f.requester.incarnation+`","sequence":1,"escaped":true}}`)
+	require.Empty(t, result.Error)
+	ran, _ := f.server.history()
+	require.Equal(t, "1:WRITE \xff", ran[len(ran)-1])
+
+	r := newOwnerFixture(t)
+	r.ownerDialer.answer = request.Answer{Err: verdict.New(verdict.Ran, verdict.CodeStatementFailed, "caf\xe9")}
+	f.ownerFixture = r
+	result = post(messageRead, `{"endpoint":"s1","organisation":"shop","timeout_ns":500000000,"command":{"ID":"7","Kind":4,"Text":"READ 1"}}`)
+	require.Equal(t, verdict.New(verdict.Ran, verdict.CodeStatementFailed, ""), result.Refused)
+	require.Equal(t, r.ownerDialer.answer.Err, result.unescaped().Refused)
+}
--- a/internal/edge/owner_transaction.go
+++ b/internal/edge/owner_transaction.go
@@ -30,7 +30,7 @@
 	Sequence int `json:"sequence,omitempty"`
 	// Begin begins the transaction. It is set for the first statement.
 	Begin *request.Command `json:"begin,omitempty"`
-	// Escaped is true if the strings of the message are escaped; see escapeCommand.
+	// Escaped is set by earlier versions if the strings of the command and its needs are escaped.
 	Escaped bool `json:"escaped,omitempty"`
 }
 
@@ -46,9 +46,6 @@
 	message := p.message(use, needs, first)
 	message.Transaction = c.nextStep()
 	message.Transaction.Begin = &begin
-	if !isUTF8(message) || !isUTF8(readMessage{Command: begin}) {
-		return pipeline.Begun{}, errNotUTF8
-	}
 	ctx, cancel := withAbortTimeout(ctx)
 	defer cancel()
 	result, err := p.call(ctx, messageTransaction, message)
@@ -88,9 +85,6 @@
 // Run implements pipeline.TransactionConn.
 func (c *ownerConn) Run(ctx context.Context, needs backend.Needs, command request.Command) (answer request.Answer, sent bool, err error) {
 	message := readMessage{Needs: needs, Command: command, Transaction: c.nextStep()}
-	if !isUTF8(message) {
-		message.Needs, message.Command, message.Transaction.Escaped = escapeNeeds(needs), escapeCommand(command), true
-	}
 	if command.Kind != request.Commit {
 		var cancel context.CancelFunc
 		ctx, cancel = withAbortTimeout(ctx)
