edge: a statement above the limit of messages runs over an own connection

What callers saw: an EXECUTE of 1 MiB of control characters, which become six bytes each and pass twice in a message (text and arguments), was reported with an unknown outcome although no owner had read it, and the owner was bypassed for a second.

Cause: the recipient cuts a message at 8 MiB, finds it malformed and says so; the requester took any response other than 404 for a statement that may have run.

Change: a message above the limit is not sent, and its error says so. The requester uses its own connection and does not take the owner for failed.

TestStatementAboveTheMessageLimitIsNotSentToOwner failed before (sent was true), and passes.

--- a/internal/edge/owner_statement.go
+++ b/internal/edge/owner_statement.go
@@ -51,6 +51,8 @@
 	fallbackFailed       = "failed"
 	// fallbackEarlierVersion means that the owner does not understand escaped messages.
 	fallbackEarlierVersion = "earlier_version"
+	// fallbackTooLarge means that the message exceeds the limit of those between instances.
+	fallbackTooLarge = "too_large"
 )
 
 var (
@@ -138,6 +140,9 @@
 	case trace.IsNotFound(err) && name == messageEscaped:
 		i.countOwnerFallback(fallbackEarlierVersion)
 		return readResult{}, trace.Wrap(err)
+	case trace.IsLimitExceeded(err):
+		i.countOwnerFallback(fallbackTooLarge)
+		return readResult{}, trace.Wrap(err)
 	case err != nil:
 		i.recordOwnerError(p.owner, p.endpoint.ID, err)
 		return readResult{Sent: sent}, trace.Wrap(err)
--- a/internal/edge/owner_text_test.go
+++ b/internal/edge/owner_text_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -132,3 +133,17 @@
 	require.Equal(t, verdict.New(verdict.Ran, verdict.CodeStatementFailed, ""), result.Refused)
 	require.Equal(t, r.ownerDialer.answer.Err, result.unescaped().Refused)
 }
+
+// Guards against a large statement that an owner cannot read: its outcome was reported as
+// unknown, and the owner was taken for failed.
+func TestStatementAboveTheMessageLimitIsNotSentToOwner(t *testing.T) {
+	f := newTransactionFixture(t)
+	data := strings.Repeat("\x01", 1<<20)
+	command := request.Command{Statement: request.Statement{Kind: request.Execute, Text: "EXECUTE s1 k " + data, Name: "s1", Arguments: "k " + data}}
+	_, sent, err := f.path().Run(f.context(), f.use, backend.Needs{}, command)
+	require.Error(t, err)
+	require.False(t, sent)
+	require.NotNil(t, f.path(), "the owner has not failed")
+	ran, _ := f.server.history()
+	require.Empty(t, ran)
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -68,13 +68,17 @@
 }
 
 // Call sends in to the handler of name at address and decodes the response into
-// out. The error of a recipient that has no such handler is a trace.NotFound.
+// out. The error of a recipient that has no such handler is a trace.NotFound, and that of a
+// message above the limit, which is not sent, a trace.LimitExceeded.
 func (c *Client) Call(ctx context.Context, address, name string, in, out any) error {
 	c.sent.Add(name, 1)
 	body, err := json.Marshal(in)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if len(body) > maxMessageBytes {
+		return trace.LimitExceeded("message %s has %d bytes, more than %d", name, len(body), maxMessageBytes)
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/peer/"+name, bytes.NewReader(body))
 	if err != nil {
 		return trace.Wrap(err)
