backend: an answer is delivered only with evidence that it belongs to the statement

Cause: the adapter took the next answer for that of the command that was sent last, whatever it was, and any answer without an error for a success. An endpoint that sends an answer twice shifts all later ones by one; an error that comes twice promises a later caller that nothing ran.

Change: the adapter passes on whole answers, in a strict structure, and the pool's connection decides for each. A read, write, execute or commit succeeds only with a signature that the connection has not delivered before; a signature seen before, or an acknowledgement without one while a signature is awaited, is skipped as a repetition. BEGIN, ROLLBACK, SET, RESET and PREPARE need an acknowledgement without rows in the right transaction state. An error counts only if its code is new to the connection and no acknowledgement before it may have been a repetition; NOSTMT can only be that of the EXECUTE. After an error a connection serves no other session, except at a replica, where a read whose error is no evidence runs elsewhere. Names of prepared statements are not used twice on a connection. For five minutes after a repetition, also one that arrives while nothing is awaited, connections on which session state was set up serve one operation only. The first statement of a transaction whose BEGIN may have been answered by a repetition is told as unknown when it fails, and so is the COMMIT after it, since the end of the connection may not undo it. Event 9061 and endpoint_answers_not_taken_total tell of answers that were skipped or rejected, by reason.

Why it works: commands are answered in order and one signed command at most is in progress, so that a new signature is that of this command and shows that all commands before it have been answered; the record of signatures is complete, since a connection with 1024 of them is closed.

The fakes of other packages sign each answer anew and keep the transaction state, as endpoints do.

Open: the true error of a SET, RESET, BEGIN or ROLLBACK is hidden for that command by a repeated acknowledgement with the same transaction state that arrives before it, at the first repetition of an endpoint in five minutes; later on only among several SETs in one exchange or within a transaction. The statement that follows then runs without it; what its caller is told is true all the same. Rows of a repetition that ends before its COMPLETE cannot be told from those of the next answer.

--- /dev/null
+++ b/internal/backend/attribution.go
@@ -0,0 +1,177 @@
+package backend
+
+import (
+	"hash/maphash"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/request"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// Answers do not name the statement that they belong to, and an endpoint may send one again, at
+// any later time on the same connection. Commands are answered in the order in which they were
+// sent, and one signed command at most is in progress, so that these are evidence:
+//
+//   - A signature that the connection has not delivered before is that of the signed command in
+//     progress, and all commands before it have been answered.
+//   - An acknowledgement without a signature is the awaited one unless an earlier one with the same
+//     transaction state may have come again. Then it is taken, and the connection is uncertain
+//     until the next answer that is certain: the true one may be an error that is still to come.
+//   - An error with a code that the connection has not received before is that of the awaited
+//     command, unless the connection is uncertain. One that executes an unknown name can only
+//     belong to the EXECUTE.
+
+// maxSignatures is the number of signatures that a connection records. A connection that has more
+// is closed when it is released, so that the record is complete.
+const maxSignatures = 1024
+
+// hashSeed is the seed of the hashes of signatures.
+var hashSeed = maphash.MakeSeed()
+
+// ruling is what is done with an answer.
+type ruling uint8
+
+const (
+	// taken means that the answer is that of the awaited command.
+	taken ruling = iota
+	// skipped means that the answer was sent before, and that the next one is awaited.
+	skipped
+	// rejected means that the answer is no evidence of anything.
+	rejected
+)
+
+// Reasons for which an answer is skipped or rejected, for logs and metrics.
+const (
+	reasonSignatureRepeated   = "signature_repeated"
+	reasonUnsignedRepeated    = "unsigned_repeated"
+	reasonSignatureMissing    = "signature_missing"
+	reasonSignatureUnexpected = "signature_unexpected"
+	reasonRowsUnexpected      = "rows_unexpected"
+	reasonErrorRepeated       = "error_repeated"
+	reasonErrorUncertain      = "error_uncertain"
+	reasonTransactionState    = "transaction_state"
+	reasonOutOfTurn           = "out_of_turn" // while no answer is awaited
+)
+
+// attribution decides which answers of a connection belong to which command.
+type attribution struct {
+	signatures map[uint64]struct{}
+	// errors holds the codes of the errors received.
+	errors map[string]struct{}
+	// acknowledged holds the transaction states of the answers without signature received.
+	acknowledged map[request.Transaction]bool
+	// uncertain is true if an answer without signature that was taken may have been a repetition,
+	// and no certain answer has come since.
+	uncertain bool
+	// state is the transaction state after the last answer that was taken. begun is true if an open
+	// transaction has certainly begun.
+	state request.Transaction
+	begun bool
+}
+
+func newAttribution() attribution {
+	return attribution{
+		signatures: make(map[uint64]struct{}), errors: make(map[string]struct{}), acknowledged: make(map[request.Transaction]bool),
+	}
+}
+
+// isSigned reports whether an endpoint signs its answers to commands of the kind.
+func isSigned(kind request.Kind) bool {
+	return kind == request.Read || kind == request.Write || kind == request.Execute || kind == request.Commit
+}
+
+// stateAfter returns the transaction state after the success of a command.
+func (a *attribution) stateAfter(kind request.Kind) request.Transaction {
+	switch kind {
+	case request.Begin:
+		return request.Open
+	case request.Commit, request.Rollback:
+		return request.Idle
+	default:
+		return a.state
+	}
+}
+
+// rule decides on an answer that arrives while one to a command of the kind is awaited.
+func (a *attribution) rule(kind request.Kind, answer request.Answer) (ruling, string) {
+	switch {
+	case answer.Err != nil:
+		return a.ruleError(kind, answer)
+	case answer.Signature != "":
+		return a.ruleSigned(kind, answer)
+	default:
+		return a.ruleUnsigned(kind, answer)
+	}
+}
+
+func (a *attribution) ruleError(kind request.Kind, answer request.Answer) (ruling, string) {
+	code := answer.Err.Code
+	if _, received := a.errors[code]; received {
+		return rejected, reasonErrorRepeated
+	}
+	a.errors[code] = struct{}{}
+	switch {
+	case isSigned(kind) && a.uncertain && code != verdict.CodeUndefinedPreparedStmt:
+		return rejected, reasonErrorUncertain
+	case a.state == request.Idle && answer.Transaction != request.Idle:
+		return rejected, reasonTransactionState
+	}
+	a.state = answer.Transaction
+	return taken, ""
+}
+
+func (a *attribution) ruleSigned(kind request.Kind, answer request.Answer) (ruling, string) {
+	hash := maphash.String(hashSeed, answer.Signature)
+	if _, delivered := a.signatures[hash]; delivered {
+		return skipped, reasonSignatureRepeated
+	}
+	a.signatures[hash] = struct{}{}
+	if !isSigned(kind) {
+		return rejected, reasonSignatureUnexpected
+	}
+	a.uncertain = false
+	if answer.Transaction != a.stateAfter(kind) {
+		a.begun = false
+		return rejected, reasonTransactionState
+	}
+	a.state = answer.Transaction
+	a.begun = a.state == request.Open
+	return taken, ""
+}
+
+func (a *attribution) ruleUnsigned(kind request.Kind, answer request.Answer) (ruling, string) {
+	after := a.stateAfter(kind)
+	switch {
+	case isSigned(kind) && len(a.acknowledged) > 0:
+		return skipped, reasonUnsignedRepeated
+	case isSigned(kind):
+		return rejected, reasonSignatureMissing
+	case len(answer.Rows) > 0:
+		return rejected, reasonRowsUnexpected
+	case answer.Transaction != after && a.acknowledged[answer.Transaction]:
+		return skipped, reasonUnsignedRepeated
+	case answer.Transaction != after:
+		return rejected, reasonTransactionState
+	}
+	a.uncertain = a.acknowledged[after]
+	a.acknowledged[after] = true
+	a.state = after
+	if kind == request.Begin {
+		a.begun = !a.uncertain
+	}
+	return taken, ""
+}
+
+// reusable reports whether another session may use the connection. After an error no writes may:
+// another error with its code would be no evidence that a write has not run. A read can run
+// elsewhere. repeats is true if the endpoint is known to repeat answers; then another
+// acknowledgement would be uncertain.
+func (a *attribution) reusable(writes, repeats bool) bool {
+	switch {
+	case len(a.signatures) >= maxSignatures:
+		return false
+	case len(a.errors) > 0 && (writes || repeats):
+		return false
+	default:
+		return len(a.acknowledged) == 0 || !repeats
+	}
+}
--- /dev/null
+++ b/internal/backend/attribution_test.go
@@ -0,0 +1,207 @@
+package backend
+
+import (
+	"context"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/request"
+	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
+)
+
+// scriptedConn is a connection on which given answers arrive.
+type scriptedConn struct {
+	answers []request.Answer
+	sent    []request.Command
+	// unread is true if an answer arrives after the last one.
+	unread, closed bool
+}
+
+func (c *scriptedConn) Dial(context.Context, catalog.Endpoint, string) (Conn, error) { return c, nil }
+
+func (c *scriptedConn) Exchange(_ context.Context, commands []request.Command, accept func(request.Answer) (more bool)) error {
+	c.sent = append(c.sent, commands...)
+	for len(c.answers) > 0 {
+		next := c.answers[0]
+		c.answers = c.answers[1:]
+		if !accept(next) {
+			return nil
+		}
+	}
+	return errNoAnswer
+}
+
+func (c *scriptedConn) Reusable() bool { return !c.unread || len(c.sent) == 0 }
+func (c *scriptedConn) Close()         { c.closed = true }
+
+func newScripted(t *testing.T, answers ...request.Answer) (*scriptedConn, *PooledConn) {
+	c := &scriptedConn{answers: answers}
+	pools := newPools(t, &fakeEndpoint{limit: 1}, 1)
+	pools.cfg.Dialer = c
+	conn, err := pools.Acquire(t.Context(), testEndpoint, "a", Turn{})
+	require.NoError(t, err)
+	return c, conn
+}
+
+func signed(signature string, state request.Transaction) request.Answer {
+	return request.Answer{Signature: signature, Transaction: state}
+}
+
+func unsigned(state request.Transaction) request.Answer { return request.Answer{Transaction: state} }
+
+func refusal(code string) request.Answer {
+	return request.Answer{Err: verdict.New(verdict.NotRun, code, "refused")}
+}
+
+func commandOf(kind request.Kind) request.Command {
+	return request.Command{Statement: request.Statement{ID: "x", Kind: kind, Prepared: request.Prepared{Shape: "q"}}}
+}
+
+// TestOnlyEvidenceIsDelivered guards against success, and against promises, without evidence.
+func TestOnlyEvidenceIsDelivered(t *testing.T) {
+	colour := Needs{Values: map[string]string{"colour": "red"}}
+	prepared := Needs{Prepared: &request.Prepared{Shape: "q"}}
+	for _, c := range []struct {
+		name     string
+		before   []request.Kind // statements that succeed
+		kind     request.Kind
+		needs    Needs
+		arriving []request.Answer
+		sent     bool
+		unread   bool // an answer arrives after the last one
+	}{
+		{name: "acknowledgement of a write", kind: request.Write, arriving: []request.Answer{unsigned(request.Idle)}, sent: true},
+		{name: "acknowledgement of a commit", before: []request.Kind{request.Begin}, kind: request.Commit, arriving: []request.Answer{unsigned(request.Idle)}, sent: true},
+		{name: "write in a transaction of nobody", kind: request.Write, arriving: []request.Answer{signed("s", request.Open)}, sent: true},
+		{name: "commit that leaves the transaction open", before: []request.Kind{request.Begin, request.Write}, kind: request.Commit, arriving: []request.Answer{signed("s", request.Open)}, sent: true},
+		{
+			name: "error of a write in a transaction of nobody", kind: request.Write,
+			arriving: []request.Answer{{Err: refusal(verdict.CodeCannotConnectNow).Err, Transaction: request.Open}}, sent: true,
+		},
+		{name: "signature of an earlier write", before: []request.Kind{request.Write}, kind: request.Write, arriving: []request.Answer{signed("write", request.Idle)}, sent: true},
+		{name: "BEGIN that leaves the connection idle", kind: request.Begin, arriving: []request.Answer{unsigned(request.Idle)}, sent: true},
+		{name: "BEGIN with a signature", kind: request.Begin, arriving: []request.Answer{signed("s", request.Open)}, sent: true},
+		{name: "BEGIN with rows", kind: request.Begin, arriving: []request.Answer{{Rows: []string{"a"}, Transaction: request.Open}}, sent: true},
+		{name: "SET with a signature", kind: request.Write, needs: colour, arriving: []request.Answer{signed("s", request.Idle), signed("t", request.Idle)}},
+		{name: "SET that opens a transaction", kind: request.Write, needs: colour, arriving: []request.Answer{unsigned(request.Open), signed("t", request.Idle)}},
+		{name: "answer after that of SET", kind: request.Write, needs: colour, arriving: []request.Answer{unsigned(request.Idle), signed("t", request.Idle)}, unread: true},
+		{
+			name: "failed PREPARE and busy EXECUTE", kind: request.Execute, needs: prepared,
+			arriving: []request.Answer{refusal(verdict.CodeReadOnlyTransaction), refusal(verdict.CodeCannotConnectNow)}, sent: true,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			raw, conn := newScripted(t)
+			for _, kind := range c.before {
+				answer := unsigned(conn.answers.stateAfter(kind))
+				if isSigned(kind) {
+					answer.Signature = kind.String()
+				}
+				raw.answers = []request.Answer{answer}
+				_, _, err := conn.Run(t.Context(), Needs{}, commandOf(kind))
+				require.NoError(t, err)
+			}
+			raw.sent, raw.answers, raw.unread = nil, c.arriving, c.unread
+			_, sent, err := conn.Run(t.Context(), c.needs, commandOf(c.kind))
+			require.Error(t, err)
+			require.NotEqual(t, verdict.NotRun, verdict.Of(err))
+			require.Equal(t, c.sent, sent)
+			conn.Release()
+			require.True(t, raw.closed)
+		})
+	}
+}
+
+// TestStatementOutsideItsTransactionIsUnknown guards against calling a write rolled back that the
+// endpoint may have run without a transaction.
+func TestStatementOutsideItsTransactionIsUnknown(t *testing.T) {
+	for name, c := range map[string]struct {
+		needs    Needs
+		arriving []request.Answer // after the answers to BEGIN, COMMIT and BEGIN
+	}{
+		"signed without a transaction": {Needs{}, []request.Answer{signed("s", request.Idle)}},
+		"no answer":                    {Needs{}, nil},
+		"error of BEGIN":               {Needs{}, []request.Answer{refusal(verdict.CodeCannotConnectNow)}},
+		"error of BEGIN for that of PREPARE": {
+			Needs{Prepared: &request.Prepared{Shape: "q"}},
+			[]request.Answer{refusal(verdict.CodeCannotConnectNow), unsigned(request.Idle), signed("s", request.Idle)},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			raw, conn := newScripted(t)
+			for _, step := range []struct {
+				kind   request.Kind
+				answer request.Answer
+			}{{request.Begin, unsigned(request.Open)}, {request.Commit, signed("c", request.Idle)}, {request.Begin, unsigned(request.Open)}} {
+				raw.answers = []request.Answer{step.answer}
+				_, _, err := conn.Run(t.Context(), Needs{}, commandOf(step.kind))
+				require.NoError(t, err)
+			}
+			raw.answers = c.arriving
+			answer, _, err := conn.Run(t.Context(), c.needs, commandOf(request.Execute))
+			require.NoError(t, err)
+			require.Equal(t, verdict.MayHaveRun, answer.Err.Verdict)
+			require.Equal(t, request.Idle, answer.Transaction)
+			conn.Release()
+			require.True(t, raw.closed)
+		})
+	}
+}
+
+// TestNamesAreNotUsedTwice guards against an EXECUTE of another statement under a name from before a
+// RESET that the endpoint has not carried out.
+func TestNamesAreNotUsedTwice(t *testing.T) {
+	raw, conn := newScripted(t, unsigned(request.Idle), unsigned(request.Idle), signed("1", request.Idle),
+		unsigned(request.Idle), unsigned(request.Idle), signed("2", request.Idle))
+	for _, needs := range []Needs{{Values: map[string]string{"colour": "red"}, Prepared: &request.Prepared{Shape: "q"}}, {Prepared: &request.Prepared{Shape: "r"}}} {
+		_, _, err := conn.Run(t.Context(), needs, commandOf(request.Execute))
+		require.NoError(t, err)
+	}
+	require.Equal(t, request.Reset, raw.sent[3].Kind)
+	require.NotEqual(t, raw.sent[2].Alias, raw.sent[5].Alias)
+}
+
+// TestRepetitionIsReported checks that a repetition is skipped, counted and logged once, and that
+// from then on a connection serves another session only if its answers will be evidence.
+func TestRepetitionIsReported(t *testing.T) {
+	for _, needs := range []Needs{{}, {Values: map[string]string{"colour": "red"}}} {
+		raw, conn := newScripted(t)
+		core, logged := observer.New(zap.InfoLevel)
+		conn.pool.pools.cfg.Log = zap.New(core)
+		if needs.Values != nil {
+			raw.answers = []request.Answer{unsigned(request.Idle)}
+		}
+		raw.answers = append(raw.answers, signed("1", request.Idle))
+		for n := range 3 {
+			if n > 0 {
+				raw.answers = []request.Answer{signed("1", request.Idle), signed(strconv.Itoa(n+1), request.Idle)}
+			}
+			answer, _, err := conn.Run(t.Context(), needs, commandOf(request.Read))
+			require.NoError(t, err)
+			require.Equal(t, strconv.Itoa(n+1), answer.Signature)
+		}
+		require.Equal(t, 1, logged.FilterField(zap.String("reason", reasonSignatureRepeated)).Len())
+		require.Equal(t, "2", conn.pool.pools.cfg.Metrics.Labelled("endpoint_answers_not_taken_total").Get(reasonSignatureRepeated).String())
+		conn.Release()
+		require.Equal(t, needs.Values != nil, raw.closed)
+	}
+}
+
+// TestRecordOfSignaturesIsBounded guards against a record that grows, or forgets, on a connection that
+// is never idle.
+func TestRecordOfSignaturesIsBounded(t *testing.T) {
+	raw, conn := newScripted(t)
+	for n := range maxSignatures {
+		require.False(t, raw.closed)
+		raw.answers = []request.Answer{signed(strconv.Itoa(n), request.Idle)}
+		_, _, err := conn.Run(t.Context(), Needs{}, commandOf(request.Read))
+		require.NoError(t, err)
+	}
+	conn.Release()
+	require.True(t, raw.closed)
+}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,7 +23,9 @@
 	limit int
 	dials int
 	sent  []request.Command
-	fail  error
+	// signed counts the signatures of the endpoint.
+	signed int
+	fail   error
 	// refuses is a kind of statement that the endpoint answers with an error, 0 for none. A refused
 	// PREPARE is carried out nevertheless if prepares is true, as FAILED allows.
 	refuses  request.Kind
@@ -45,23 +48,30 @@
 	return &fakeConn{e: e}, nil
 }
 
-func (c *fakeConn) Exchange(_ context.Context, commands []request.Command) ([]request.Answer, error) {
+func (c *fakeConn) Exchange(_ context.Context, commands []request.Command, accept func(request.Answer) (more bool)) error {
 	c.e.mu.Lock()
 	defer c.e.mu.Unlock()
 	if c.e.fail != nil {
-		return nil, c.e.fail
+		return c.e.fail
 	}
 	c.e.sent = append(c.e.sent, commands...)
-	answers := make([]request.Answer, len(commands))
-	for i, command := range commands {
+	for _, command := range commands {
+		var answer request.Answer
+		if isSigned(command.Kind) {
+			c.e.signed++
+			answer.Signature = strconv.Itoa(c.e.signed)
+		}
 		if c.e.refuses != 0 && command.Kind == c.e.refuses {
-			answers[i].Err = verdict.New(verdict.Ran, verdict.CodeStatementFailed, "failed")
+			answer.Err = verdict.New(verdict.Ran, verdict.CodeStatementFailed, "failed")
 		}
 		if c.e.refuses == request.Prepare && !c.e.prepares && command.Kind == request.Execute {
-			answers[i].Err = verdict.New(verdict.NotRun, verdict.CodeUndefinedPreparedStmt, "no such name")
+			answer.Err = verdict.New(verdict.NotRun, verdict.CodeUndefinedPreparedStmt, "no such name")
+		}
+		if !accept(answer) {
+			break
 		}
 	}
-	return answers, nil
+	return nil
 }
 
 func (c *fakeConn) Reusable() bool { return !c.closed }
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -8,31 +8,43 @@
 //   - A connection with an unread answer or an open transaction is never reused.
 //   - A session's statements run with exactly the values and prepared statements of that
 //     session.
+//   - An answer is delivered only with evidence that it belongs to the statement that was sent.
 package backend
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/request"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
-// Conn is a connection to an endpoint. It must be used by one goroutine at a time.
+// Conn is a connection to an endpoint. It must be used by one goroutine at a time. Its String, if
+// it has one, is its name in logs.
 type Conn interface {
-	// Exchange sends all commands at once and returns an answer for each. After an
-	// error the connection is unusable, and the outcome of the commands without an
-	// answer is unknown.
-	Exchange(ctx context.Context, commands []request.Command) ([]request.Answer, error)
+	// Exchange sends all commands at once and passes each answer that arrives to accept, until that
+	// returns false. Answers need not belong to these commands. After an error the connection
+	// is unusable, and the outcome of the commands without an answer is unknown.
+	Exchange(ctx context.Context, commands []request.Command, accept func(request.Answer) (more bool)) error
 	// Reusable reports whether an idle connection is still open and has no unread data.
 	Reusable() bool
 	Close()
 }
 
+// UnreadReporter is a Conn that can tell why it is not reusable.
+type UnreadReporter interface {
+	// Unread reports whether an idle connection has unread data, which nobody has asked for.
+	Unread() bool
+}
+
 // Dialer opens connections.
 type Dialer interface {
 	// Dial connects as the organisation. A *verdict.Error is a refusal by the endpoint;
@@ -45,13 +57,19 @@
 	Endpoint     catalog.Endpoint
 	Organisation string
 
-	conn          Conn
-	pool          *pool
-	values        map[string]string
-	aliases       map[request.Prepared]string
+	conn    Conn
+	pool    *pool
+	values  map[string]string
+	aliases map[request.Prepared]string
+	// named counts the names of prepared statements. None is used twice, so that after a RESET
+	// that had no effect no name stands for another statement.
+	named         int
+	answers       attribution
+	logged        bool // an answer that was skipped or rejected
 	idleSince     time.Duration
 	inTransaction bool
 	broken        bool
+	unattributed  bool // an answer was rejected
 	// occupies is true while the connection counts as occupying a slot of the endpoint.
 	occupies bool
 }
@@ -67,20 +85,13 @@
 // its answer. sent is false only when the endpoint certainly has not received the statement, or
 // cannot have run it.
 func (pc *PooledConn) Run(ctx context.Context, needs Needs, command request.Command) (answer request.Answer, sent bool, err error) {
-	if !pc.conn.Reusable() {
+	if !pc.isQuiet() {
 		pc.broken = true
 		return answer, false, errClosed
 	}
-	// The endpoint runs what follows a failed SET or RESET, with the values of another session.
-	if values := pc.alignValues(needs.Values); len(values) > 0 {
-		answers, err := pc.exchange(ctx, values)
-		if err == nil {
-			err = setupError(answers)
-		}
-		if err != nil {
-			pc.broken = true
-			return answer, false, err
-		}
+	if err := pc.applyValues(ctx, needs.Values); err != nil {
+		pc.broken = true
+		return answer, false, err
 	}
 	var commands []request.Command
 	if needs.Prepared != nil {
@@ -88,33 +99,117 @@
 	}
 	answers, err := pc.exchange(ctx, append(commands, command))
 	if err != nil {
-		pc.broken = true
-		return answer, true, err
+		return pc.withoutEvidence(command, err)
 	}
 	last := answers[len(answers)-1]
 	if err := setupError(answers[:len(answers)-1]); err != nil {
 		pc.broken = true
 		// The name is new to the endpoint: it is unknown there unless the PREPARE has had its effect.
-		if last.Err != nil && last.Err.Verdict == verdict.NotRun {
+		if last.Err != nil && last.Err.Code == verdict.CodeUndefinedPreparedStmt {
 			return answer, false, err
 		}
-		return answer, true, errPrepareFailed
+		return pc.withoutEvidence(command, errPrepareFailed)
 	}
 	answer = last
 	pc.inTransaction = answer.Transaction != request.Idle
 	return answer, true, nil
 }
 
-var errPrepareFailed = errors.New("backend: the endpoint answered PREPARE with an error, and may have run the statement")
+var (
+	errPrepareFailed = errors.New("backend: the endpoint answered PREPARE with an error, and may have run the statement")
+	errUnattributed  = errors.New("backend: an answer does not belong to the statement")
+	errIncomplete    = errors.New("backend: the endpoint has not answered every command")
+	errOutOfTurn     = errors.New("backend: the endpoint has sent more than one answer for each command")
+)
+
+// withoutEvidence returns the outcome of a statement that may have run. In a transaction the end of the
+// connection undoes it, unless the transaction perhaps had not begun at the endpoint: then the
+// outcome is an answer, so that it is not taken for that of a transaction that was rolled back.
+func (pc *PooledConn) withoutEvidence(command request.Command, err error) (request.Answer, bool, error) {
+	pc.broken = true
+	if !pc.inTransaction || pc.answers.begun || command.Kind == request.Commit {
+		return request.Answer{}, true, err
+	}
+	unknown := verdict.New(verdict.MayHaveRun, verdict.CodeCompletionUnknown, "the statement may have run outside its transaction")
+	return request.Answer{Err: unknown.WithCause(err)}, true, nil
+}
 
-// exchange sends commands and records how the endpoint responds.
+// applyValues gives the session's values to the connection. The endpoint runs what follows a failed
+// SET or RESET, with the values of another session, so that nothing is sent after one.
+func (pc *PooledConn) applyValues(ctx context.Context, values map[string]string) error {
+	commands := pc.alignValues(values)
+	if len(commands) == 0 {
+		return nil
+	}
+	answers, err := pc.exchange(ctx, commands)
+	switch {
+	case err != nil:
+		return err
+	case setupError(answers) != nil:
+		return setupError(answers)
+	case !pc.isQuiet():
+		return errOutOfTurn
+	}
+	return nil
+}
+
+// exchange sends commands, attributes the answers, and records how the endpoint responds.
 func (pc *PooledConn) exchange(ctx context.Context, commands []request.Command) ([]request.Answer, error) {
 	done := pc.pool.health.startStatement(pc.Endpoint.ID)
-	answers, err := pc.conn.Exchange(ctx, commands)
-	done(err, slices.ContainsFunc(answers, CannotServe))
+	answers := make([]request.Answer, 0, len(commands))
+	isRejected := false
+	err := pc.conn.Exchange(ctx, commands, func(answer request.Answer) bool {
+		awaited := commands[len(answers)].Kind
+		ruling, reason := pc.answers.rule(awaited, answer)
+		if ruling != taken {
+			isRejected = ruling == rejected
+			pc.reportAnswer(awaited, ruling, reason)
+			return !isRejected
+		}
+		answers = append(answers, answer)
+		return len(answers) < len(commands)
+	})
+	if err == nil && !isRejected && len(answers) < len(commands) {
+		err = errIncomplete
+	}
+	done(err, isRejected || slices.ContainsFunc(answers, CannotServe))
+	if isRejected {
+		pc.unattributed = true
+		return nil, errUnattributed
+	}
 	return answers, err
 }
 
+// isQuiet reports whether the connection is open and nothing has arrived on it since the last answer.
+func (pc *PooledConn) isQuiet() bool {
+	if pc.conn.Reusable() {
+		return true
+	}
+	if conn, ok := pc.conn.(UnreadReporter); ok && conn.Unread() {
+		pc.reportAnswer(0, skipped, reasonOutOfTurn)
+	}
+	return false
+}
+
+// reusable reports whether the answers on the connection will be evidence for another session.
+func (pc *PooledConn) reusable() bool {
+	return pc.answers.reusable(pc.Endpoint.Role != catalog.RoleReplica, pc.pool.repeats())
+}
+
+// reportAnswer counts an answer that was not taken, and logs the first one of the connection.
+func (pc *PooledConn) reportAnswer(awaited request.Kind, r ruling, reason string) {
+	if r == skipped {
+		pc.pool.noteRepetition()
+	}
+	cfg := &pc.pool.pools.cfg
+	cfg.Metrics.Labelled("endpoint_answers_not_taken_total").Add(reason, 1)
+	if !pc.logged {
+		pc.logged = true
+		event.AnswerNotTaken.Emit(cfg.Log, zap.String("endpoint", pc.Endpoint.ID), zap.String("connection", fmt.Sprint(pc.conn)),
+			zap.String("statement", awaited.String()), zap.String("reason", reason), zap.Bool("skipped", r == skipped))
+	}
+}
+
 // setupError returns a refusal if the endpoint has not carried out one of the commands before a
 // statement.
 func setupError(answers []request.Answer) error {
@@ -165,13 +260,14 @@
 	if pc.aliases == nil {
 		pc.aliases = make(map[request.Prepared]string)
 	}
-	alias := "h" + strconv.Itoa(len(pc.aliases)+1)
+	pc.named++
+	alias := "h" + strconv.Itoa(pc.named)
 	pc.aliases[p] = alias
 	return alias, []request.Command{{Statement: request.Statement{Kind: request.Prepare, Prepared: p}, Alias: alias}}
 }
 
-// Release returns the connection to its pool. A connection that is broken or in a
-// transaction is closed instead, which rolls the transaction back.
+// Release returns the connection to its pool. A connection that is broken, in a transaction or
+// has received an error is closed instead, which rolls the transaction back.
 func (pc *PooledConn) Release() { pc.pool.release(pc) }
 
 // Discard closes the connection and removes it from its pool.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/lease"
+	"github.com/hornbeamlock/hornbeamlock/internal/metrics"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
@@ -38,6 +40,9 @@
 	// few connections and about 30 ms per statement, more would wait for longer than the
 	// latency objectives.
 	maxWaiters = 24
+	// repetitionMemory is how long an endpoint counts as one that repeats answers after it has
+	// done so.
+	repetitionMemory = 5 * time.Minute
 )
 
 var errClosed = trace.ConnectionProblem(nil, "the endpoint has closed the connection")
@@ -56,6 +61,8 @@
 	// Ownership returns whether an endpoint's connections have an owner and whether it is
 	// this instance. If Ownership is nil, every endpoint is Unshared.
 	Ownership func(e catalog.Endpoint) Ownership
+	Log       *zap.Logger
+	Metrics   *metrics.Set
 }
 
 // Ownership states whether one instance, the connection owner, keeps the connections to an
@@ -96,6 +103,12 @@
 	if cfg.Ownership == nil {
 		cfg.Ownership = func(catalog.Endpoint) Ownership { return Unshared }
 	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
 	return &Pools{cfg: cfg, pools: make(map[string]*pool)}, nil
 }
 
@@ -123,6 +136,11 @@
 	// no connection.
 	ownShareUntil, nextDialAt time.Duration
 	fullBackoff               time.Duration
+	// Until repeatsUntil the endpoint counts as one that repeats answers.
+	repeatsUntil time.Duration
+	// retired holds the organisations whose last connection was closed although it was in order,
+	// since its answers would have been no evidence.
+	retired map[string]struct{}
 }
 
 func (p *Pools) poolOf(id string) *pool {
@@ -130,7 +148,7 @@
 	defer p.mu.Unlock()
 	q, ok := p.pools[id]
 	if !ok {
-		q = &pool{pools: p, health: p.cfg.Health, id: id}
+		q = &pool{pools: p, health: p.cfg.Health, id: id, retired: make(map[string]struct{})}
 		p.pools[id] = q
 	}
 	return q
@@ -154,7 +172,7 @@
 			evicted.conn.Close()
 		}
 		switch {
-		case pooled != nil && pooled.conn.Reusable():
+		case pooled != nil && pooled.reusable() && pooled.isQuiet():
 			return pooled, nil
 		case pooled != nil:
 			pooled.Discard()
@@ -181,11 +199,16 @@
 	}
 }
 
-// HasIdle reports whether the organisation has an idle connection to the endpoint.
+// HasIdle reports whether the organisation has an idle connection to the endpoint, or had one that
+// was closed only because its answers would have been no evidence. An endpoint that sends errors
+// would otherwise be avoided for good, once it has recovered.
 func (p *Pools) HasIdle(endpoint, organisation string) bool {
 	q := p.poolOf(endpoint)
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if _, retired := q.retired[organisation]; retired {
+		return true
+	}
 	return slices.ContainsFunc(q.idle, func(pc *PooledConn) bool { return pc.Organisation == organisation })
 }
 
@@ -292,9 +315,24 @@
 		return nil, err
 	}
 	q.mu.Lock()
+	defer q.mu.Unlock()
 	q.fullBackoff = 0
-	q.mu.Unlock()
-	return &PooledConn{Endpoint: e, Organisation: c.organisation, conn: conn, pool: q, occupies: c.occupies}, nil
+	delete(q.retired, c.organisation)
+	return &PooledConn{Endpoint: e, Organisation: c.organisation, conn: conn, pool: q, occupies: c.occupies, answers: newAttribution()}, nil
+}
+
+// noteRepetition records that the endpoint has sent an answer again.
+func (q *pool) noteRepetition() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.repeatsUntil = q.pools.cfg.Clock() + repetitionMemory
+}
+
+// repeats reports whether the endpoint is known to repeat answers.
+func (q *pool) repeats() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.pools.cfg.Clock() < q.repeatsUntil
 }
 
 // noteFull starts the backoff and limits the pool to its own share, after the endpoint has
@@ -318,10 +356,14 @@
 }
 
 func (q *pool) release(pc *PooledConn) {
-	if _, _, keepIdle := q.pools.limits(pc.Endpoint); pc.broken || pc.inTransaction || keepIdle == 0 {
+	reusable := pc.reusable()
+	if _, _, keepIdle := q.pools.limits(pc.Endpoint); pc.broken || pc.inTransaction || keepIdle == 0 || !reusable {
 		pc.conn.Close()
 		q.mu.Lock()
 		defer q.mu.Unlock()
+		if !reusable || pc.unattributed {
+			q.retired[pc.Organisation] = struct{}{}
+		}
 		q.vacate(pc)
 		q.noteClosed()
 		return
--- a/internal/backend/turn_test.go
+++ b/internal/backend/turn_test.go
@@ -21,12 +21,13 @@
 
 func (s slotted) Dial(context.Context, catalog.Endpoint, string) (Conn, error) { return s, nil }
 
-func (s slotted) Exchange(_ context.Context, commands []request.Command) ([]request.Answer, error) {
+func (s slotted) Exchange(_ context.Context, commands []request.Command, accept func(request.Answer) (more bool)) error {
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
 	work, err := time.ParseDuration(commands[0].Text)
 	time.Sleep(work)
-	return make([]request.Answer, len(commands)), err
+	accept(request.Answer{}) // to a statement of no kind
+	return err
 }
 func (slotted) Reusable() bool { return true }
 func (slotted) Close()         {}
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -220,7 +220,7 @@
 func (i *Instance) buildPipeline() (err error) {
 	i.pools, err = backend.NewPools(backend.Config{
 		Dialer: i.cfg.Ports.Dialer, Health: i.health, Clock: i.cfg.Clock, Members: i.memberCount, Registry: i.registry.Get,
-		MaxConnections: i.maxConnections, Ownership: i.ownership,
+		MaxConnections: i.maxConnections, Ownership: i.ownership, Log: i.cfg.Log, Metrics: i.cfg.Metrics,
 	})
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/edge/owner_test.go
+++ b/internal/edge/owner_test.go
@@ -19,7 +19,8 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
-// countingDialer is an endpoint that counts connections, records commands, and returns answer.
+// countingDialer is an endpoint that counts connections, records commands, and answers statements of
+// callers with answer, whose signature it completes with the number of commands.
 type countingDialer struct {
 	mu     sync.Mutex
 	dials  int
@@ -37,16 +38,26 @@
 
 type countingConn struct{ d *countingDialer }
 
-func (c countingConn) Exchange(_ context.Context, commands []request.Command) ([]request.Answer, error) {
+func (c countingConn) Exchange(_ context.Context, commands []request.Command, accept func(request.Answer) (more bool)) error {
 	c.d.mu.Lock()
 	defer c.d.mu.Unlock()
 	c.d.sent = append(c.d.sent, commands...)
 	if c.d.fail != nil {
-		return nil, c.d.fail
+		return c.d.fail
 	}
-	answers := make([]request.Answer, len(commands))
-	answers[len(answers)-1] = c.d.answer
-	return answers, nil
+	for _, command := range commands {
+		var answer request.Answer
+		if command.ID != "" {
+			answer = c.d.answer
+		}
+		if command.ID != "" && answer.Err == nil {
+			answer.Signature += strconv.Itoa(len(c.d.sent))
+		}
+		if !accept(answer) {
+			break
+		}
+	}
+	return nil
 }
 
 func (countingConn) Reusable() bool { return true }
@@ -108,7 +119,9 @@
 		answer, sent, err := r.read(t, backend.Needs{Values: map[string]string{"colour": "red"}}, "READ 1")
 		require.NoError(t, err)
 		require.True(t, sent)
-		require.Equal(t, r.ownerDialer.answer, answer)
+		want := r.ownerDialer.answer
+		want.Signature += strconv.Itoa(len(r.ownerDialer.sent))
+		require.Equal(t, want, answer)
 	}
 	require.Equal(t, 1, r.ownerDialer.dials, "the connection owner reuses the connection")
 	require.Zero(t, r.requesterDialer.dials)
--- a/internal/edge/owner_transaction_test.go
+++ b/internal/edge/owner_transaction_test.go
@@ -50,10 +50,11 @@
 	s     *pinningServer
 	name  string
 	state request.Transaction
+	// signed counts the signatures on the connection.
+	signed int
 }
 
-func (c *pinningConn) Exchange(_ context.Context, commands []request.Command) ([]request.Answer, error) {
-	var answers []request.Answer
+func (c *pinningConn) Exchange(_ context.Context, commands []request.Command, accept func(request.Answer) (more bool)) error {
 	for _, command := range commands {
 		c.s.mu.Lock()
 		c.s.ran = append(c.s.ran, c.name+":"+command.Text)
@@ -68,9 +69,16 @@
 		case request.Commit, request.Rollback:
 			c.state = request.Idle
 		}
-		answers = append(answers, request.Answer{Signature: "s", Transaction: c.state})
+		answer := request.Answer{Transaction: c.state}
+		if command.ID != "" && command.Kind != request.Begin && command.Kind != request.Rollback {
+			c.signed++
+			answer.Signature = strconv.Itoa(c.signed)
+		}
+		if !accept(answer) {
+			break
+		}
 	}
-	return answers, nil
+	return nil
 }
 
 func (c *pinningConn) Reusable() bool { return true }
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -46,9 +46,9 @@
 // silentConn is a connection that the path between its ends has lost track of.
 type silentConn struct{}
 
-func (silentConn) Exchange(ctx context.Context, _ []request.Command) ([]request.Answer, error) {
+func (silentConn) Exchange(ctx context.Context, _ []request.Command, _ func(request.Answer) (more bool)) error {
 	<-ctx.Done()
-	return nil, ctx.Err()
+	return ctx.Err()
 }
 
 func (silentConn) Reusable() bool { return true }
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -112,6 +112,12 @@
 		Text:   "message of a caller or an endpoint",
 		Fields: []string{"connection", "peer", "direction", "kind", "request", "bytes", "checksum"},
 	}
+	AnswerNotTaken = Event{
+		Number: 9061, Name: "edge.answer_not_taken", Level: zapcore.WarnLevel,
+		Text:   "an endpoint has sent an answer that does not belong to the statement in progress, if any; it was skipped, or the connection is closed",
+		Fields: []string{"endpoint", "connection", "statement", "reason", "skipped"},
+		Action: "Find out why the endpoint repeats answers. Each connection logs the first; endpoint_answers_not_taken_total counts all of them by reason.",
+	}
 	LinesDropped = Event{
 		Number: 9023, Name: "edge.lines_dropped", Level: zapcore.WarnLevel,
 		Text: "request log lines beyond the limit per second were dropped", Fields: []string{"kind", "count"},
@@ -218,7 +224,7 @@
 	StoreFailing, StoreBack, ConfigurationApplied, ConfigurationUnreadable,
 	RegistryChanged, RegistryEntryIgnored, ReadinessChanged, EndpointRelayed, IdleSessionsClosed,
 	ReplacementBegun, PrimaryRevoked, PromotionOrdered, ReplacementWaits, RecordsUnreadable, ReplacementDone, ReplacementFailed,
-	PrimaryRecordChanged, PrimaryUnresponsive, RequestRefused, RequestUnknown, RequestLate, MessagePassed, LinesDropped, ConnectionOwnerFailed,
+	PrimaryRecordChanged, PrimaryUnresponsive, RequestRefused, RequestUnknown, RequestLate, MessagePassed, AnswerNotTaken, LinesDropped, ConnectionOwnerFailed,
 	SettingsApplied, SettingsRefused, EvacuationLearnt, EvacuationEnded, EvacuationBlocked,
 	EdgeRegistered, EdgeRemoved, InstanceAdmitted, ConnectionOwnerLeaving, LimitContended,
 	CopyDropped, CopiesUsable, SessionRefused, ConfigurationKept, StoreReturned, GenerationRestored, RelianceAnnounced,
--- a/internal/pipeline/connection_owner_test.go
+++ b/internal/pipeline/connection_owner_test.go
@@ -116,12 +116,6 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t)
 				o := f.ownElsewhere(runs, "p")
-				f.servers.answers["p"] = func(ctx context.Context, command request.Command) (request.Answer, error) {
-					if command.Kind == request.Begin {
-						return inTransaction(ctx, command)
-					}
-					return served(ctx, command)
-				}
 				s := f.open("own")
 				last := len(c.statements) - 1
 				for _, st := range c.statements[:last] {
--- a/internal/pipeline/evacuation_test.go
+++ b/internal/pipeline/evacuation_test.go
@@ -121,7 +121,7 @@
 		t.Run(fmt.Sprint(last.ID, ", via owner ", c.viaOwner), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f, o := newFixture(t), &fakeOwner{}
-				f.servers.answers["p"] = inTransaction
+				f.servers.answers["p"] = served
 				if c.viaOwner {
 					o = f.ownElsewhere(runs, "p")
 				}
@@ -259,7 +259,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t)
 				f.fresh.add("db", f.clock(), oneCommit)
-				f.servers.answers["p"] = inTransaction
+				f.servers.answers["p"] = served
 				handled := 0
 				f.cfg.AdmitToEndpoint = func(_ context.Context, e catalog.Endpoint, _ bool) error {
 					if e.ID == c.cold && handled >= c.coldAfter {
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -133,6 +133,9 @@
 		return request.Answer{}, nil
 	case tx.failed && e.st.Kind == request.Commit:
 		s.endTransaction()
+		if tx.uncertain {
+			return request.Answer{}, outcomeUnknown("a statement may have run outside the transaction")
+		}
 		return request.Answer{}, aborted("the transaction had failed and was rolled back")
 	case tx.failed:
 		return request.Answer{}, syntaxError("the transaction has failed and has to be ended")
--- a/internal/pipeline/fixture_test.go
+++ b/internal/pipeline/fixture_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,10 +86,10 @@
 type fakeConn struct {
 	servers  *fakeServers
 	endpoint string
+	state    request.Transaction
 }
 
-func (c *fakeConn) Exchange(ctx context.Context, commands []request.Command) ([]request.Answer, error) {
-	answers := make([]request.Answer, 0, len(commands))
+func (c *fakeConn) Exchange(ctx context.Context, commands []request.Command, accept func(request.Answer) (more bool)) error {
 	for _, command := range commands {
 		c.servers.mu.Lock()
 		answer, ok := c.servers.answers[c.endpoint]
@@ -98,20 +100,46 @@
 		}
 		a, err := answer(ctx, command)
 		if err != nil {
-			return nil, err
+			return err
+		}
+		if a.Err == nil {
+			c.state = stateAfter(command.Kind, c.state)
+			a.Transaction = c.state
+		}
+		if !accept(a) {
+			break
 		}
-		answers = append(answers, a)
 	}
-	return answers, nil
+	return nil
 }
 
 func (c *fakeConn) Reusable() bool { return true }
 func (c *fakeConn) Close()         {}
 
+// stateAfter returns the transaction state after a statement that succeeded.
+func stateAfter(kind request.Kind, before request.Transaction) request.Transaction {
+	switch kind {
+	case request.Begin:
+		return request.Open
+	case request.Commit, request.Rollback:
+		return request.Idle
+	default:
+		return before
+	}
+}
+
+// signatures counts the signatures of all endpoints.
+var signatures atomic.Int64
+
 // served answers successfully after the duration of an ordinary statement.
-func served(context.Context, request.Command) (request.Answer, error) {
+func served(_ context.Context, command request.Command) (request.Answer, error) {
 	time.Sleep(20 * time.Millisecond)
-	return request.Answer{Signature: "signed", Position: oneCommit}, nil
+	answer := request.Answer{Position: oneCommit}
+	switch command.Kind {
+	case request.Read, request.Write, request.Execute, request.Commit:
+		answer.Signature = fmt.Sprint(signatures.Add(1))
+	}
+	return answer, nil
 }
 
 // neverAnswers accepts the statement and never answers.
@@ -194,12 +222,5 @@
 // oneCommit is the position that the fixture's endpoints report.
 var oneCommit = position.Position{Term: 1, Offset: 1}
 
-// inTransaction answers like served, with a transaction open.
-func inTransaction(ctx context.Context, command request.Command) (request.Answer, error) {
-	answer, err := served(ctx, command)
-	answer.Transaction = request.Open
-	return answer, err
-}
-
 // eventField returns the log field that every line of an event has.
 func eventField(number int) zap.Field { return zap.Int("event", number) }
--- a/internal/pipeline/transaction.go
+++ b/internal/pipeline/transaction.go
@@ -31,6 +31,8 @@
 	atPrimary bool
 	wrote     bool
 	failed    bool
+	// uncertain is true if a statement may have run outside the transaction.
+	uncertain bool
 }
 
 // failTransaction rolls the transaction back and marks it as failed until the caller ends
@@ -183,6 +185,7 @@
 		tx.wrote = true
 	}
 	if e.st.Kind != request.Commit {
+		tx.uncertain = answer.Err != nil && answer.Err.Code == verdict.CodeCompletionUnknown
 		if answer.Transaction == request.Idle {
 			// The endpoint has ended the transaction on its own.
 			s.failTransaction()
--- a/internal/pipeline/verdict_test.go
+++ b/internal/pipeline/verdict_test.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -75,7 +76,7 @@
 				f := newFixture(t)
 				s := f.open("own")
 				require.Nil(t, s.Handle(t.Context(), request.Statement{ID: "1", Kind: request.Begin, Text: "BEGIN"}).Err)
-				f.servers.answers["p"] = inTransaction
+				f.servers.answers["p"] = served
 				require.Nil(t, s.Handle(t.Context(), writeOf("2")).Err)
 				f.servers.answers["p"] = refuses(errors.New("connection reset"))
 				answer := s.Handle(t.Context(), request.Statement{ID: "3", Kind: kind, Text: "x"})
@@ -85,6 +86,27 @@
 	}
 }
 
+// TestStatementThatMayHaveRunOutsideItsTransaction guards against the promise that a transaction was
+// rolled back, where the answer to its BEGIN may have been that of an earlier one on the connection:
+// then the first statement may have taken effect at once.
+func TestStatementThatMayHaveRunOutsideItsTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		s := f.open("own")
+		for _, st := range []request.Statement{beginStatement, writeOf("1"), commitStatement, beginStatement} {
+			require.Nil(t, s.Handle(t.Context(), st).Err)
+		}
+		f.servers.answers["p"] = func(ctx context.Context, command request.Command) (request.Answer, error) {
+			if command.Kind == request.Begin {
+				return served(ctx, command)
+			}
+			return request.Answer{}, errors.New("connection reset")
+		}
+		require.Equal(t, verdict.MayHaveRun, s.Handle(t.Context(), writeOf("2")).Err.Verdict)
+		require.Equal(t, verdict.MayHaveRun, s.Handle(t.Context(), commitStatement).Err.Verdict)
+	})
+}
+
 // TestIsolatedInstanceSendsCallersElsewhere covers an instance that is partitioned from the
 // others, which have the tokens that it lacks.
 func TestIsolatedInstanceSendsCallersElsewhere(t *testing.T) {
