edge: a COMMIT that arrives twice is not reported as rolled back

What callers saw: if the message with a COMMIT reached a connection owner twice and the requester got only the second reply, the caller was promised that nothing is kept (ABORTED), although the first copy had committed.

Cause: the second copy names a transaction that is unknown by then, and the reply said that nothing was sent.

Change: the owner remembers that a COMMIT has arrived, for as long as its requester waits, and replies to a second copy that it was sent. The outcome is then unknown to the caller.

--- a/internal/edge/owner_begin.go
+++ b/internal/edge/owner_begin.go
@@ -42,10 +42,31 @@
 type ownedTransactions struct {
 	mu   sync.Mutex
 	open map[string]*ownedTransaction // by ID; guarded by mu
+	// commits holds the transactions whose COMMIT has arrived, while its requester waits for
+	// the reply; guarded by mu.
+	commits map[string]struct{}
 }
 
 func newOwnedTransactions() *ownedTransactions {
-	return &ownedTransactions{open: make(map[string]*ownedTransaction)}
+	return &ownedTransactions{open: make(map[string]*ownedTransaction), commits: make(map[string]struct{})}
+}
+
+// noteCommit notes that a COMMIT has arrived whose requester waits for that long, and reports
+// whether it had arrived before. A requester that is told of the second copy only must not
+// take the transaction for rolled back.
+func (o *ownedTransactions) noteCommit(id string, wait time.Duration) (again bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, again = o.commits[id]; again {
+		return true
+	}
+	o.commits[id] = struct{}{}
+	time.AfterFunc(wait, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.commits, id)
+	})
+	return false
 }
 
 // begin adds a transaction whose first statement runs, unless the ID is in use or the endpoint
@@ -196,10 +217,11 @@
 // takeTransaction returns the transaction of a message, or the result without one.
 func (i *Instance) takeTransaction(m readMessage) (*ownedTransaction, readResult) {
 	if m.Transaction.Begin == nil {
+		again := m.Command.Kind == request.Commit && i.transactions.noteCommit(m.Transaction.ID, m.Timeout+ownerResponseReserve)
 		if tx, ok := i.transactions.take(m.Transaction); ok {
 			return tx, readResult{}
 		}
-		return nil, readResult{Error: "the transaction is unknown or busy", Refusal: refusalUnknown}
+		return nil, readResult{Sent: again, Error: "the transaction is unknown or busy", Refusal: refusalUnknown}
 	}
 	connections := i.maxConnections(i.registry.Get().Endpoints[m.Endpoint].Service)
 	tx, declined := i.transactions.begin(m, max(1, int(ownedTransactionShare*float64(connections))))
--- a/internal/edge/owner_transaction_test.go
+++ b/internal/edge/owner_transaction_test.go
@@ -347,6 +347,28 @@
 	f.requireRolledBack()
 }
 
+// Guards against a promise that nothing is kept, for a COMMIT that was delivered twice and whose
+// first copy has committed.
+func TestCommitDeliveredTwice(t *testing.T) {
+	f := newTransactionFixture(t)
+	begun, err := f.begin(statementOf(request.Write, "W1"))
+	require.NoError(t, err)
+	c := begun.Conn.(*ownerConn)
+	again := *c
+	sent, err := f.run(c, statementOf(request.Commit, "COMMIT"))
+	require.NoError(t, err)
+	require.True(t, sent)
+	sent, err = f.run(&again, statementOf(request.Commit, "COMMIT"))
+	require.Error(t, err)
+	require.True(t, sent, "the first copy was sent")
+	require.Equal(t, 1, len(f.owner.transactions.commits))
+	require.Eventually(t, func() bool {
+		f.owner.transactions.mu.Lock()
+		defer f.owner.transactions.mu.Unlock()
+		return len(f.owner.transactions.commits) == 0
+	}, 5*time.Second, 10*time.Millisecond, "forgotten once nobody waits for the reply")
+}
+
 // TestSilentOwnerIsSkipped covers owners without a response to a statement: one that accepts
 // connections but does not respond to the check either is skipped, one that does is not, since
 // its endpoint is slow and own connections would only take those of the owner.
