endpoint: a command of the proxy is done only if its own answer says so

A repeated answer that arrived while the proxy's own ROLLBACK, DISCARD ALL, SET or probe was in progress counted as its answer. The connection then went to the next session as clean, and the command's own answer became that of this session's first statement if it arrived after it was sent.

Cause: any response without an error, up to ReadyForQuery, counted as success.

Change: the command tags of the response must be those of the command; otherwise the connection is closed. PostgreSQL answers DISCARD ALL, ROLLBACK, SET and RESET ALL with a tag of their own, and an empty query with EmptyQueryResponse.

--- a/internal/endpoint/reset.go
+++ b/internal/endpoint/reset.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -42,7 +44,7 @@
 		return trace.Wrap(err)
 	}
 	if c.status != StatusIdle {
-		if err := c.exec("ROLLBACK"); err != nil {
+		if err := c.exec("ROLLBACK", "ROLLBACK"); err != nil {
 			return trace.Wrap(err)
 		}
 	}
@@ -69,7 +71,7 @@
 }
 
 func (c *Conn) discardSession() error {
-	if err := c.exec("DISCARD ALL"); err != nil {
+	if err := c.exec("DISCARD ALL", "DISCARD ALL"); err != nil {
 		return trace.Wrap(err)
 	}
 	c.tainted = false
@@ -79,22 +81,41 @@
 	return nil
 }
 
-// exec executes a command of the proxy itself. It returns an error response as an error.
-func (c *Conn) exec(sql string) error {
+// errOtherAnswer means that the server has answered something else than the command.
+var errOtherAnswer = errors.New("endpoint: the server does not answer the command")
+
+// exec executes a command of the proxy itself. It returns an error response as an error. The
+// command is done only if the first command tag is tags[0] and all are among tags: otherwise
+// the server has answered something else, and its answer to the command would be taken for that
+// of the next statement, so that the connection is closed. The tag of an empty query is empty.
+func (c *Conn) exec(sql string, tags ...string) error {
 	if _, err := c.Send(query(sql), 1); err != nil {
 		return trace.Wrap(err)
 	}
 	var refused error
+	var completed []string
 	for c.pending > 0 {
 		message, err := c.Receive()
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		if m, ok := message.(*pgproto3.ErrorResponse); ok {
+		switch m := message.(type) {
+		case *pgproto3.ErrorResponse:
 			refused = trace.BadParameter("%s: %s", m.Code, m.Message)
+		case *pgproto3.CommandComplete:
+			completed = append(completed, string(m.CommandTag))
+		case *pgproto3.EmptyQueryResponse:
+			completed = append(completed, "")
 		}
 	}
-	return refused
+	if refused != nil {
+		return refused
+	}
+	isOther := func(tag string) bool { return !slices.Contains(tags, tag) }
+	if len(completed) == 0 || completed[0] != tags[0] || slices.ContainsFunc(completed, isOther) {
+		return c.fail(errOtherAnswer)
+	}
+	return nil
 }
 
 // Probe checks that the server responds to an empty query within the timeout. If it
@@ -102,7 +123,7 @@
 func (c *Conn) Probe(timeout time.Duration) error {
 	c.SetDeadline(time.Now().Add(timeout))
 	defer c.SetDeadline(time.Time{})
-	return trace.Wrap(c.exec(""))
+	return trace.Wrap(c.exec("", ""))
 }
 
 // ApplySettings replaces the settings of the server's session by the given ones, a
@@ -111,11 +132,11 @@
 	if c.settings == settings {
 		return nil
 	}
-	sql := settings
+	sql, tags := settings, []string{"SET"}
 	if c.settings != "" {
-		sql = "RESET ALL;" + settings
+		sql, tags = "RESET ALL;"+settings, []string{"RESET", "SET"}
 	}
-	if err := c.exec(sql); err != nil {
+	if err := c.exec(sql, tags...); err != nil {
 		c.tainted = true
 		return trace.Wrap(err)
 	}
