gateway: a query string is answered only with a command tag of its kind

Cause: the response to a query string was complete after any command tag and ReadyForQuery.

Change: the tag must be one that statements of its class can have; query strings never mix transaction control with other statements, so that reads and writes have no tag of it. With another tag the connection is closed, as after a response of the wrong shape. PostgreSQL's responses do not name their request, so that a repeated response with the same tag is not recognised, nor one to a batch of the same messages.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -246,6 +246,10 @@
 	case *pgproto3.CommandComplete:
 		x.completed = true
 		x.commandTag = string(m.CommandTag)
+		if x.rq.batch == nil && !isTagOf(x.rq.statement.Class, x.commandTag) {
+			x.mismatched = true
+			return nil
+		}
 		switch {
 		case x.placed.replica || x.rq.isRead():
 		case x.commandTag == commitTag:
@@ -261,10 +265,6 @@
 	return x.flushIfLarge()
 }
 
-// commitTag is the command tag of a COMMIT that has committed; the tag of a COMMIT that ended
-// a failed transaction is another one.
-const commitTag = "COMMIT"
-
 // flushIfLarge sends a large buffer. The statement timeout restarts each time the
 // caller has taken a part of the response.
 func (x *exchange) flushIfLarge() error {
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -40,6 +40,8 @@
 	responseTruncated
 	// responseMismatched: the end of another response arrives first.
 	responseMismatched
+	// beginRepeated: the response to a BEGIN arrives again first.
+	beginRepeated
 	// closedAfterTag: the connection closes after the command tag.
 	closedAfterTag
 	// demotedAfterCommit: the server reports that it is a replica when it ends the response.
@@ -78,6 +80,10 @@
 			c.fault.Store(0)
 			stray := []byte("Z\x00\x00\x00\x05I")
 			n = copy(p, append(stray, p[:n]...))
+		case beginRepeated:
+			c.fault.Store(0)
+			stray, _ := (&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")}).Encode(nil)
+			n = copy(p, slices.Concat(stray, []byte("Z\x00\x00\x00\x05T"), p[:n]))
 		}
 		return n, nil
 	}
@@ -165,6 +171,7 @@
 			{verdict.CodeCompletionUnknown, mayHaveRun},
 		},
 	}
+	expectations[beginRepeated] = expectations[responseMismatched]
 	for f, expected := range expectations {
 		for i, s := range statements {
 			t.Run(s.name, func(t *testing.T) {
