endpoint: a login that exceeds its time is reported as that

What was seen: TestLimitHolds failed once with "write failed: use of closed network connection" at two callers, which named no cause.

Cause: Connect closes the transport when its time has ended, and returned the error of the read or write that met the closed transport. A trial with a transport that delays each write beyond the time gave that very message.

Change: after its time has ended Connect returns the error of the context, unless the server has refused the login.

TestTimeoutOfConnectIsReportedAsOne failed before ("read tcp ...: use of closed network connection"), and passes.

--- a/internal/endpoint/connect.go
+++ b/internal/endpoint/connect.go
@@ -29,8 +29,9 @@
 	}
 	stop := context.AfterFunc(ctx, c.Close)
 	err = c.startup()
-	if !stop() && err == nil {
-		err = ctx.Err()
+	var refusal *verdict.Error
+	if !stop() && !errors.As(err, &refusal) {
+		err = ctx.Err() // the transport was closed for it
 	}
 	if err != nil {
 		c.Close()
