statement: the value of a setting is kept as it was written

What callers would see (by the code and PostgreSQL's grammar; no run has shown it): SET application_name TO E'caf\351' is E'caf\351' at the endpoint that runs it and 'caf\351', another text, on the session's next connection. SET lock_timeout TO 1.5e+3 becomes 1.5e + 3 there, and two literals on two lines come to stand on one; the endpoint refuses both, and then every statement of the session.

Cause: the value was put together from its tokens with a blank between each two, and the token of a string with a prefix (E, B, X, N, U&) began after the prefix.

Change: a token holds its prefix and what stands before it, and the value is the text from its first to its last token. TestClassifyDetails required "a , B" for "a, B"; it now requires the text as written.

TestValueOfASettingIsKeptAsWritten failed before: eight of its thirteen values were changed, three of them without a change of their meaning. It passes now.

--- a/internal/statement/scan.go
+++ b/internal/statement/scan.go
@@ -16,11 +16,13 @@
 )
 
 // token is one lexical element. The text of words is in lower case; the text of
-// strings and quoted identifiers has no quotes. raw is the original spelling.
+// strings and quoted identifiers has no quotes. raw is the original spelling, and gap the
+// white space and comments before it.
 type token struct {
 	kind tokenKind
 	text string
 	raw  string
+	gap  string
 }
 
 // is reports whether t is the given keyword or symbol.
@@ -34,6 +36,7 @@
 type scanner struct {
 	sql         string
 	offset      int
+	tokenEnd    int // the end of the last token
 	tokens      []token
 	traceparent string
 }
@@ -65,9 +68,9 @@
 	case strings.HasPrefix(s.rest(), "/*"):
 		return s.skipBlockComment()
 	case c == '\'':
-		return s.scanQuoted('\'', false, stringLiteral)
+		return s.scanQuoted(0, '\'', false, stringLiteral)
 	case c == '"':
-		return s.scanQuoted('"', false, quotedIdentifier)
+		return s.scanQuoted(0, '"', false, quotedIdentifier)
 	case c == '$':
 		return s.scanDollar()
 	case isDigit(c):
@@ -81,13 +84,17 @@
 
 // emit appends the token that ends before the offset end.
 func (s *scanner) emit(kind tokenKind, end int) bool {
-	raw := s.sql[s.offset:end]
-	text := raw
+	text := s.sql[s.offset:end]
 	if kind == word {
-		text = strings.ToLower(raw)
+		text = strings.ToLower(text)
 	}
-	s.tokens = append(s.tokens, token{kind: kind, text: text, raw: raw})
-	s.offset = end
+	return s.add(kind, text, s.offset, end)
+}
+
+// add appends a token with those offsets.
+func (s *scanner) add(kind tokenKind, text string, start, end int) bool {
+	s.tokens = append(s.tokens, token{kind: kind, text: text, raw: s.sql[start:end], gap: s.sql[s.tokenEnd:start]})
+	s.offset, s.tokenEnd = end, end
 	return true
 }
 
@@ -138,12 +145,11 @@
 	}
 }
 
-// scanQuoted scans a string or identifier in which a doubled quote stands for one.
-// With backslashes, a backslash escapes the next character.
-func (s *scanner) scanQuoted(quote byte, backslashes bool, kind tokenKind) bool {
-	start := s.offset
+// scanQuoted scans a string or identifier in which a doubled quote stands for one. Its quote
+// follows a prefix of that length. With backslashes, a backslash escapes the next character.
+func (s *scanner) scanQuoted(prefix int, quote byte, backslashes bool, kind tokenKind) bool {
 	var text strings.Builder
-	for i := start + 1; i < len(s.sql); i++ {
+	for i := s.offset + prefix + 1; i < len(s.sql); i++ {
 		c := s.sql[i]
 		switch {
 		case backslashes && c == '\\' && i+1 < len(s.sql):
@@ -153,9 +159,7 @@
 			text.WriteByte(quote)
 			i++
 		case c == quote:
-			s.tokens = append(s.tokens, token{kind: kind, text: text.String(), raw: s.sql[start : i+1]})
-			s.offset = i + 1
-			return true
+			return s.add(kind, text.String(), s.offset, i+1)
 		default:
 			text.WriteByte(c)
 		}
@@ -179,26 +183,22 @@
 		return false
 	}
 	closing := end + 1 + length
-	s.tokens = append(s.tokens, token{kind: stringLiteral, text: s.sql[end+1 : closing], raw: s.sql[s.offset : closing+len(tag)]})
-	s.offset = closing + len(tag)
-	return true
+	return s.add(stringLiteral, s.sql[end+1:closing], s.offset, closing+len(tag))
 }
 
 // scanWordOrPrefixedString scans a word, or a string such as E'...' or U&'...'.
 func (s *scanner) scanWordOrPrefixedString() bool {
 	rest := s.rest()
 	if len(rest) > 1 && rest[1] == '\'' && strings.ContainsRune("eEbBxXnN", rune(rest[0])) {
-		s.offset++
-		return s.scanQuoted('\'', rest[0] == 'e' || rest[0] == 'E', stringLiteral)
+		return s.scanQuoted(1, '\'', rest[0] == 'e' || rest[0] == 'E', stringLiteral)
 	}
 	if len(rest) > 2 && (rest[0] == 'u' || rest[0] == 'U') && rest[1] == '&' && (rest[2] == '\'' || rest[2] == '"') {
 		// Unicode escapes are not decoded, so that such names match no known name.
-		s.offset += 2
 		kind := stringLiteral
 		if rest[2] == '"' {
 			kind = quotedIdentifier
 		}
-		return s.scanQuoted(rest[2], false, kind)
+		return s.scanQuoted(2, rest[2], false, kind)
 	}
 	return s.scanWhile(word, func(c byte) bool { return isLetter(c) || isDigit(c) || c == '$' })
 }
--- a/internal/statement/setting.go
+++ b/internal/statement/setting.go
@@ -64,11 +64,14 @@
 	if len(value) == 1 && (value[0].is("default") || value[0].is("local")) {
 		return Statement{Class: EndpointReset, Name: name}
 	}
-	raw := make([]string, len(value))
+	var written strings.Builder
 	for i, t := range value {
-		raw[i] = t.raw
+		if i > 0 {
+			written.WriteString(t.gap)
+		}
+		written.WriteString(t.raw)
 	}
-	return Statement{Class: EndpointSet, Name: name, Value: strings.Join(raw, " ")}
+	return Statement{Class: EndpointSet, Name: name, Value: written.String()}
 }
 
 func classifyReset(tokens []token) Statement {
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -1,6 +1,7 @@
 package statement
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -97,7 +98,7 @@
 	require.False(t, Classify("begin read write").ReadOnly)
 	require.Equal(t, "1/2", Classify("SET Hornbeamlock.Floor TO '1/2'").Value)
 	set := Classify("set search_path to a, \"B\"")
-	require.Equal(t, `a , "B"`, set.Value)
+	require.Equal(t, `a, "B"`, set.Value)
 	require.False(t, Classify("insert into t (a) values ($1)").TaintsSession)
 	require.True(t, Classify("insert into t (a) values (mine($1))").TaintsSession)
 	require.True(t, Classify("do $$ begin perform 1; end $$").TaintsSession)
@@ -117,3 +118,15 @@
 		require.Equal(t, got.Class, Classify("/* c */ "+sql).Class)
 	})
 }
+
+// Guards against a setting that is set as another text, or not at all, on the session's next
+// connection.
+func TestValueOfASettingIsKeptAsWritten(t *testing.T) {
+	for _, value := range []string{
+		"1.5e+3", "1e-5", "-1", "'a'\n'b'", "'it''s'", "E'a\\'b'", "a,b", "\"A\", 'b'", "'a\r'", "'\xff\t '", "$$a;b$$", "U&'d\\0061'", "1 -- one\n",
+	} {
+		st := Classify("SET lock_timeout TO " + value)
+		require.Equal(t, EndpointSet, st.Class, value)
+		require.Equal(t, strings.TrimSuffix(value, " -- one\n"), st.Value)
+	}
+}
