gateway: a list of schemas at the start of a session stays a list

Cause: each value of a startup message became one literal of a SET. For search_path, a list of identifiers, SET takes a literal as one identifier. It is the only such setting that sessions may set.

Change: the value is split as the server splits it, at commas outside double quotes, and each identifier becomes a literal. A malformed list is refused. Other settings are as before.

TestListAtStartStaysAList failed before, and passes.

--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -173,6 +173,12 @@
 		default:
 			return invalidParameter("client_encoding: only UTF8 is supported")
 		}
+	case name == listSetting:
+		literals, ok := listLiterals(value)
+		if !ok {
+			return invalidParameter("%s: malformed list", name)
+		}
+		c.state.SetEndpointSetting(name, literals, false)
 	case statement.IsReplayable(name):
 		c.state.SetEndpointSetting(name, quoteLiteral(value), false)
 	case strings.HasPrefix(name, "_pq_."):
