edge: the model's connections pass on answers one by one

Change: its Exchange has the new signature. No check changes.

Measured: the tests of internal/edge pass.

--- a/internal/edge/session_model_test.go
+++ b/internal/edge/session_model_test.go
@@ -91,10 +91,17 @@
 
 var errModelLost = errors.New("connection reset")
 
-func (c *modelConn) Exchange(_ context.Context, commands []request.Command) ([]request.Answer, error) {
+func (c *modelConn) Exchange(_ context.Context, commands []request.Command, accept func(request.Answer) (more bool)) error {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	var answers []request.Answer
+	defer func() {
+		for _, a := range answers {
+			if !accept(a) {
+				return
+			}
+		}
+	}()
 	for _, command := range commands {
 		faults := c.s.faults
 		if command.Kind == request.Commit {
@@ -103,18 +110,18 @@
 		switch chance := c.s.random.Float64() / faults; {
 		case c.closed, chance < 1:
 			c.closed = true
-			return answers, errModelLost
+			return errModelLost
 		case chance < 2:
 			c.run(command)
 			c.closed = true
-			return answers, errModelLost
+			return errModelLost
 		case chance < 3:
 			answers = append(answers, c.refuse(verdict.CodeCannotConnectNow))
 		default:
 			answers = append(answers, c.run(command))
 		}
 	}
-	return answers, nil
+	return nil
 }
 
 func (c *modelConn) refuse(code string) request.Answer {
