platform: a greeting that comes again is skipped

A statement was given up, a write as unknown, and a server's status was not learnt, when the server had sent its READY to CONNECT twice.

Why it works: every QUERY is answered with COMPLETE or ERROR, so that READY alone is no answer to one, and to skip it proves nothing.

--- a/internal/backend/attribution.go
+++ b/internal/backend/attribution.go
@@ -41,6 +41,7 @@
 
 // Reasons for which an answer is skipped or rejected, for logs and metrics.
 const (
+	reasonGreetingRepeated    = "greeting_repeated"
 	reasonSignatureRepeated   = "signature_repeated"
 	reasonUnsignedRepeated    = "unsigned_repeated"
 	reasonSignatureMissing    = "signature_missing"
@@ -94,6 +95,8 @@
 // rule decides on an answer that arrives while one to a command of the kind is awaited.
 func (a *attribution) rule(kind request.Kind, answer request.Answer) (ruling, string) {
 	switch {
+	case answer.Greeting:
+		return skipped, reasonGreetingRepeated
 	case answer.Err != nil:
 		return a.ruleError(kind, answer)
 	case answer.Signature != "":
--- a/internal/backend/repeating_endpoint_test.go
+++ b/internal/backend/repeating_endpoint_test.go
@@ -49,7 +49,7 @@
 }
 
 func (e *repeatingEndpoint) Dial(context.Context, catalog.Endpoint, string) (Conn, error) {
-	return &repeatingConn{e: e, values: map[string]string{}, prepared: map[string]request.Prepared{}}, nil
+	return &repeatingConn{e: e, values: map[string]string{}, prepared: map[string]request.Prepared{}, sent: []request.Answer{{Greeting: true}}}, nil
 }
 
 func (e *repeatingEndpoint) chance(p float64) bool { return e.random.Float64() < p }
@@ -76,7 +76,7 @@
 			c.arriving = append(c.arriving, again)
 			c.e.repeated++
 		}
-		if unsignedError && slices.ContainsFunc(c.arriving, func(a request.Answer) bool { return a.Err == nil && a.Signature == "" }) {
+		if unsignedError && slices.ContainsFunc(c.arriving, func(a request.Answer) bool { return a.Err == nil && a.Signature == "" && !a.Greeting }) {
 			c.hidden = true
 		}
 		if c.e.chance(c.e.lose) {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -91,6 +91,8 @@
 	BareRows []int `json:",omitzero"`
 	// Signature is the endpoint's proof that it ran the statement.
 	Signature string `json:",omitzero"`
+	// Greeting is true for the answer to a login, which is no answer to a command.
+	Greeting bool `json:"-"`
 	// Err is set instead of a signature.
 	Err *verdict.Error `json:",omitzero"`
 	// Transaction is the transaction state after the statement.
