backend: lines about answers that were not taken are limited

Change: besides one line for each connection, one a second for each endpoint; the counter still has all. The event's text covers an error that is no evidence although it may be the statement's own.

--- a/internal/backend/attribution_test.go
+++ b/internal/backend/attribution_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"strconv"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
@@ -192,6 +194,21 @@
 	}
 }
 
+// TestReportsAreLimited guards against a line for each error of an endpoint that is busy, whose
+// connections are replaced.
+func TestReportsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, conn := newScripted(t)
+		core, logged := observer.New(zap.InfoLevel)
+		conn.pool.pools.cfg.Log = zap.New(core)
+		for range 30 {
+			(&PooledConn{pool: conn.pool, conn: conn.conn}).reportAnswer(request.Read, rejected, reasonErrorRepeated)
+			time.Sleep(reportInterval / 10)
+		}
+		require.Equal(t, 3, logged.Len())
+	})
+}
+
 // TestRecordOfSignaturesIsBounded guards against a record that grows, or forgets, on a connection that
 // is never idle.
 func TestRecordOfSignaturesIsBounded(t *testing.T) {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -196,14 +196,15 @@
 	return pc.answers.reusable(pc.Endpoint.Role != catalog.RoleReplica, pc.pool.repeats())
 }
 
-// reportAnswer counts an answer that was not taken, and logs the first one of the connection.
+// reportAnswer counts an answer that was not taken, and logs the first one of the connection, at
+// most one for the endpoint in reportInterval.
 func (pc *PooledConn) reportAnswer(awaited request.Kind, r ruling, reason string) {
 	if r == skipped {
 		pc.pool.noteRepetition()
 	}
 	cfg := &pc.pool.pools.cfg
 	cfg.Metrics.Labelled("endpoint_answers_not_taken_total").Add(reason, 1)
-	if !pc.logged {
+	if !pc.logged && pc.pool.mayReport() {
 		pc.logged = true
 		event.AnswerNotTaken.Emit(cfg.Log, zap.String("endpoint", pc.Endpoint.ID), zap.String("connection", fmt.Sprint(pc.conn)),
 			zap.String("statement", awaited.String()), zap.String("reason", reason), zap.Bool("skipped", r == skipped))
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -43,6 +43,8 @@
 	// repetitionMemory is how long an endpoint counts as one that repeats answers after it has
 	// done so.
 	repetitionMemory = 5 * time.Minute
+	// reportInterval is the shortest time between two lines about the answers of one endpoint.
+	reportInterval = time.Second
 )
 
 var errClosed = trace.ConnectionProblem(nil, "the endpoint has closed the connection")
@@ -138,6 +140,8 @@
 	fullBackoff               time.Duration
 	// Until repeatsUntil the endpoint counts as one that repeats answers.
 	repeatsUntil time.Duration
+	// nextReportAt is when a line about the endpoint's answers may be logged again.
+	nextReportAt time.Duration
 	// retired holds the organisations whose last connection was closed although it was in order,
 	// since its answers would have been no evidence.
 	retired map[string]struct{}
@@ -328,6 +332,18 @@
 	q.repeatsUntil = q.pools.cfg.Clock() + repetitionMemory
 }
 
+// mayReport reports whether a line about the endpoint's answers may be logged now.
+func (q *pool) mayReport() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.pools.cfg.Clock()
+	if now < q.nextReportAt {
+		return false
+	}
+	q.nextReportAt = now + reportInterval
+	return true
+}
+
 // repeats reports whether the endpoint is known to repeat answers.
 func (q *pool) repeats() bool {
 	q.mu.Lock()
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -114,9 +114,9 @@
 	}
 	AnswerNotTaken = Event{
 		Number: 9061, Name: "edge.answer_not_taken", Level: zapcore.WarnLevel,
-		Text:   "an endpoint has sent an answer that does not belong to the statement in progress, if any; it was skipped, or the connection is closed",
+		Text:   "an endpoint has sent an answer that is no evidence for the statement in progress; it was skipped, or the connection is closed",
 		Fields: []string{"endpoint", "connection", "statement", "reason", "skipped"},
-		Action: "Find out why the endpoint repeats answers. Each connection logs the first; endpoint_answers_not_taken_total counts all of them by reason.",
+		Action: "Find out why the endpoint repeats answers; an error that one connection receives twice (error_repeated) may have happened twice. At most one line per second and endpoint; endpoint_answers_not_taken_total counts all by reason.",
 	}
 	LinesDropped = Event{
 		Number: 9023, Name: "edge.lines_dropped", Level: zapcore.WarnLevel,
