backend: a refusal that tells of a transaction is still a refusal

Cause: the state of an error was checked like that of a success. But an error that is certain says what became of the statement, and whatever transaction there is ends with the connection, which is closed.

Change: errors are taken whatever the state.

--- a/internal/backend/attribution.go
+++ b/internal/backend/attribution.go
@@ -112,11 +112,8 @@
 		return rejected, reasonErrorRepeated
 	}
 	a.errors[code] = struct{}{}
-	switch {
-	case isSigned(kind) && a.uncertain && code != verdict.CodeUndefinedPreparedStmt:
+	if isSigned(kind) && a.uncertain && code != verdict.CodeUndefinedPreparedStmt {
 		return rejected, reasonErrorUncertain
-	case a.state == request.Idle && answer.Transaction != request.Idle:
-		return rejected, reasonTransactionState
 	}
 	a.state = answer.Transaction
 	return taken, ""
