request: every field of an answer passes between instances

No caller saw it, as no greeting is passed on.

Change: the field is encoded like all others.

Measured: the test passes.

--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -92,7 +92,7 @@
 	// Signature is the endpoint's proof that it ran the statement.
 	Signature string `json:",omitzero"`
 	// Greeting is true for the answer to a login, which is no answer to a command.
-	Greeting bool `json:"-"`
+	Greeting bool `json:",omitzero"`
 	// Err is set instead of a signature.
 	Err *verdict.Error `json:",omitzero"`
 	// Transaction is the transaction state after the statement.
