backend: an error of uncertain origin ends the connection

At a replica, the next session could run a statement within a transaction that it had not begun, and under values that its endpoint lacked.

BEGIN is told as refused, which is harmless, but it has run, and the values are recorded as set. A replica's connection was kept after an error.

Change: after an error, a connection that is uncertain is closed.

Measured: TestErrorOfUncertainOriginEndsTheConnection failed before. The tests of backend pass with the race detector.

Why it works: an error is the answer to the awaited command if the connection is certain; if it is not, a command before it may have failed, and nothing is known of the state of the connection.

--- a/internal/backend/attribution.go
+++ b/internal/backend/attribution.go
@@ -163,13 +163,14 @@
 
 // reusable reports whether another session may use the connection. After an error no writes may:
 // another error with its code would be no evidence that a write has not run. A read can run
-// elsewhere. repeats is true if the endpoint is known to repeat answers; then another
-// acknowledgement would be uncertain.
+// elsewhere; but while the connection is uncertain, its last error may be that of an earlier command,
+// and the command that it was taken for has run. repeats is true if the endpoint is known to repeat
+// answers; then another acknowledgement would be uncertain.
 func (a *attribution) reusable(writes, repeats bool) bool {
 	switch {
 	case len(a.signatures) >= maxSignatures:
 		return false
-	case len(a.errors) > 0 && (writes || repeats):
+	case len(a.errors) > 0 && (writes || repeats || a.uncertain):
 		return false
 	default:
 		return len(a.acknowledged) == 0 || !repeats
--- a/internal/backend/attribution_test.go
+++ b/internal/backend/attribution_test.go
@@ -234,3 +234,16 @@
 	conn.Release()
 	require.True(t, raw.closed)
 }
+
+// TestErrorOfUncertainOriginEndsTheConnection guards against a statement inside a transaction, or under values,
+// of another session: the error that BEGIN was answered with may be that of the SET before it.
+func TestErrorOfUncertainOriginEndsTheConnection(t *testing.T) {
+	values := Needs{Values: map[string]string{"branch": "1", "colour": "red"}}
+	raw, conn := newScripted(t, unsigned(request.Idle), unsigned(request.Idle), refusal(verdict.CodeCannotConnectNow))
+	conn.Endpoint.Role = catalog.RoleReplica // its connections are kept after an error
+	answer, _, err := conn.Run(t.Context(), values, commandOf(request.Begin))
+	require.NoError(t, err)
+	require.NotNil(t, answer.Err)
+	conn.Release()
+	require.True(t, raw.closed)
+}
