backend: a pooled connection has the present role of its endpoint

Cause: a connection that had received an error was kept while its endpoint was a replica, and kept that role in the pool.

Change: a connection that is taken from the pool gets the endpoint as it is registered now.

Measured: TestConnectionFollowsTheRoleOfItsEndpoint failed before: the connection was used again. The tests of backend pass with the race detector.

--- a/internal/backend/attribution_test.go
+++ b/internal/backend/attribution_test.go
@@ -247,3 +247,23 @@
 	conn.Release()
 	require.True(t, raw.closed)
 }
+
+// TestConnectionFollowsTheRoleOfItsEndpoint guards against a write on a connection on which another error would
+// be no evidence, as it was kept while the endpoint was a replica.
+func TestConnectionFollowsTheRoleOfItsEndpoint(t *testing.T) {
+	e := &fakeEndpoint{limit: 1, refuses: request.Read}
+	p := newPools(t, e, 1)
+	replica, primary := testEndpoint, testEndpoint
+	replica.Role, primary.Role = catalog.RoleReplica, catalog.RolePrimary
+	conn, err := p.Acquire(t.Context(), replica, "a", Turn{})
+	require.NoError(t, err)
+	answer, _, err := conn.Run(t.Context(), Needs{}, read())
+	require.NoError(t, err)
+	require.NotNil(t, answer.Err)
+	conn.Release()
+	require.Equal(t, 1, e.open)
+	conn, err = p.Acquire(t.Context(), primary, "a", Turn{})
+	require.NoError(t, err)
+	require.Equal(t, 2, e.dials)
+	require.Equal(t, catalog.RolePrimary, conn.Endpoint.Role)
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -175,6 +175,9 @@
 		if evicted != nil {
 			evicted.conn.Close()
 		}
+		if pooled != nil {
+			pooled.Endpoint = e // its role may have changed
+		}
 		switch {
 		case pooled != nil && pooled.reusable() && pooled.isQuiet():
 			return pooled, nil
