backend: a replica that lags or is busy twice does not count as failing

A read that met the second LAGGING or BUSY on a connection to a replica was told as unknown if no other endpoint could serve it. The replica counted as failing, so that reads avoided it, and it was not remembered that it was behind. That callers met this is inferred from the code; the test shows the rest.

Change: a read outside a transaction takes such a refusal, and the connection is closed. The same holds for a refusal while the connection is uncertain.

Why it works: a refusal promises that nothing is kept, which is true of a read even if it has run. Within a transaction such an error is no evidence, as before.

--- a/internal/backend/attribution.go
+++ b/internal/backend/attribution.go
@@ -37,6 +37,9 @@
 	skipped
 	// rejected means that the answer is no evidence of anything.
 	rejected
+	// believed means that the answer may be that of an earlier command, and is taken nevertheless. The
+	// connection serves nothing else.
+	believed
 )
 
 // Reasons for which an answer is skipped or rejected, for logs and metrics.
@@ -92,33 +95,44 @@
 	}
 }
 
-// rule decides on an answer that arrives while one to a command of the kind is awaited.
-func (a *attribution) rule(kind request.Kind, answer request.Answer) (ruling, string) {
+// rule decides on an answer that arrives while one to the command is awaited.
+func (a *attribution) rule(command request.Command, answer request.Answer) (ruling, string) {
 	switch {
 	case answer.Greeting:
 		return skipped, reasonGreetingRepeated
 	case answer.Err != nil:
-		return a.ruleError(kind, answer)
+		return a.ruleError(command, answer)
 	case answer.Signature != "":
-		return a.ruleSigned(kind, answer)
+		return a.ruleSigned(command.Kind, answer)
 	default:
-		return a.ruleUnsigned(kind, answer)
+		return a.ruleUnsigned(command.Kind, answer)
 	}
 }
 
-func (a *attribution) ruleError(kind request.Kind, answer request.Answer) (ruling, string) {
+func (a *attribution) ruleError(command request.Command, answer request.Answer) (ruling, string) {
 	code := answer.Err.Code
-	if _, received := a.errors[code]; received {
-		return rejected, reasonErrorRepeated
-	}
+	_, received := a.errors[code]
 	a.errors[code] = struct{}{}
-	if isSigned(kind) && a.uncertain && code != verdict.CodeUndefinedPreparedStmt {
+	uncertain := isSigned(command.Kind) && a.uncertain && code != verdict.CodeUndefinedPreparedStmt
+	switch {
+	case (received || uncertain) && a.isHarmless(command, code):
+		return believed, ""
+	case received:
+		return rejected, reasonErrorRepeated
+	case uncertain:
 		return rejected, reasonErrorUncertain
 	}
 	a.state = answer.Transaction
 	return taken, ""
 }
 
+// isHarmless reports whether a command can be told as refused even if it has run: it only reads, outside
+// a transaction. An endpoint that lags or is busy would otherwise count as failing.
+func (a *attribution) isHarmless(command request.Command, code string) bool {
+	reads := command.Kind == request.Read || command.Kind == request.Execute && !command.Prepared.Writes
+	return reads && a.state == request.Idle && (code == verdict.CodeBehind || code == verdict.CodeTooManyConnections)
+}
+
 func (a *attribution) ruleSigned(kind request.Kind, answer request.Answer) (ruling, string) {
 	hash := maphash.String(hashSeed, answer.Signature)
 	if _, delivered := a.signatures[hash]; delivered {
--- a/internal/backend/attribution_test.go
+++ b/internal/backend/attribution_test.go
@@ -267,3 +267,39 @@
 	require.Equal(t, 2, e.dials)
 	require.Equal(t, catalog.RolePrimary, conn.Endpoint.Role)
 }
+
+// TestRefusedReadsAreNoFailures guards against a replica that counts as failing, and a read that is told as
+// unknown, since the replica lags, or is busy, a second time.
+func TestRefusedReadsAreNoFailures(t *testing.T) {
+	for _, code := range []string{verdict.CodeBehind, verdict.CodeTooManyConnections} {
+		for kind, told := range map[request.Kind]bool{request.Read: true, request.Execute: true, request.Write: false} {
+			raw, conn := newScripted(t)
+			conn.Endpoint.Role = catalog.RoleReplica // its connections are kept after an error
+			raw.answers = []request.Answer{refusal(code), refusal(code)}
+			_, _, err := conn.Run(t.Context(), Needs{}, commandOf(request.Read))
+			require.NoError(t, err)
+			answer, sent, err := conn.Run(t.Context(), Needs{}, commandOf(kind))
+			require.True(t, sent)
+			require.Equal(t, told, err == nil)
+			require.Equal(t, told, answer.Err != nil && answer.Err.Code == code)
+			require.Equal(t, told, conn.pool.health.Load(testEndpoint.ID).FailureRate == 0)
+			conn.Release()
+			require.True(t, raw.closed)
+			require.True(t, conn.pool.pools.HasIdle(testEndpoint.ID, "a"))
+		}
+	}
+}
+
+// TestRefusedReadOfATransactionIsNoEvidence guards against a transaction that goes on after an error which may be
+// that of an earlier statement.
+func TestRefusedReadOfATransactionIsNoEvidence(t *testing.T) {
+	raw, conn := newScripted(t, refusal(verdict.CodeBehind), unsigned(request.Open), refusal(verdict.CodeBehind))
+	for _, kind := range []request.Kind{request.Read, request.Begin} {
+		_, _, err := conn.Run(t.Context(), Needs{}, commandOf(kind))
+		require.NoError(t, err)
+	}
+	_, _, err := conn.Run(t.Context(), Needs{}, commandOf(request.Read))
+	require.ErrorIs(t, err, errUnattributed)
+	conn.Release()
+	require.True(t, raw.closed)
+}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -69,7 +69,7 @@
 	idleSince     time.Duration
 	inTransaction bool
 	broken        bool
-	unattributed  bool // an answer was rejected
+	unattributed  bool // an answer may not be that of its command
 	// occupies is true while the connection counts as occupying a slot of the endpoint.
 	occupies bool
 }
@@ -159,12 +159,15 @@
 	answers := make([]request.Answer, 0, len(commands))
 	isRejected := false
 	err := pc.conn.Exchange(ctx, commands, func(answer request.Answer) bool {
-		awaited := commands[len(answers)].Kind
+		awaited := commands[len(answers)]
 		ruling, reason := pc.answers.rule(awaited, answer)
-		if ruling != taken {
+		switch ruling {
+		case skipped, rejected:
 			isRejected = ruling == rejected
-			pc.reportAnswer(awaited, ruling, reason)
+			pc.reportAnswer(awaited.Kind, ruling, reason)
 			return !isRejected
+		case believed:
+			pc.broken, pc.unattributed = true, true
 		}
 		answers = append(answers, answer)
 		return len(answers) < len(commands)
