backend: a transaction without statements separates values from the statement

Cause: acknowledgements of SETs are alike, so that the last of them does not show that all commands have been answered.

Change: behind two SETs or more, and behind one at an endpoint that is known to repeat answers, BEGIN READ and ROLLBACK are sent in the same exchange, as long as no transaction has begun on the connection. The acknowledgement of the first BEGIN is unlike all others, so that a hidden error arrives before the statement is sent. No round trip is added. Should the ROLLBACK be refused unseen, the statement runs in the proxy's own read-only transaction, and its answer is rejected by its state.

The case of an error of uncertain origin is now on a connection that has had a transaction, where no fence is of use.

Open: on a connection that has had a transaction, the first repetition of an endpoint in five minutes can still hide the error of a SET or BEGIN.

--- a/internal/backend/attribution_test.go
+++ b/internal/backend/attribution_test.go
@@ -239,8 +239,14 @@
 // of another session: the error that BEGIN was answered with may be that of the SET before it.
 func TestErrorOfUncertainOriginEndsTheConnection(t *testing.T) {
 	values := Needs{Values: map[string]string{"branch": "1", "colour": "red"}}
-	raw, conn := newScripted(t, unsigned(request.Idle), unsigned(request.Idle), refusal(verdict.CodeCannotConnectNow))
+	raw, conn := newScripted(t, unsigned(request.Open))
 	conn.Endpoint.Role = catalog.RoleReplica // its connections are kept after an error
+	_, _, err := conn.Run(t.Context(), Needs{}, commandOf(request.Begin))
+	require.NoError(t, err)
+	raw.answers = []request.Answer{unsigned(request.Idle)}
+	_, _, err = conn.Run(t.Context(), Needs{}, commandOf(request.Rollback))
+	require.NoError(t, err)
+	raw.answers = []request.Answer{unsigned(request.Idle), unsigned(request.Idle), refusal(verdict.CodeCannotConnectNow)}
 	answer, _, err := conn.Run(t.Context(), values, commandOf(request.Begin))
 	require.NoError(t, err)
 	require.NotNil(t, answer.Err)
@@ -248,6 +254,21 @@
 	require.True(t, raw.closed)
 }
 
+// TestHiddenErrorOfSetIsSeenBeforeTheStatement guards against a statement that runs without a value of its
+// session: a repeated acknowledgement takes the place of the error of a SET, which is still to come.
+func TestHiddenErrorOfSetIsSeenBeforeTheStatement(t *testing.T) {
+	values := Needs{Values: map[string]string{"branch": "1", "colour": "red"}}
+	raw, conn := newScripted(t, unsigned(request.Idle), unsigned(request.Idle), refusal(verdict.CodeCannotConnectNow), unsigned(request.Open), unsigned(request.Idle))
+	_, sent, err := conn.Run(t.Context(), values, commandOf(request.Write))
+	require.Error(t, err)
+	require.False(t, sent)
+	for _, command := range raw.sent {
+		require.NotEqual(t, request.Write, command.Kind)
+	}
+	conn.Release()
+	require.True(t, raw.closed)
+}
+
 // TestConnectionFollowsTheRoleOfItsEndpoint guards against a write on a connection on which another error would
 // be no evidence, as it was kept while the endpoint was a replica.
 func TestConnectionFollowsTheRoleOfItsEndpoint(t *testing.T) {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -141,6 +141,9 @@
 	if len(commands) == 0 {
 		return nil
 	}
+	if pc.mayFence(len(commands)) {
+		commands = append(commands, fence()...)
+	}
 	answers, err := pc.exchange(ctx, commands)
 	switch {
 	case err != nil:
@@ -153,6 +156,21 @@
 	return nil
 }
 
+// fence returns a transaction without statements. The acknowledgement of the first BEGIN on a connection
+// is unlike all before it, so that it shows that the commands before it have been answered.
+func fence() []request.Command {
+	return []request.Command{{Statement: request.Statement{Kind: request.Begin, ReadOnly: true}}, {Statement: request.Statement{Kind: request.Rollback}}}
+}
+
+// mayFence reports whether a fence is of use behind that many commands: one of their acknowledgements may
+// be a repetition that hides the error of another, and no transaction has begun on the connection.
+func (pc *PooledConn) mayFence(commands int) bool {
+	if pc.inTransaction || pc.answers.acknowledged[request.Open] {
+		return false
+	}
+	return commands > 1 || pc.pool.repeats() && len(pc.answers.acknowledged) > 0
+}
+
 // exchange sends commands, attributes the answers, and records how the endpoint responds.
 func (pc *PooledConn) exchange(ctx context.Context, commands []request.Command) ([]request.Answer, error) {
 	done := pc.pool.health.startStatement(pc.Endpoint.ID)
--- a/internal/edge/owner_test.go
+++ b/internal/edge/owner_test.go
@@ -49,6 +49,8 @@
 		var answer request.Answer
 		if command.ID != "" {
 			answer = c.d.answer
+		} else if command.Kind == request.Begin {
+			answer.Transaction = request.Open
 		}
 		if command.ID != "" && answer.Err == nil {
 			answer.Signature += strconv.Itoa(len(c.d.sent))
