--- a/internal/backend/attribution_test.go
+++ b/internal/backend/attribution_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -324,3 +325,32 @@
 	conn.Release()
 	require.True(t, raw.closed)
 }
+
+// TestHiddenErrorOnAConnectionWithAnEarlierTransaction guards against a statement that runs without a value of
+// its session, or outside its transaction: the acknowledgement of an earlier ROLLBACK or BEGIN comes again, in
+// place of the error of the SET or BEGIN, which is still to come.
+func TestHiddenErrorOnAConnectionWithAnEarlierTransaction(t *testing.T) {
+	for name, c := range map[string]struct {
+		values map[string]string
+		state  request.Transaction
+		setup  request.Kind
+	}{
+		"SET":   {map[string]string{"branch": "1"}, request.Idle, request.Read},
+		"BEGIN": {nil, request.Open, request.Begin},
+	} {
+		t.Run(name, func(t *testing.T) {
+			raw, conn := newScripted(t)
+			for _, earlier := range []request.Command{commandOf(request.Begin), commandOf(request.Rollback)} {
+				raw.answers = []request.Answer{unsigned(map[request.Kind]request.Transaction{request.Begin: request.Open}[earlier.Kind])}
+				_, _, err := conn.Run(t.Context(), Needs{}, earlier)
+				require.NoError(t, err)
+			}
+			raw.answers, raw.sent = []request.Answer{unsigned(c.state)}, nil // the repetition
+			_, _, _ = conn.Run(t.Context(), Needs{Values: c.values}, commandOf(c.setup))
+			if c.setup == request.Begin {
+				_, _, _ = conn.Run(t.Context(), Needs{}, commandOf(request.Read))
+			}
+			require.False(t, slices.ContainsFunc(raw.sent, func(command request.Command) bool { return command.Kind == request.Read }), "the statement was sent")
+		})
+	}
+}
