backend: an acknowledgement counts by its position, a barrier shows what is answered

On a connection that has had a transaction, an acknowledgement that comes again hides the error of a SET, RESET, BEGIN or ROLLBACK, and the statement is sent.

Change: an acknowledgement carries a position of the log. One at a later position than all before it on the connection is no repetition. A BEGIN needs such a one. SETs, RESETs and an uncertain ROLLBACK are followed by a barrier, a BEGIN READ at a position that no log holds: the endpoint refuses it, without an effect, after it has answered all others. It replaces the transaction without statements, which worked once on a connection. Inside a transaction the last SET is sent again. A PREPARE joins the SETs before it, so that the error of the write behind it is that of the write.

--- a/internal/backend/attribution.go
+++ b/internal/backend/attribution.go
@@ -2,7 +2,9 @@
 
 import (
 	"hash/maphash"
+	"math"
 
+	"github.com/hornbeamlock/hornbeamlock/internal/position"
 	"github.com/hornbeamlock/hornbeamlock/internal/request"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
@@ -13,12 +15,17 @@
 //
 //   - A signature that the connection has not delivered before is that of the signed command in
 //     progress, and all commands before it have been answered.
-//   - An acknowledgement without a signature is the awaited one unless an earlier one with the same
-//     transaction state may have come again. Then it is taken, and the connection is uncertain
-//     until the next answer that is certain: the true one may be an error that is still to come.
-//   - An error with a code that the connection has not received before is that of the awaited
-//     command, unless the connection is uncertain. One that executes an unknown name can only
-//     belong to the EXECUTE.
+//   - An acknowledgement without a signature is new if the connection has delivered none with the same
+//     transaction state, or only at earlier positions of the log. A new one is the awaited one, unless
+//     an earlier command may still be acknowledged with that state. Any other one is taken, and the
+//     connection is uncertain until the next answer that is certain: the true one may be an error
+//     that is still to come. That of a BEGIN has to be certain.
+//   - An error with a code that the connection has not received before, or only at earlier positions,
+//     is that of the awaited command, unless the connection is uncertain. One that executes an
+//     unknown name can only belong to the EXECUTE.
+//   - The refusal of a barrier shows that all commands before it have been answered. If it is not new, the
+//     connection stays uncertain, but statements are sent: an error before the barrier can be hidden only by
+//     two repetitions at once, of an endpoint that was not known to repeat answers.
 
 // maxSignatures is the number of signatures that a connection records. A connection that has more
 // is closed when it is released, so that the record is complete.
@@ -47,6 +54,7 @@
 	reasonGreetingRepeated    = "greeting_repeated"
 	reasonSignatureRepeated   = "signature_repeated"
 	reasonUnsignedRepeated    = "unsigned_repeated"
+	reasonBeginUncertain      = "begin_uncertain"
 	reasonSignatureMissing    = "signature_missing"
 	reasonSignatureUnexpected = "signature_unexpected"
 	reasonRowsUnexpected      = "rows_unexpected"
@@ -56,16 +64,29 @@
 	reasonOutOfTurn           = "out_of_turn" // while no answer is awaited
 )
 
+// unreachable is a position that no log holds.
+var unreachable = position.Position{Term: math.MaxInt32, Offset: math.MaxInt32}
+
+// barrier is a command without an effect. The endpoint refuses it, since its log is behind.
+var barrier = request.Command{Statement: request.Statement{Kind: request.Begin, ReadOnly: true}, After: unreachable}
+
+func isBarrier(command request.Command) bool { return command.After == unreachable }
+
 // attribution decides which answers of a connection belong to which command.
 type attribution struct {
 	signatures map[uint64]struct{}
-	// errors holds the codes of the errors received.
-	errors map[string]struct{}
-	// acknowledged holds the transaction states of the answers without signature received.
-	acknowledged map[request.Transaction]bool
-	// uncertain is true if an answer without signature that was taken may have been a repetition,
-	// and no certain answer has come since.
-	uncertain bool
+	// errors holds the codes of the errors received, with the newest position of each.
+	errors map[string]position.Position
+	// refused is true if a command other than a barrier was answered with an error.
+	refused bool
+	// acknowledged holds the transaction states of the answers without signature received, with the
+	// newest position of each.
+	acknowledged map[request.Transaction]position.Position
+	// unanswered holds the transaction states of the acknowledgements that may still be to come, since
+	// a repetition may have been taken in their place.
+	unanswered map[request.Transaction]struct{}
+	// reported is the newest position that the endpoint has reported.
+	reported position.Position
 	// state is the transaction state after the last answer that was taken. begun is true if an open
 	// transaction has certainly begun.
 	state request.Transaction
@@ -74,10 +95,34 @@
 
 func newAttribution() attribution {
 	return attribution{
-		signatures: make(map[uint64]struct{}), errors: make(map[string]struct{}), acknowledged: make(map[request.Transaction]bool),
+		signatures: make(map[uint64]struct{}), errors: make(map[string]position.Position),
+		acknowledged: make(map[request.Transaction]position.Position), unanswered: make(map[request.Transaction]struct{}),
 	}
 }
 
+// isUncertain reports whether an answer without signature that was taken may have been a repetition, and
+// no certain answer has come since.
+func (a *attribution) isUncertain() bool { return len(a.unanswered) > 0 }
+
+// isNew reports whether an answer at the position is no repetition of one recorded under the key.
+func isNew[K comparable](newest map[K]position.Position, key K, at position.Position) bool {
+	last, recorded := newest[key]
+	return !recorded || last.Less(at)
+}
+
+// record records an answer under the key, and reports whether it is new.
+func record[K comparable](newest map[K]position.Position, key K, at position.Position) bool {
+	isNew := isNew(newest, key, at)
+	newest[key] = newest[key].Max(at)
+	return isNew
+}
+
+// needsBarrier reports whether so many commands without signature leave the connection uncertain, unless a
+// certain answer follows.
+func (a *attribution) needsBarrier(commands int) bool {
+	return a.isUncertain() || commands > 1 || commands == 1 && !isNew(a.acknowledged, a.state, a.reported)
+}
+
 // isSigned reports whether an endpoint signs its answers to commands of the kind.
 func isSigned(kind request.Kind) bool {
 	return kind == request.Read || kind == request.Write || kind == request.Execute || kind == request.Commit
@@ -97,6 +142,7 @@
 
 // rule decides on an answer that arrives while one to the command is awaited.
 func (a *attribution) rule(command request.Command, answer request.Answer) (ruling, string) {
+	a.reported = a.reported.Max(answer.Position)
 	switch {
 	case answer.Greeting:
 		return skipped, reasonGreetingRepeated
@@ -111,9 +157,17 @@
 
 func (a *attribution) ruleError(command request.Command, answer request.Answer) (ruling, string) {
 	code := answer.Err.Code
-	_, received := a.errors[code]
-	a.errors[code] = struct{}{}
-	uncertain := isSigned(command.Kind) && a.uncertain && code != verdict.CodeUndefinedPreparedStmt
+	received := !record(a.errors, code, answer.Position)
+	if isBarrier(command) && code == verdict.CodeBehind {
+		if received {
+			a.unanswered[a.state] = struct{}{}
+		} else {
+			clear(a.unanswered)
+		}
+		return taken, ""
+	}
+	a.refused = true
+	uncertain := isSigned(command.Kind) && a.isUncertain() && code != verdict.CodeUndefinedPreparedStmt
 	switch {
 	case (received || uncertain) && a.isHarmless(command, code):
 		return believed, ""
@@ -142,7 +196,7 @@
 	if !isSigned(kind) {
 		return rejected, reasonSignatureUnexpected
 	}
-	a.uncertain = false
+	clear(a.unanswered)
 	if answer.Transaction != a.stateAfter(kind) {
 		a.begun = false
 		return rejected, reasonTransactionState
@@ -154,6 +208,7 @@
 
 func (a *attribution) ruleUnsigned(kind request.Kind, answer request.Answer) (ruling, string) {
 	after := a.stateAfter(kind)
+	_, received := a.acknowledged[answer.Transaction]
 	switch {
 	case isSigned(kind) && len(a.acknowledged) > 0:
 		return skipped, reasonUnsignedRepeated
@@ -161,16 +216,24 @@
 		return rejected, reasonSignatureMissing
 	case len(answer.Rows) > 0:
 		return rejected, reasonRowsUnexpected
-	case answer.Transaction != after && a.acknowledged[answer.Transaction]:
+	case answer.Transaction != after && received:
 		return skipped, reasonUnsignedRepeated
 	case answer.Transaction != after:
 		return rejected, reasonTransactionState
 	}
-	a.uncertain = a.acknowledged[after]
-	a.acknowledged[after] = true
+	_, awaitedEarlier := a.unanswered[after]
+	certain := record(a.acknowledged, after, answer.Position) && !awaitedEarlier
+	switch {
+	case certain:
+		clear(a.unanswered)
+	case kind == request.Begin:
+		return rejected, reasonBeginUncertain
+	default:
+		a.unanswered[after] = struct{}{}
+	}
 	a.state = after
 	if kind == request.Begin {
-		a.begun = !a.uncertain
+		a.begun = true
 	}
 	return taken, ""
 }
@@ -184,7 +247,7 @@
 	switch {
 	case len(a.signatures) >= maxSignatures:
 		return false
-	case len(a.errors) > 0 && (writes || repeats || a.uncertain):
+	case a.refused && (writes || repeats || a.isUncertain()):
 		return false
 	default:
 		return len(a.acknowledged) == 0 || !repeats
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -85,17 +85,26 @@
 // its answer. sent is false only when the endpoint certainly has not received the statement, or
 // cannot have run it.
 func (pc *PooledConn) Run(ctx context.Context, needs Needs, command request.Command) (answer request.Answer, sent bool, err error) {
-	if !pc.isQuiet() {
+	if pc.broken || !pc.isQuiet() {
 		pc.broken = true
 		return answer, false, errClosed
 	}
-	if err := pc.applyValues(ctx, needs.Values); err != nil {
-		pc.broken = true
-		return answer, false, err
+	if command.Kind == request.Begin {
+		return pc.begin(ctx, needs.Values, command)
 	}
-	var commands []request.Command
+	commands := pc.alignValues(needs.Values)
+	setsValues := len(commands) > 0
 	if needs.Prepared != nil {
-		command.Alias, commands = pc.alias(*needs.Prepared)
+		var prepare []request.Command
+		command.Alias, prepare = pc.alias(*needs.Prepared)
+		commands = append(commands, prepare...)
+	}
+	if setsValues || !pc.inTransaction && pc.answers.isUncertain() {
+		if err := pc.setUp(ctx, commands); err != nil {
+			pc.broken = true
+			return answer, false, err
+		}
+		commands = nil
 	}
 	answers, err := pc.exchange(ctx, append(commands, command))
 	if err != nil {
@@ -115,15 +124,35 @@
 	return answer, true, nil
 }
 
+// begin begins a transaction under the values. One without evidence has had no effect, since the end of the
+// connection undoes it.
+func (pc *PooledConn) begin(ctx context.Context, values map[string]string, command request.Command) (answer request.Answer, sent bool, err error) {
+	answers, err := pc.exchange(ctx, append(pc.alignValues(values), command))
+	if err == nil {
+		err = setupError(answers[:len(answers)-1])
+	}
+	if err != nil {
+		pc.broken = true
+		return answer, true, err
+	}
+	answer = answers[len(answers)-1]
+	if answer.Err != nil && pc.answers.isUncertain() {
+		pc.broken = true // the error may be that of an earlier command, so that the transaction has begun
+	}
+	pc.inTransaction = answer.Transaction != request.Idle
+	return answer, true, nil
+}
+
 var (
 	errPrepareFailed = errors.New("backend: the endpoint answered PREPARE with an error, and may have run the statement")
 	errUnattributed  = errors.New("backend: an answer does not belong to the statement")
 	errIncomplete    = errors.New("backend: the endpoint has not answered every command")
+	errBarrier       = errors.New("backend: the endpoint has not refused a transaction at a position that no log holds")
 	errOutOfTurn     = errors.New("backend: the endpoint has sent more than one answer for each command")
 )
 
 // withoutEvidence returns the outcome of a statement that may have run. In a transaction the end of the
-// connection undoes it, unless the transaction perhaps had not begun at the endpoint: then the
+// connection undoes it, unless the endpoint has perhaps run it outside the transaction: then the
 // outcome is an answer, so that it is not taken for that of a transaction that was rolled back.
 func (pc *PooledConn) withoutEvidence(command request.Command, err error) (request.Answer, bool, error) {
 	pc.broken = true
@@ -134,41 +163,69 @@
 	return request.Answer{Err: unknown.WithCause(err)}, true, nil
 }
 
-// applyValues gives the session's values to the connection. The endpoint runs what follows a failed
-// SET or RESET, with the values of another session, so that nothing is sent after one.
-func (pc *PooledConn) applyValues(ctx context.Context, values map[string]string) error {
-	commands := pc.alignValues(values)
-	if len(commands) == 0 {
-		return nil
+// setUp sends commands without a signed answer. The endpoint runs what follows a failed SET or RESET,
+// with the values of another session, so that nothing may be sent behind them before all have been
+// answered.
+func (pc *PooledConn) setUp(ctx context.Context, commands []request.Command) error {
+	if pc.inTransaction {
+		return pc.setUpInTransaction(ctx, commands)
 	}
-	if pc.mayFence(len(commands)) {
-		commands = append(commands, fence()...)
-	}
-	answers, err := pc.exchange(ctx, commands)
-	switch {
-	case err != nil:
-		return err
-	case setupError(answers) != nil:
-		return setupError(answers)
-	case !pc.isQuiet():
-		return errOutOfTurn
+	for {
+		withBarrier := pc.answers.needsBarrier(len(commands))
+		if withBarrier {
+			commands = append(commands, barrier)
+		}
+		answers, err := pc.exchange(ctx, commands)
+		switch {
+		case err != nil:
+			return err
+		case withBarrier && !isBehind(answers[len(answers)-1]):
+			return errBarrier
+		case withBarrier:
+			answers = answers[:len(answers)-1]
+		}
+		switch {
+		case setupError(answers) != nil:
+			return setupError(answers)
+		case !pc.isQuiet():
+			return errOutOfTurn
+		case withBarrier || !pc.answers.isUncertain():
+			return nil
+		}
+		commands = nil
 	}
-	return nil
 }
 
-// fence returns a transaction without statements. The acknowledgement of the first BEGIN on a connection
-// is unlike all before it, so that it shows that the commands before it have been answered.
-func fence() []request.Command {
-	return []request.Command{{Statement: request.Statement{Kind: request.Begin, ReadOnly: true}}, {Statement: request.Statement{Kind: request.Rollback}}}
+func isBehind(answer request.Answer) bool {
+	return answer.Err != nil && answer.Err.Code == verdict.CodeBehind
 }
 
-// mayFence reports whether a fence is of use behind that many commands: one of their acknowledgements may
-// be a repetition that hides the error of another, and no transaction has begun on the connection.
-func (pc *PooledConn) mayFence(commands int) bool {
-	if pc.inTransaction || pc.answers.acknowledged[request.Open] {
-		return false
+// setUpInTransaction sends commands inside a transaction, which a barrier would fail. Unless its answer is
+// certain, the last one is sent again, so that one repetition does not hide an error.
+func (pc *PooledConn) setUpInTransaction(ctx context.Context, commands []request.Command) error {
+	last := commands[len(commands)-1]
+	repeated := pc.answers.needsBarrier(len(commands))
+	if repeated {
+		commands = append(commands, last)
+	}
+	for {
+		answers, err := pc.exchange(ctx, commands)
+		switch {
+		case err != nil:
+			return err
+		case setupError(answers) != nil:
+			return setupError(answers)
+		case !pc.isQuiet():
+			return errOutOfTurn
+		case !pc.answers.isUncertain():
+			return nil
+		case repeated && pc.pool.repeats():
+			return errUnattributed
+		case repeated:
+			return nil
+		}
+		commands, repeated = []request.Command{last}, true
 	}
-	return commands > 1 || pc.pool.repeats() && len(pc.answers.acknowledged) > 0
 }
 
 // exchange sends commands, attributes the answers, and records how the endpoint responds.
