backend: an uncertain SET inside a transaction has a test of its own

A line in begin that marked the connection as broken after an uncertain error is gone: reusable closes it already (TestErrorOfUncertainOriginEndsTheConnection).

--- a/internal/backend/attribution_test.go
+++ b/internal/backend/attribution_test.go
@@ -363,3 +363,23 @@
 	require.False(t, sent)
 	require.False(t, slices.ContainsFunc(raw.sent, func(command request.Command) bool { return command.Kind == request.Write }), "the statement was sent")
 }
+
+// TestUncertainSetInATransactionOfARepeatingEndpoint guards against a statement that runs without a value of its
+// session: both acknowledgements of a SET that was sent twice may be repetitions.
+func TestUncertainSetInATransactionOfARepeatingEndpoint(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		raw, conn := newScripted(t, unsigned(request.Open))
+		_, _, err := conn.Run(t.Context(), Needs{}, commandOf(request.Begin))
+		require.NoError(t, err)
+		if known {
+			conn.pool.noteRepetition()
+		}
+		raw.answers, raw.sent = []request.Answer{unsigned(request.Open), unsigned(request.Open), signed("s", request.Open)}, nil
+		_, sent, err := conn.Run(t.Context(), Needs{Values: map[string]string{"branch": "1"}}, commandOf(request.Write))
+		require.Equal(t, !known, sent)
+		require.Equal(t, known, err != nil)
+		require.Equal(t, !known, slices.ContainsFunc(raw.sent, func(command request.Command) bool { return command.Kind == request.Write }))
+		conn.Release()
+		require.True(t, raw.closed)
+	}
+}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -136,9 +136,6 @@
 		return answer, true, err
 	}
 	answer = answers[len(answers)-1]
-	if answer.Err != nil && pc.answers.isUncertain() {
-		pc.broken = true // the error may be that of an earlier command, so that the transaction has begun
-	}
 	pc.inTransaction = answer.Transaction != request.Idle
 	return answer, true, nil
 }
