gateway: a key is judged only while the lease proves the configuration

A caller that sent its key after the instance's serving lease had expired was told 28P01, "not accepted", about a key that had been created meanwhile, or was logged in with one that had been withdrawn. The lease was checked when the startup message arrived, the key after the wait for it.

authenticate now reads the configuration and then checks the lease, both before it asks for the key and before it judges it, and answers 57P03, not run, without a valid lease. A lease that is valid after the read proves that this version was in force at the read.

TestLeaseExpiresWhileTheKeyIsAwaited failed before with 28P01 for an unknown key and with a login for a known one.

--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -31,7 +31,10 @@
 	if database == "" {
 		database = user
 	}
-	view := c.server.cfg.Board.Configuration.Get()
+	view, err := c.server.viewInForce()
+	if err != nil {
+		return nil, err
+	}
 	service, serviceExists := view.Services[database]
 	_, isOrganisation := view.Organisations[user]
 	if serviceExists && service.GetOpenToAll() && !isOrganisation {
@@ -41,8 +44,10 @@
 	if err != nil {
 		return nil, err
 	}
-	// The configuration may have changed while waiting for the key.
-	view = c.server.cfg.Board.Configuration.Get()
+	// While waiting for the key, the configuration may have changed, or the lease expired.
+	if view, err = c.server.viewInForce(); err != nil {
+		return nil, err
+	}
 	keyID, ok := checkKey(view, user, key)
 	if !ok {
 		c.server.metrics.loginsRefused.Add(1)
@@ -55,6 +60,17 @@
 	return &identity{organisation: user, keyID: keyID, service: database}, nil
 }
 
+// viewInForce returns the configuration, or an error if a newer one may be in force
+// elsewhere. The lease is checked after the configuration was read: before, it would not
+// prove that this version was still in force.
+func (s *Server) viewInForce() (*fleetconfig.View, error) {
+	view := s.cfg.Board.Configuration.Get()
+	if err := s.servingLeaseError(); err != nil {
+		return nil, err
+	}
+	return view, nil
+}
+
 // requestKey requests a cleartext password.
 func (c *caller) requestKey() (string, error) {
 	c.responses.add(&pgproto3.AuthenticationCleartextPassword{})
--- a/internal/gateway/lifecycle_test.go
+++ b/internal/gateway/lifecycle_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -96,6 +97,35 @@
 	require.Equal(t, 1, count(t, idle))
 }
 
+// TestLeaseExpiresWhileTheKeyIsAwaited guards against an instance that judges a key by a
+// configuration that may no longer be in force, because its lease expired after it had
+// asked for the key.
+func TestLeaseExpiresWhileTheKeyIsAwaited(t *testing.T) {
+	for name, sent := range map[string]string{"a key that is not known here": "hbl_k2_secret", "a key that is": key} {
+		t.Run(name, func(t *testing.T) {
+			fx := newFixture(t, options{})
+			conn, err := net.Dial("tcp", fx.address)
+			require.NoError(t, err)
+			defer conn.Close()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+			front := pgproto3.NewFrontend(conn, conn)
+			front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "alpha", "database": service}})
+			require.NoError(t, front.Flush())
+			answer, err := front.Receive()
+			require.NoError(t, err)
+			require.IsType(t, &pgproto3.AuthenticationCleartextPassword{}, answer)
+			fx.now.Store(int64(3 * time.Hour))
+			front.Send(&pgproto3.PasswordMessage{Password: sent})
+			require.NoError(t, front.Flush())
+			answer, err = front.Receive()
+			require.NoError(t, err)
+			require.IsType(t, &pgproto3.ErrorResponse{}, answer)
+			require.Equal(t, verdict.CodeCannotConnectNow, answer.(*pgproto3.ErrorResponse).Code)
+			require.Equal(t, "verdict: not run", answer.(*pgproto3.ErrorResponse).Detail)
+		})
+	}
+}
+
 // TestDrain checks that draining interrupts neither statements nor transactions.
 func TestDrain(t *testing.T) {
 	fx := newFixture(t, options{})
--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -28,9 +28,6 @@
 	if c.server.isDraining() {
 		return verdict.New(verdict.NotRun, verdict.CodeAdminShutdown, "this instance takes no new callers")
 	}
-	if servingLeaseError := c.server.servingLeaseError(); servingLeaseError != nil {
-		return servingLeaseError
-	}
 	identity, err := c.authenticate(message.Parameters["user"], message.Parameters["database"])
 	if err != nil {
 		return err
