gateway: a statement that waited past the serving lease is not sent

A statement that waited for a primary or for its turn at a server until after the instance's serving lease had expired was sent all the same, although a newer configuration could be in force elsewhere: the lease was checked only when the statement arrived. A coordinator counts an unreachable instance as out of service one margin after its lease, and a statement may wait for much longer.

The lease is checked again once the statement has its connection, after the configuration was read that chose it. Without a valid lease the statement is answered with 57P03: not run, or what an earlier attempt has left open.

TestLeaseExpiresWhileAStatementWaits failed before: the INSERT was answered as done.

--- a/internal/gateway/lifecycle_test.go
+++ b/internal/gateway/lifecycle_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap/zapcore"
 
 	configv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/config/v1"
+	"github.com/hornbeamlock/hornbeamlock/internal/blackboard"
 	"github.com/hornbeamlock/hornbeamlock/internal/gateway"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
@@ -97,6 +98,27 @@
 	require.Equal(t, 1, count(t, idle))
 }
 
+// TestLeaseExpiresWhileAStatementWaits guards against a statement that is sent by a
+// configuration that may no longer be in force, because it waited for a primary until
+// after the lease had expired.
+func TestLeaseExpiresWhileAStatementWaits(t *testing.T) {
+	fx := newFixture(t, options{})
+	row, _ := fx.board.Groups.Get(service)
+	fx.board.Groups.Put(service, blackboard.Group{Service: service, Term: row.Term, History: row.History, Electing: true})
+	conn := fx.connect("")
+	answered := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (1, 'Anna')", pgx.QueryExecModeSimpleProtocol)
+		answered <- err
+	}()
+	require.Eventually(t, func() bool { return fx.gauge("gateway_waiting_for_primary") == 1 }, testTimeout, time.Millisecond)
+	fx.now.Store(int64(3 * time.Hour))
+	fx.board.Groups.Put(service, row)
+	requireRefusal(t, <-answered, verdict.CodeCannotConnectNow, verdict.NotRun)
+	fx.now.Store(int64(time.Hour))
+	require.Zero(t, count(t, conn))
+}
+
 // TestLeaseExpiresWhileTheKeyIsAwaited guards against an instance that judges a key by a
 // configuration that may no longer be in force, because its lease expired after it had
 // asked for the key.
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -28,6 +28,11 @@
 		if err != nil {
 			return c.answerError(rq, rq.correctVerdict(verdict.As(err, verdict.NotRun)))
 		}
+		// The lease may have expired while the statement waited for its turn or a primary.
+		if err := c.server.servingLeaseError(); err != nil {
+			placed.lease.Release()
+			return c.answerError(rq, rq.correctVerdict(err))
+		}
 		result := c.attempt(ctx, rq, placed)
 		if result.callerErr != nil {
 			return result.callerErr
