harness: the set-up of a fleet repeats a change that was refused for now

TestFaultsAlone failed so in its set-up three times under load.

The set-up submits through operator.Repeat, whose test has each kind of refusal. TestFaultsAlone/key_withdrawn passes; that a run under load needed the repetition was not seen.

--- a/internal/harness/configure.go
+++ b/internal/harness/configure.go
@@ -15,6 +15,7 @@
 	configv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/config/v1"
 	operatorv1 "github.com/hornbeamlock/hornbeamlock/api/hornbeamlock/operator/v1"
 	"github.com/hornbeamlock/hornbeamlock/internal/history"
+	"github.com/hornbeamlock/hornbeamlock/internal/operator"
 	"github.com/hornbeamlock/hornbeamlock/internal/settings"
 	"github.com/hornbeamlock/hornbeamlock/internal/standin/database"
 )
@@ -44,16 +45,18 @@
 	defer conn.Close() //nolint:errcheck // nothing is in flight
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	response, err := client.ApplyChange(ctx, &operatorv1.ApplyChangeRequest{Change: &configv1.Change{
-		Id: uuid.NewString(), Author: author, Operations: f.operations(),
-	}}, grpc.WaitForReady(true))
+	change := &operatorv1.ApplyChangeRequest{Change: &configv1.Change{Id: uuid.NewString(), Author: author, Operations: f.operations()}}
+	response, err := operator.Repeat(ctx, func(ctx context.Context) (*operatorv1.ApplyChangeResponse, error) {
+		return client.ApplyChange(ctx, change, grpc.WaitForReady(true))
+	})
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	version := response.GetVersion()
 	for _, o := range f.cfg.Deployment.Organisations {
-		key, err := client.CreateKey(ctx, &operatorv1.CreateKeyRequest{
-			Organisation: o.Name, BaseVersion: version, ChangeId: uuid.NewString(), Author: author,
+		create := &operatorv1.CreateKeyRequest{Organisation: o.Name, BaseVersion: version, ChangeId: uuid.NewString(), Author: author}
+		key, err := operator.Repeat(ctx, func(ctx context.Context) (*operatorv1.CreateKeyResponse, error) {
+			return client.CreateKey(ctx, create)
 		})
 		if err != nil {
 			return trace.Wrap(err, "key of %s", o.Name)
