edge: an answer of up to 32 MiB passes from a connection owner, and a larger one shows no failure

What was seen: a read with nine rows of 1 MiB, by way of a connection owner, ran twice: the owner was taken for unresponsive, and the statement ran again on a connection of the instance.

Cause: the reply was cut off at the 8 MiB that bound messages between instances, as if that were its end, and the JSON could not be read. An answer on an own connection has no such bound.

Change: responses have a bound of their own of 32 MiB. One above it is recognised as such: it counts as too_large, not as unresponsive, and the next attempt takes another way, as before.

--- a/internal/edge/owner_statement.go
+++ b/internal/edge/owner_statement.go
@@ -51,7 +51,8 @@
 	fallbackFailed       = "failed"
 	// fallbackEarlierVersion means that the owner does not understand escaped messages.
 	fallbackEarlierVersion = "earlier_version"
-	// fallbackTooLarge means that the message exceeds the limit of those between instances.
+	// fallbackTooLarge means that the message or its response exceeds the limit of those between
+	// instances.
 	fallbackTooLarge = "too_large"
 )
 
@@ -142,7 +143,10 @@
 		return readResult{}, trace.Wrap(err)
 	case trace.IsLimitExceeded(err):
 		i.countOwnerFallback(fallbackTooLarge)
-		return readResult{}, trace.Wrap(err)
+		if sent { // the answer is too large, and that of the next attempt will be
+			i.ownerSkippedUntil.Put(p.endpoint.ID, i.cfg.Clock()+ownerBackoff)
+		}
+		return readResult{Sent: sent}, trace.Wrap(err)
 	case err != nil:
 		i.recordOwnerError(p.owner, p.endpoint.ID, err)
 		return readResult{Sent: sent}, trace.Wrap(err)
--- a/internal/edge/owner_text_test.go
+++ b/internal/edge/owner_text_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -149,3 +152,20 @@
 	ran, _ := f.server.history()
 	require.Empty(t, ran)
 }
+
+// Guards against an owner that is taken for failed, and a statement for not sent, since the answer is above
+// the limit of those between instances.
+func TestAnswerAboveTheMessageLimitShowsNoFailure(t *testing.T) {
+	r := newOwnerFixture(t)
+	r.ownerDialer.answer = request.Answer{Rows: slices.Repeat([]string{strings.Repeat("a", 1<<20)}, 30)}
+	path, ok := r.requester.viaOwner(r.endpoint, "shop", backend.Turn{Priority: 1})
+	require.True(t, ok)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	_, sent, err := path.Run(ctx, nil, backend.Needs{}, request.Command{Statement: request.Statement{ID: "1", Kind: request.Read, Text: "READ 1"}})
+	require.Error(t, err)
+	require.True(t, sent)
+	require.Equal(t, `{"too_large": 1}`, r.requester.ownerFallbacks.String())
+	_, ok = r.requester.viaOwner(r.endpoint, "shop", backend.Turn{Priority: 1})
+	require.False(t, ok, "the next attempt needs another way")
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -26,6 +26,8 @@
 	// maxMessageBytes bounds one message; an encoded configuration with several
 	// thousand routes stays below 2 MiB.
 	maxMessageBytes = 8 << 20
+	// maxResponseBytes bounds one response. Those to statements hold whole answers of endpoints.
+	maxResponseBytes = 32 << 20
 	// idleTimeout is the time after which an unused connection is closed.
 	idleTimeout = 30 * time.Second
 	// maxIdleConnectionsPerPeer bounds the idle connections kept to each instance.
@@ -69,7 +71,7 @@
 
 // Call sends in to the handler of name at address and decodes the response into
 // out. The error of a recipient that has no such handler is a trace.NotFound, and that of a
-// message above the limit, which is not sent, a trace.LimitExceeded.
+// message above the limit, which is not sent, or of a response above it a trace.LimitExceeded.
 func (c *Client) Call(ctx context.Context, address, name string, in, out any) error {
 	c.sent.Add(name, 1)
 	body, err := json.Marshal(in)
@@ -88,10 +90,13 @@
 		return trace.Wrap(err)
 	}
 	defer response.Body.Close()
-	payload, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	payload, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if len(payload) > maxResponseBytes {
+		return trace.LimitExceeded("the response to %s has more than %d bytes", name, maxResponseBytes)
+	}
 	if response.StatusCode == http.StatusNotFound {
 		return trace.NotFound("peer %s does not handle %s", address, name)
 	}
