gateway: a repeated answer with the awaited command tag is recognised

Seen: a write, a COMMIT or a statement in a transaction was acknowledged with an earlier answer that arrived again, if the command tags were equal. The caller was told of a success that no server had reported. Cause: the tag was the only evidence. The answer to a query string has to end in the transaction state that the statement leaves behind, and what commits advances the position that the server reports. After an anomaly the connection is closed. Rows of a read outside a transaction with the same tag carry no evidence still.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -56,6 +56,8 @@
 	atReplica bool
 	// awaitingSync is true while lease is held only until the Sync of a batch.
 	awaitingSync bool
+	// wrote is true if the running transaction may have written.
+	wrote bool
 	// term is the term of the primary that runs the transaction.
 	term uint64
 	// registeredAtPrimary is true while the server's primaryCallers contain the statement.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -180,7 +180,7 @@
 			return x.incompleteOutcome(err)
 		}
 		if ready, ok := message.(*pgproto3.ReadyForQuery); ok {
-			if x.isComplete() {
+			if x.isComplete() && x.hasEvidence(ready.TxStatus) {
 				return x.finish(ready.TxStatus)
 			}
 			x.mismatched = true
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -22,6 +22,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/gateway"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
+	"github.com/hornbeamlock/hornbeamlock/internal/standin/database"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
 
@@ -44,6 +45,8 @@
 	beginRepeated
 	// closedAfterTag: the connection closes after the command tag.
 	closedAfterTag
+	// answerRepeated: the recorded answer arrives again first.
+	answerRepeated
 	// demotedAfterCommit: the server reports that it is a replica when it ends the response.
 	demotedAfterCommit
 )
@@ -51,6 +54,8 @@
 type faultConn struct {
 	*net.TCPConn
 	fault atomic.Int32
+	// last is the last answer; recorded is one that is repeated later.
+	last, recorded atomic.Pointer[[]byte]
 }
 
 // Read applies the fault to the data from the server.
@@ -61,6 +66,9 @@
 			return n, err
 		}
 		switch fault(c.fault.Load()) {
+		case 0:
+			last := bytes.Clone(p[:n])
+			c.last.Store(&last)
 		case unresponsive:
 			continue
 		case responseLost:
@@ -80,6 +88,9 @@
 			c.fault.Store(0)
 			stray := []byte("Z\x00\x00\x00\x05I")
 			n = copy(p, append(stray, p[:n]...))
+		case answerRepeated:
+			c.fault.Store(0)
+			n = copy(p, slices.Concat(*c.recorded.Load(), p[:n]))
 		case beginRepeated:
 			c.fault.Store(0)
 			stray, _ := (&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")}).Encode(nil)
@@ -91,14 +102,19 @@
 
 // injectFault applies a fault to all open connections.
 func (fx *fixture) injectFault(f fault) {
-	fx.dials.mu.Lock()
-	defer fx.dials.mu.Unlock()
-	for _, conn := range fx.dials.conns {
-		c := conn.(*faultConn)
+	fx.dials.each(func(c *faultConn) {
 		c.fault.Store(int32(f))
 		if f == connectionClosed {
 			c.Close()
 		}
+	})
+}
+
+func (d *dialer) each(do func(c *faultConn)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, conn := range d.conns {
+		do(conn.(*faultConn))
 	}
 }
 
@@ -202,6 +218,46 @@
 	}
 }
 
+// TestRepeatedAnswerWithTheTagIsNoEvidence guards against the answer to an earlier statement with the
+// same command tag that is taken for a success: the transaction state or the position differs.
+func TestRepeatedAnswerWithTheTagIsNoEvidence(t *testing.T) {
+	insert := func(id string) string { return "INSERT INTO passes (id, holder) VALUES (" + id + ", 'Anna')" }
+	for name, c := range map[string]struct {
+		statements []string
+		repeated   int // the statement whose answer arrives again for the last one
+		mode       string
+		verdict    verdict.Verdict
+	}{
+		"write":                           {[]string{insert("1"), insert("2")}, 0, "simple_protocol", verdict.MayHaveRun},
+		"write of the extended protocol":  {[]string{insert("1"), insert("2")}, 0, "exec", verdict.MayHaveRun},
+		"write, from before another":      {[]string{insert("1"), insert("2"), insert("3")}, 0, "simple_protocol", verdict.MayHaveRun},
+		"write, after one of no rows":     {[]string{"DELETE FROM passes", "DELETE FROM passes", insert("2")}, 1, "simple_protocol", verdict.MayHaveRun},
+		"commit":                          {[]string{"BEGIN", insert("1"), "COMMIT", "BEGIN", insert("2"), "COMMIT"}, 2, "simple_protocol", verdict.MayHaveRun},
+		"write in a transaction":          {[]string{insert("1"), "BEGIN", insert("2")}, 0, "simple_protocol", verdict.NotRun},
+		"read in a transaction":           {[]string{"SELECT 1", "BEGIN", "SELECT count(*) FROM passes"}, 0, "simple_protocol", verdict.NotRun},
+		"write after that of transaction": {[]string{"BEGIN", insert("1"), "ROLLBACK", insert("2")}, 1, "simple_protocol", verdict.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx := newFaultFixture(t, options{units: 1, database: database.Config{Servers: []database.ServerConfig{{Endpoint: service + "/1"}}}})
+			conn := fx.connect("default_query_exec_mode=" + c.mode)
+			last := len(c.statements) - 1
+			for n, sql := range c.statements[:last] {
+				exec(t, conn, sql)
+				if n == c.repeated {
+					fx.dials.each(func(conn *faultConn) { conn.recorded.Store(conn.last.Load()) })
+				}
+			}
+			fx.injectFault(answerRepeated)
+			_, err := conn.Exec(context.Background(), c.statements[last])
+			require.Error(t, err)
+			require.Equal(t, c.verdict == verdict.NotRun, reportedNotRun(err), "%v", err)
+			other := fx.connect("default_query_exec_mode=simple_protocol")
+			exec(t, other, insert("4"))
+			require.Positive(t, count(t, other), "answered over another connection")
+		})
+	}
+}
+
 // requireVerdictHolds compares the reported result with the stored rows.
 func requireVerdictHolds(t *testing.T, fx *fixture, name string, err error) {
 	t.Helper()
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -123,6 +123,7 @@
 func (x *exchange) keepOrRelease(status byte) {
 	x.c.countPlacement(x.rq, x.placed.replica)
 	x.c.awaitingSync = false
+	x.c.wrote = status != endpoint.StatusIdle && (x.c.wrote || x.rq.statement.Class == statement.Write) && x.rq.statement.Class != statement.Begin
 	if status != endpoint.StatusIdle {
 		x.c.lease, x.c.atReplica, x.c.term = x.placed.lease, x.placed.replica, x.placed.term
 		return
