--- a/internal/endpoint/repeated_test.go
+++ b/internal/endpoint/repeated_test.go
@@ -14,7 +14,8 @@
 )
 
 // startRepeating starts a server that answers each query with the tag that tags holds for it,
-// and sends the answer to a query of the name "repeated" once more when the next one arrives.
+// and sends the answer to a query of the name "repeated" once more when the next one arrives, and that
+// to "twice" at once.
 func startRepeating(t *testing.T, tags map[string]string) endpoint.Config {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -56,6 +57,9 @@
 				repeat = done
 			}
 			answer(done)
+			if query.String == "twice" {
+				answer(done)
+			}
 		}
 	}()
 	return endpoint.Config{
@@ -86,3 +90,16 @@
 		})
 	}
 }
+
+// Guards against an answer that arrives while nothing is awaited, and is taken for that of the next
+// statement: nothing is sent after it.
+func TestAnswerWhileIdleEndsTheConnection(t *testing.T) {
+	conn := connect(t, startRepeating(t, map[string]string{"twice": "INSERT 0 1"}))
+	require.Equal(t, "INSERT 0 1", exec(t, conn, "twice"))
+	time.Sleep(20 * time.Millisecond) // the second answer arrives
+	started, err := conn.Send(query("twice"), 1)
+	require.Error(t, err)
+	require.False(t, started)
+	require.False(t, conn.IsClean(), "the connection serves nobody any more")
+	conn.Close()
+}
