statement: DEALLOCATE names the statement that the server would name

Seen: DEALLOCATE of a name with bytes that are not UTF-8, or with letters that only Unicode folds, named another statement; DEALLOCATE "" dropped all of a session's statements, and constants, numbers and escaped identifiers counted as names. EXECUTE of a statement that is dropped so, is refused as unknown. Cause: identifiers were folded as Unicode text, and any one token was a name. Evidence: TestDeallocateNamesWhatTheServerWould failed before. The server folds the letters A to Z only (downcase_identifier, in UTF-8) and takes an identifier that is not empty. The names of settings are folded alike.

--- a/internal/gateway/startup_list.go
+++ b/internal/gateway/startup_list.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/hornbeamlock/hornbeamlock/internal/statement"
+)
 
 // listSetting is the setting whose value at the start of a session is a list of identifiers. SET
 // takes one literal for one identifier, commas included.
@@ -23,7 +27,7 @@
 	return strings.Join(elements, ", "), true
 }
 
-// whiteSpace are the characters that may surround an identifier in a list.
+// whiteSpace are the characters that may surround an identifier in a list, and that separate options.
 const whiteSpace = " \t\n\r\f\v"
 
 // cutIdentifier returns the first identifier of a list, what follows its comma, and whether there
@@ -32,7 +36,7 @@
 func cutIdentifier(list string) (name, rest string, more, ok bool) {
 	if !strings.HasPrefix(list, `"`) {
 		name, rest, more = strings.Cut(list, ",")
-		name = lowerASCII(strings.TrimRight(name, whiteSpace))
+		name = statement.LowerASCII(strings.TrimRight(name, whiteSpace))
 		return name, rest, more, name != "" && !strings.ContainsAny(name, whiteSpace+`"`)
 	}
 	var quoted strings.Builder
@@ -51,14 +55,3 @@
 	more = strings.HasPrefix(rest, ",")
 	return quoted.String(), strings.TrimPrefix(rest, ","), more, more || rest == ""
 }
-
-// lowerASCII returns text with the letters A to Z in lower case, and all other bytes as they are.
-func lowerASCII(text string) string {
-	lower := []byte(text)
-	for n, c := range lower {
-		if c >= 'A' && c <= 'Z' {
-			lower[n] = c + 'a' - 'A'
-		}
-	}
-	return string(lower)
-}
--- a/internal/statement/classify.go
+++ b/internal/statement/classify.go
@@ -129,18 +129,21 @@
 
 func classifyDeallocate(tokens []token) Statement {
 	rest := tokens[1:]
-	if len(rest) > 0 && rest[0].is("prepare") {
+	if len(rest) > 1 && rest[0].is("prepare") {
 		rest = rest[1:]
 	}
-	if len(rest) != 1 {
+	switch {
+	case len(rest) != 1 || rest[0].kind > quotedIdentifier || rest[0].text == "" || hasUnicodeEscapes(rest[0]):
 		return refused("this form of DEALLOCATE")
-	}
-	if rest[0].is("all") {
+	case rest[0].is("all"):
 		return Statement{Class: Deallocate}
 	}
 	return Statement{Class: Deallocate, Name: rest[0].text}
 }
 
+// hasUnicodeEscapes reports whether a quoted identifier may be spelled with escapes, which are not decoded.
+func hasUnicodeEscapes(t token) bool { return t.kind == quotedIdentifier && t.raw[0] != '"' }
+
 func classifyDiscard(tokens []token) Statement {
 	if len(tokens) == 2 && tokens[1].is("all") {
 		return Statement{Class: DiscardAll}
--- a/internal/statement/scan.go
+++ b/internal/statement/scan.go
@@ -15,7 +15,7 @@
 	symbol
 )
 
-// token is one lexical element. The text of words is in lower case; the text of
+// token is one lexical element. The text of words is folded by LowerASCII; the text of
 // strings and quoted identifiers has no quotes. raw is the original spelling, and gap the
 // white space and comments before it.
 type token struct {
@@ -86,7 +86,7 @@
 func (s *scanner) emit(kind tokenKind, end int) bool {
 	text := s.sql[s.offset:end]
 	if kind == word {
-		text = strings.ToLower(text)
+		text = LowerASCII(text)
 	}
 	return s.add(kind, text, s.offset, end)
 }
@@ -203,6 +203,22 @@
 	return s.scanWhile(word, func(c byte) bool { return isLetter(c) || isDigit(c) || c == '$' })
 }
 
+// LowerASCII returns text with the letters A to Z in lower case, and all other bytes as they are. So does
+// the server fold identifiers without quotes.
+func LowerASCII(text string) string {
+	isUpper := func(c rune) bool { return c >= 'A' && c <= 'Z' }
+	if strings.IndexFunc(text, isUpper) < 0 {
+		return text
+	}
+	lower := []byte(text)
+	for n, c := range lower {
+		if isUpper(rune(c)) {
+			lower[n] = c + 'a' - 'A'
+		}
+	}
+	return string(lower)
+}
+
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
 // isLetter includes every byte of a multi-byte character, as the server does.
--- a/internal/statement/setting.go
+++ b/internal/statement/setting.go
@@ -12,7 +12,7 @@
 )
 
 // IsReplayable reports whether a session may set the endpoint setting of that name.
-func IsReplayable(name string) bool { return replayable[strings.ToLower(name)] }
+func IsReplayable(name string) bool { return replayable[LowerASCII(name)] }
 
 // classifySet classifies the forms of SET.
 func classifySet(tokens []token) Statement {
@@ -95,9 +95,9 @@
 	if len(tokens) == 0 || tokens[0].kind > quotedIdentifier {
 		return "", tokens
 	}
-	name = strings.ToLower(tokens[0].text)
+	name = LowerASCII(tokens[0].text)
 	if len(tokens) >= 3 && tokens[1].is(".") && tokens[2].kind <= quotedIdentifier {
-		return name + "." + strings.ToLower(tokens[2].text), tokens[3:]
+		return name + "." + LowerASCII(tokens[2].text), tokens[3:]
 	}
 	return name, tokens[1:]
 }
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -130,3 +130,18 @@
 		require.Equal(t, strings.TrimSuffix(value, " -- one\n"), st.Value)
 	}
 }
+
+// Guards against a DEALLOCATE of another statement, or of all: without quotes the server folds the
+// letters A to Z only, and keeps all other bytes.
+func TestDeallocateNamesWhatTheServerWould(t *testing.T) {
+	for name, want := range map[string]string{
+		"Q": "q", "\u00c9": "\u00c9", "Q\xff\xc3": "q\xff\xc3", "\u212a": "\u212a", `"Q"`: "Q", "\"\u00c9\"\"Q\"": "\u00c9\"Q", "prepare": "prepare", `PREPARE "all"`: "all",
+	} {
+		require.Equal(t, Statement{Class: Deallocate, Name: want}, Classify("DEALLOCATE "+name), name)
+	}
+	for _, name := range []string{`""`, "'q'", "1", "$1", "$$q$$", `U&"\0071"`, "e'q'", "q.q", ""} {
+		require.Equal(t, Refused, Classify("DEALLOCATE "+name).Class, name)
+	}
+	require.Empty(t, Classify("DEALLOCATE PREPARE ALL").Name)
+	require.Equal(t, Refused, Classify("SET wor\u212a_mem TO 1").Class, "the name of another setting")
+}
