gateway: options at a session's start are read as the server reads them

Seen: options separated by a tab or a line became part of the value before them, a backslash at the end became part of a value, and of an option and a parameter with the same name either prevailed, from session to session. Cause: options were split at blanks only, and applied in the order of a map. Evidence: TestOptionsAtStart failed before. They are split as in pg_split_opts, at any white space of ASCII, and applied first.

--- a/internal/gateway/startup.go
+++ b/internal/gateway/startup.go
@@ -90,24 +90,27 @@
 	return nil
 }
 
-// applyStartupParameters applies the settings of the startup message.
+// applyStartupParameters applies the settings of the startup message. As at the server, the options come
+// first, so that a parameter of its own prevails.
 func (c *caller) applyStartupParameters(parameters map[string]string) error {
+	if err := c.applyOptions(parameters[parameterOptions]); err != nil {
+		return err
+	}
 	for name, value := range parameters {
-		var err error
-		switch name = strings.ToLower(name); name {
-		case "user", "database", "application_name":
-		case "options":
-			err = c.applyOptions(value)
-		default:
-			err = c.applyStartupSetting(name, value)
+		switch name {
+		case "user", "database", "application_name", parameterOptions:
+			continue
 		}
-		if err != nil {
+		if err := c.applyStartupSetting(statement.LowerASCII(name), value); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// parameterOptions is the startup parameter that holds options of the server's command line.
+const parameterOptions = "options"
+
 // applyOptions parses "-c name=value" and "--name=value".
 func (c *caller) applyOptions(options string) error {
 	fields := splitOptions(options)
@@ -127,32 +130,35 @@
 		if !ok {
 			return invalidParameter("options: %q lacks a value", assignment)
 		}
-		if err := c.applyStartupSetting(strings.ToLower(name), value); err != nil {
+		if err := c.applyStartupSetting(statement.LowerASCII(name), value); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// splitOptions splits at spaces; a backslash escapes the next character.
+// splitOptions splits at white space; a backslash escapes the next byte.
 func splitOptions(options string) []string {
 	var fields []string
 	var field strings.Builder
+	inField := false
 	for i := 0; i < len(options); i++ {
-		switch {
-		case options[i] == '\\' && i+1 < len(options):
-			i++
-			field.WriteByte(options[i])
-		case options[i] == ' ':
-			if field.Len() > 0 {
-				fields = append(fields, field.String())
-			}
+		isSpace := strings.IndexByte(whiteSpace, options[i]) >= 0
+		if isSpace && inField {
+			fields = append(fields, field.String())
 			field.Reset()
-		default:
+		}
+		if inField = !isSpace; isSpace {
+			continue
+		}
+		if options[i] == '\\' {
+			i++
+		}
+		if i < len(options) {
 			field.WriteByte(options[i])
 		}
 	}
-	if field.Len() > 0 {
+	if inField {
 		fields = append(fields, field.String())
 	}
 	return fields
