standin: values of SET and names of DEALLOCATE are kept as written

Seen: the stand-in lost quotes, and white space of Unicode, at the ends of a value, and dropped all statements for a name that it could not read, so that no test could see that the product changes them. Cause: quotes were trimmed, not read. Evidence: TestSettingsAndNamesAreKeptAsWritten failed before.

--- a/internal/standin/database/database_test.go
+++ b/internal/standin/database/database_test.go
@@ -376,3 +376,33 @@
 		}
 	})
 }
+
+// Guards against a stand-in that hides a changed text: a value keeps all its bytes, and DEALLOCATE drops
+// the named statement only.
+func TestSettingsAndNamesAreKeptAsWritten(t *testing.T) {
+	group := startGroup(t, database.Config{})
+	conn := connect(t, group, group.Primary())
+	for written, want := range map[string]string{
+		"'a'": "a", "' a\r '": " a\r ", "'''a'''": "'a'", "''": "", "''''": "'", "'it''s'": "it's", "'a', 'b'": "'a', 'b'", "a, \"B\"": `a, "B"`,
+		"'\xff;'": "\xff;", "\u00a0a\u00a0": "\u00a0a\u00a0", "1 ": "1", "\"'\"": "\"'\"",
+	} {
+		var value string
+		_, err := conn.Exec(t.Context(), "SET search_path TO "+written, pgx.QueryExecModeSimpleProtocol)
+		require.NoError(t, err, written)
+		require.NoError(t, conn.QueryRow(t.Context(), "SHOW search_path", pgx.QueryExecModeSimpleProtocol).Scan(&value))
+		require.Equal(t, want, value, written)
+	}
+	names := []string{"q", "Q", "É", "é", `a"b`, "prepare", "all"}
+	for n, name := range []string{"Q", `"Q"`, "É", `PREPARE "é"`, `"a""b"`, "prepare", `"all"`} {
+		for _, name := range names {
+			_, err := conn.PgConn().Prepare(t.Context(), name, "SELECT 1", nil)
+			require.NoError(t, err, name)
+		}
+		exec(t, conn, "DEALLOCATE "+name, pgx.QueryExecModeSimpleProtocol)
+		for m, other := range names {
+			err := conn.PgConn().ExecPrepared(t.Context(), other, nil, nil, nil).Read().Err
+			require.Equal(t, m == n, err != nil, "%s after DEALLOCATE %s", other, name)
+		}
+		exec(t, conn, "DEALLOCATE ALL", pgx.QueryExecModeSimpleProtocol)
+	}
+}
--- a/internal/standin/database/rewrite.go
+++ b/internal/standin/database/rewrite.go
@@ -33,12 +33,15 @@
 }
 
 func appendNonEmpty(statements []string, text string) []string {
-	if text = strings.TrimSpace(text); text != "" {
+	if text = strings.Trim(text, whiteSpace); text != "" {
 		return append(statements, text)
 	}
 	return statements
 }
 
+// whiteSpace are the characters between the words of a statement.
+const whiteSpace = " \t\n\r\f\v"
+
 // segment is a part of a query text that is either quoted or contains no quotes.
 type segment struct {
 	text   string
@@ -102,7 +105,7 @@
 // rewrite translates a statement from PostgreSQL's dialect to the store's.
 func rewrite(text string) statementText {
 	var sql strings.Builder
-	parts := segments(strings.TrimSuffix(strings.TrimSpace(text), ";"))
+	parts := segments(strings.TrimSuffix(strings.Trim(text, whiteSpace), ";"))
 	for _, part := range mergeUnquoted(parts) {
 		if !part.quoted {
 			part.text = castPattern.ReplaceAllString(part.text, "")
@@ -110,7 +113,7 @@
 		}
 		sql.WriteString(part.text)
 	}
-	st := statementText{sql: strings.TrimSpace(sql.String())}
+	st := statementText{sql: strings.Trim(sql.String(), whiteSpace)}
 	if at := lockPattern.FindStringIndex(st.sql); at != nil {
 		st.sql, st.locks = st.sql[:at[0]], true
 	}
--- a/internal/standin/database/settings.go
+++ b/internal/standin/database/settings.go
@@ -8,6 +8,8 @@
 var (
 	setPattern  = regexp.MustCompile(`(?is)^set\s+(?:session\s+|local\s+)?([\w.]+)\s*(?:=|\s+to\s+|\s)\s*(.+)$`)
 	namePattern = regexp.MustCompile(`(?is)^\w+\s+([\w.]+)\s*$`)
+	// deallocatePattern matches DEALLOCATE of a name without quotes or with.
+	deallocatePattern = regexp.MustCompile(`(?is)^\w+\s+(?:prepare\s+)?(?:([^\s"]+)|"((?:[^"]|"")+)")$`)
 )
 
 // settingCommand runs SET, SHOW, RESET, DISCARD and DEALLOCATE.
@@ -25,14 +27,13 @@
 		s.reset(name)
 		return &execution{tag: "RESET"}, nil
 	case "DEALLOCATE":
-		s.deallocate(name)
-		return &execution{tag: "DEALLOCATE"}, nil
+		return s.deallocate(st.sql)
 	default:
 		if s.txn.status != statusIdle {
 			return nil, newSQLError("25001", "DISCARD ALL cannot run inside a transaction block")
 		}
 		s.reset("all")
-		s.deallocate("all")
+		clear(s.prepared)
 		return &execution{tag: "DISCARD ALL"}, nil
 	}
 }
@@ -49,7 +50,7 @@
 			s.txn.readOnly = true
 		}
 	default:
-		s.settings[name] = strings.Trim(strings.TrimSpace(match[2]), "'")
+		s.settings[name] = settingValue(match[2])
 	}
 	return &execution{tag: "SET"}, nil
 }
@@ -78,10 +79,39 @@
 	delete(s.settings, name)
 }
 
-func (s *session) deallocate(name string) {
-	if name == "all" || name == "" {
+func (s *session) deallocate(sql string) (*execution, error) {
+	match := deallocatePattern.FindStringSubmatch(sql)
+	switch {
+	case match == nil:
+		return nil, newSQLError(codeSyntaxError, "malformed DEALLOCATE")
+	case match[2] != "":
+		delete(s.prepared, strings.ReplaceAll(match[2], `""`, `"`))
+	case lowerASCII(match[1]) == "all":
 		clear(s.prepared)
-		return
+	default:
+		delete(s.prepared, lowerASCII(match[1]))
+	}
+	return &execution{tag: "DEALLOCATE"}, nil
+}
+
+// lowerASCII folds a name without quotes as the server does. It is not the product's function, which may be wrong.
+func lowerASCII(name string) string {
+	lower := []byte(name)
+	for i, c := range lower {
+		if 'A' <= c && c <= 'Z' {
+			lower[i] = c | 0x20
+		}
+	}
+	return string(lower)
+}
+
+// settingValue returns the value of a SET: the content of one string constant, anything else as written.
+func settingValue(written string) string {
+	written = strings.Trim(written, whiteSpace)
+	inner, opened := strings.CutPrefix(written, "'")
+	inner, closed := strings.CutSuffix(inner, "'")
+	if !opened || !closed || strings.Contains(strings.ReplaceAll(inner, "''", ""), "'") {
+		return written
 	}
-	delete(s.prepared, name)
+	return strings.ReplaceAll(inner, "''", "'")
 }
