edge: a success by way of an owner needs the endpoint's signature

Seen: a requester acknowledged a read, a write or a COMMIT to which the owner had replied without an error and without a signature. Cause: success was the absence of an error. Owners of earlier versions take any answer of an endpoint so, and a reply without the field counted alike. Evidence: TestSuccessAtOwnerNeedsASignature failed before. Such a reply counts as lost, and the owner is skipped; ROLLBACK is the only command sent to owners that is not signed.

--- a/internal/edge/owner_statement.go
+++ b/internal/edge/owner_statement.go
@@ -58,6 +58,7 @@
 
 var (
 	errOwnerSilent    = errors.New("edge: no response from the connection owner yet")
+	errOwnerUnsigned  = errors.New("edge: the connection owner has returned no signature of the endpoint")
 	errOwnerUncertain = errors.New("edge: the primary is no longer certain at the connection owner")
 )
 
@@ -126,7 +127,8 @@
 }
 
 // call sends a message that must not run twice to the owner. With an error, the result's Sent
-// is false only if the endpoint cannot have received the statement.
+// is false only if the endpoint cannot have received the statement. Of the commands that are sent
+// to owners, ROLLBACK alone succeeds without the endpoint's signature.
 func (p ownerPath) call(ctx context.Context, name string, message readMessage) (result readResult, err error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
@@ -155,6 +157,11 @@
 	if err := i.checkOwnerReply(p.owner, p.endpoint.ID, result); err != nil {
 		return result, err
 	}
+	if result.Refused == nil && len(result.Signature) == 0 && message.Command.Kind != request.Rollback {
+		i.countOwnerFallback(fallbackFailed)
+		i.markOwnerFailed(p.owner, p.endpoint.ID, errOwnerUnsigned)
+		return readResult{Sent: true}, errOwnerUnsigned
+	}
 	failed := result.Refused != nil && backend.CannotServe(request.Answer{Err: result.Refused})
 	i.health.ObserveViaOwner(p.endpoint.ID, i.cfg.Clock()-began, failed)
 	return result, nil
--- a/internal/edge/owner_text_test.go
+++ b/internal/edge/owner_text_test.go
@@ -69,13 +69,18 @@
 // messages.
 func (r *ownerFixture) earlierOwner(t *testing.T) {
 	handler := r.owner.Handler()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+	r.ownerServes(t, func(w http.ResponseWriter, request *http.Request) {
 		if request.URL.Path == "/peer/escaped" {
 			http.NotFound(w, request)
 			return
 		}
 		handler.ServeHTTP(w, request)
-	}))
+	})
+}
+
+// ownerServes puts handler in the owner's place.
+func (r *ownerFixture) ownerServes(t *testing.T, handler http.HandlerFunc) {
+	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	members := r.requester.members.Get()
 	members[1].Address = server.Listener.Addr().String()
@@ -169,3 +174,24 @@
 	_, ok = r.requester.viaOwner(r.endpoint, "shop", backend.Turn{Priority: 1})
 	require.False(t, ok, "the next attempt needs another way")
 }
+
+// Guards against a success without the endpoint's signature: owners of earlier versions take any answer
+// without an error, and what is missing in a reply is no answer.
+func TestSuccessAtOwnerNeedsASignature(t *testing.T) {
+	for _, reply := range []string{"null", "{}", `{"sent":true,"answer":{}}`, `{"sent":true,"answer":{"Transaction":2}}`, `{"sent":true,"signature":"","answer":{}}`} {
+		f := newTransactionFixture(t)
+		f.ownerServes(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(reply)) })
+		path := f.path()
+		_, sent, err := path.Run(f.context(), f.use, backend.Needs{}, statementOf(request.Write, "W1"))
+		require.Error(t, err, reply)
+		require.True(t, sent)
+		begun, err := path.Begin(f.context(), f.use, statementOf(request.Begin, "BEGIN"), statementOf(request.Read, "R1"), backend.Needs{})
+		require.Error(t, err, reply)
+		require.True(t, begun.Sent)
+		sent, err = f.run(&ownerConn{path: path.(ownerPath)}, statementOf(request.Commit, "COMMIT"))
+		require.Error(t, err, reply)
+		require.True(t, sent)
+		_, err = f.run(&ownerConn{path: path.(ownerPath)}, statementOf(request.Rollback, "ROLLBACK"))
+		require.NoError(t, err, reply)
+	}
+}
