backend: each set-up outside a transaction has a barrier behind it

A single SET or RESET had none where its acknowledgement was expected at a new position, and inside a transaction the last SET was sent twice only where it was not. That rests on endpoints that repeat an answer with the position that it had; the protocol does not say so. The barrier goes with the same message, so that it costs no time. Two branches, a loop and a field are gone.

--- a/internal/backend/attribution.go
+++ b/internal/backend/attribution.go
@@ -85,8 +85,6 @@
 	// unanswered holds the transaction states of the acknowledgements that may still be to come, since
 	// a repetition may have been taken in their place.
 	unanswered map[request.Transaction]struct{}
-	// reported is the newest position that the endpoint has reported.
-	reported position.Position
 	// state is the transaction state after the last answer that was taken. begun is true if an open
 	// transaction has certainly begun.
 	state request.Transaction
@@ -104,25 +102,14 @@
 // no certain answer has come since.
 func (a *attribution) isUncertain() bool { return len(a.unanswered) > 0 }
 
-// isNew reports whether an answer at the position is no repetition of one recorded under the key.
-func isNew[K comparable](newest map[K]position.Position, key K, at position.Position) bool {
+// record records an answer under the key. It reports whether the answer is new, and no repetition of an
+// earlier one.
+func record[K comparable](newest map[K]position.Position, key K, at position.Position) bool {
 	last, recorded := newest[key]
+	newest[key] = last.Max(at)
 	return !recorded || last.Less(at)
 }
 
-// record records an answer under the key, and reports whether it is new.
-func record[K comparable](newest map[K]position.Position, key K, at position.Position) bool {
-	isNew := isNew(newest, key, at)
-	newest[key] = newest[key].Max(at)
-	return isNew
-}
-
-// needsBarrier reports whether so many commands without signature leave the connection uncertain, unless a
-// certain answer follows.
-func (a *attribution) needsBarrier(commands int) bool {
-	return a.isUncertain() || commands > 1 || commands == 1 && !isNew(a.acknowledged, a.state, a.reported)
-}
-
 // isSigned reports whether an endpoint signs its answers to commands of the kind.
 func isSigned(kind request.Kind) bool {
 	return kind == request.Read || kind == request.Write || kind == request.Execute || kind == request.Commit
@@ -142,7 +129,6 @@
 
 // rule decides on an answer that arrives while one to the command is awaited.
 func (a *attribution) rule(command request.Command, answer request.Answer) (ruling, string) {
-	a.reported = a.reported.Max(answer.Position)
 	switch {
 	case answer.Greeting:
 		return skipped, reasonGreetingRepeated
--- a/internal/backend/attribution_test.go
+++ b/internal/backend/attribution_test.go
@@ -88,7 +88,7 @@
 		{name: "BEGIN with rows", kind: request.Begin, arriving: []request.Answer{{Rows: []string{"a"}, Transaction: request.Open}}, sent: true},
 		{name: "SET with a signature", kind: request.Write, needs: colour, arriving: []request.Answer{signed("s", request.Idle), signed("t", request.Idle)}},
 		{name: "SET that opens a transaction", kind: request.Write, needs: colour, arriving: []request.Answer{unsigned(request.Open), signed("t", request.Idle)}},
-		{name: "answer after that of SET", kind: request.Write, needs: colour, arriving: []request.Answer{unsigned(request.Idle), signed("t", request.Idle)}, unread: true},
+		{name: "answer after that of SET", kind: request.Write, needs: colour, arriving: []request.Answer{unsigned(request.Idle), refusal(verdict.CodeBehind), signed("t", request.Idle)}, unread: true},
 		{
 			name: "failed PREPARE and busy EXECUTE", kind: request.Execute, needs: prepared,
 			arriving: []request.Answer{refusal(verdict.CodeReadOnlyTransaction), refusal(verdict.CodeCannotConnectNow)}, sent: true,
@@ -168,7 +168,7 @@
 		core, logged := observer.New(zap.InfoLevel)
 		conn.pool.pools.cfg.Log = zap.New(core)
 		if needs.Values != nil {
-			raw.answers = []request.Answer{unsigned(request.Idle)}
+			raw.answers = []request.Answer{unsigned(request.Idle), refusal(verdict.CodeBehind)}
 		}
 		raw.answers = append(raw.answers, signed("1", request.Idle))
 		for n := range 3 {
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -193,14 +193,14 @@
 		}
 		return kinds
 	}
-	require.Equal(t, []request.Kind{request.Set, request.Read}, run(map[string]string{"colour": "red"}))
+	require.Equal(t, []request.Kind{request.Set, request.Begin, request.Read}, run(map[string]string{"colour": "red"}))
 	require.Equal(t, []request.Kind{request.Read}, run(map[string]string{"colour": "red"}))
-	require.Equal(t, []request.Kind{request.Set, request.Read}, run(map[string]string{"colour": "blue"}))
-	require.Equal(t, []request.Kind{request.Reset, request.Read}, run(nil))
+	require.Equal(t, []request.Kind{request.Set, request.Begin, request.Read}, run(map[string]string{"colour": "blue"}))
+	require.Equal(t, []request.Kind{request.Reset, request.Begin, request.Read}, run(nil))
 	pooled, err := p.Acquire(t.Context(), testEndpoint, "a", Turn{})
 	require.NoError(t, err)
 	pooled.Release() // acquired, and nothing sent
-	require.Equal(t, []request.Kind{request.Set, request.Read}, run(map[string]string{"colour": "red"}))
+	require.Equal(t, []request.Kind{request.Set, request.Begin, request.Read}, run(map[string]string{"colour": "red"}))
 }
 
 // TestStatementDoesNotRunWithoutItsSession guards against a statement that an endpoint runs although it
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -160,69 +160,48 @@
 	return request.Answer{Err: unknown.WithCause(err)}, true, nil
 }
 
-// setUp sends commands without a signed answer. The endpoint runs what follows a failed SET or RESET,
-// with the values of another session, so that nothing may be sent behind them before all have been
-// answered.
+// setUp sends commands without a signed answer, with a barrier behind them. The endpoint runs what follows
+// a failed SET or RESET, with the values of another session, so that nothing may be sent behind them
+// before all have been answered.
 func (pc *PooledConn) setUp(ctx context.Context, commands []request.Command) error {
 	if pc.inTransaction {
 		return pc.setUpInTransaction(ctx, commands)
 	}
-	for {
-		withBarrier := pc.answers.needsBarrier(len(commands))
-		if withBarrier {
-			commands = append(commands, barrier)
-		}
-		answers, err := pc.exchange(ctx, commands)
-		switch {
-		case err != nil:
-			return err
-		case withBarrier && !isBehind(answers[len(answers)-1]):
-			return errBarrier
-		case withBarrier:
-			answers = answers[:len(answers)-1]
-		}
-		switch {
-		case setupError(answers) != nil:
-			return setupError(answers)
-		case !pc.isQuiet():
-			return errOutOfTurn
-		case withBarrier || !pc.answers.isUncertain():
-			return nil
-		}
-		commands = nil
+	answers, err := pc.exchange(ctx, append(commands, barrier))
+	if err != nil {
+		return err
 	}
+	answers, last := answers[:len(commands)], answers[len(commands)]
+	switch {
+	case setupError(answers) != nil:
+		return setupError(answers)
+	case !isBehind(last):
+		return errBarrier
+	case !pc.isQuiet():
+		return errOutOfTurn
+	}
+	return nil
 }
 
 func isBehind(answer request.Answer) bool {
 	return answer.Err != nil && answer.Err.Code == verdict.CodeBehind
 }
 
-// setUpInTransaction sends commands inside a transaction, which a barrier would fail. Unless its answer is
-// certain, the last one is sent again, so that one repetition does not hide an error.
+// setUpInTransaction sends commands inside a transaction, which a barrier would fail. The last one is sent
+// twice, so that one repetition does not hide an error.
 func (pc *PooledConn) setUpInTransaction(ctx context.Context, commands []request.Command) error {
-	last := commands[len(commands)-1]
-	repeated := pc.answers.needsBarrier(len(commands))
-	if repeated {
-		commands = append(commands, last)
-	}
-	for {
-		answers, err := pc.exchange(ctx, commands)
-		switch {
-		case err != nil:
-			return err
-		case setupError(answers) != nil:
-			return setupError(answers)
-		case !pc.isQuiet():
-			return errOutOfTurn
-		case !pc.answers.isUncertain():
-			return nil
-		case repeated && pc.pool.repeats():
-			return errUnattributed
-		case repeated:
-			return nil
-		}
-		commands, repeated = []request.Command{last}, true
+	answers, err := pc.exchange(ctx, append(commands, commands[len(commands)-1]))
+	switch {
+	case err != nil:
+		return err
+	case setupError(answers) != nil:
+		return setupError(answers)
+	case !pc.isQuiet():
+		return errOutOfTurn
+	case pc.answers.isUncertain() && pc.pool.repeats():
+		return errUnattributed
 	}
+	return nil
 }
 
 // exchange sends commands, attributes the answers, and records how the endpoint responds.
