gateway: transactions in batches need evidence of their COMMIT too

A repeated answer with the awaited tag was recognised for a COMMIT of its own message only; the batches of the extended protocol have their cases now (TestRepeatedAnswerWithTheTagIsNoEvidence).

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -15,7 +15,7 @@
 		return true
 	case !x.isStateAfter(status):
 		return false
-	case x.startPosition.Less(x.conn.Position()) || !x.mayHaveCommitted(status) || x.rq.commits && !x.c.wrote:
+	case x.startPosition.Less(x.conn.Position()) || !x.mayHaveCommitted(status) || x.rq.statement.Class == statement.Commit && !x.c.wrote:
 		return true
 	}
 	return x.conn.Probe(x.confirmTimeout()) == nil
--- a/internal/gateway/faults_test.go
+++ b/internal/gateway/faults_test.go
@@ -224,31 +224,44 @@
 	insert := func(id string) string { return "INSERT INTO passes (id, holder) VALUES (" + id + ", 'Anna')" }
 	for name, c := range map[string]struct {
 		statements []string
-		repeated   int // the statement whose answer arrives again for the last one
-		mode       string
+		repeated   int  // the statement whose answer arrives again for the last one
+		extended   bool // the statements are batches of the extended protocol
 		verdict    verdict.Verdict
 	}{
-		"write":                           {[]string{insert("1"), insert("2")}, 0, "simple_protocol", verdict.MayHaveRun},
-		"write of the extended protocol":  {[]string{insert("1"), insert("2")}, 0, "exec", verdict.MayHaveRun},
-		"write, from before another":      {[]string{insert("1"), insert("2"), insert("3")}, 0, "simple_protocol", verdict.MayHaveRun},
-		"write, after one of no rows":     {[]string{"DELETE FROM passes", "DELETE FROM passes", insert("2")}, 1, "simple_protocol", verdict.MayHaveRun},
-		"commit":                          {[]string{"BEGIN", insert("1"), "COMMIT", "BEGIN", insert("2"), "COMMIT"}, 2, "simple_protocol", verdict.MayHaveRun},
-		"write in a transaction":          {[]string{insert("1"), "BEGIN", insert("2")}, 0, "simple_protocol", verdict.NotRun},
-		"read in a transaction":           {[]string{"SELECT 1", "BEGIN", "SELECT count(*) FROM passes"}, 0, "simple_protocol", verdict.NotRun},
-		"write after that of transaction": {[]string{"BEGIN", insert("1"), "ROLLBACK", insert("2")}, 1, "simple_protocol", verdict.MayHaveRun},
+		"write":                           {[]string{insert("1"), insert("2")}, 0, false, verdict.MayHaveRun},
+		"write of the extended protocol":  {[]string{insert("1"), insert("2")}, 0, true, verdict.MayHaveRun},
+		"transaction in a batch":          {[]string{"BEGIN; " + insert("1") + "; COMMIT", "BEGIN; " + insert("2") + "; COMMIT"}, 0, true, verdict.MayHaveRun},
+		"write, from before another":      {[]string{insert("1"), insert("2"), insert("3")}, 0, false, verdict.MayHaveRun},
+		"write, after one of no rows":     {[]string{"DELETE FROM passes", "DELETE FROM passes", insert("2")}, 1, false, verdict.MayHaveRun},
+		"commit":                          {[]string{"BEGIN", insert("1"), "COMMIT", "BEGIN", insert("2"), "COMMIT"}, 2, false, verdict.MayHaveRun},
+		"write in a transaction":          {[]string{insert("1"), "BEGIN", insert("2")}, 0, false, verdict.NotRun},
+		"read in a transaction":           {[]string{"SELECT 1", "BEGIN", "SELECT count(*) FROM passes"}, 0, false, verdict.NotRun},
+		"write after that of transaction": {[]string{"BEGIN", insert("1"), "ROLLBACK", insert("2")}, 1, false, verdict.MayHaveRun},
 	} {
 		t.Run(name, func(t *testing.T) {
 			fx := newFaultFixture(t, options{units: 1, database: database.Config{Servers: []database.ServerConfig{{Endpoint: service + "/1"}}}})
-			conn := fx.connect("default_query_exec_mode=" + c.mode)
+			conn := fx.connect("default_query_exec_mode=simple_protocol")
+			run := func(sql string) error {
+				if !c.extended {
+					_, err := conn.Exec(context.Background(), sql)
+					return err
+				}
+				var batch pgconn.Batch
+				for statement := range strings.SplitSeq(sql, "; ") {
+					batch.ExecParams(statement, nil, nil, nil, nil)
+				}
+				_, err := conn.PgConn().ExecBatch(context.Background(), &batch).ReadAll()
+				return err
+			}
 			last := len(c.statements) - 1
 			for n, sql := range c.statements[:last] {
-				exec(t, conn, sql)
+				require.NoError(t, run(sql))
 				if n == c.repeated {
 					fx.dials.each(func(conn *faultConn) { conn.recorded.Store(conn.last.Load()) })
 				}
 			}
 			fx.injectFault(answerRepeated)
-			_, err := conn.Exec(context.Background(), c.statements[last])
+			err := run(c.statements[last])
 			require.Error(t, err)
 			require.Equal(t, c.verdict == verdict.NotRun, reportedNotRun(err), "%v", err)
 			other := fx.connect("default_query_exec_mode=simple_protocol")
