pause: no timer for no wait, which ended the process under the race detector

The race detector's runtime ended the test process of internal/edge ("ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346"), in runs of the tests Cut and EndedOutage: 2 of 15 and 2 of 25 runs at load averages of 4 to 29.

Cause: in Go 1.26.8 a goroutine of a synctest bubble that receives from a channel timer which is due but not in the timers' heap runs it itself, with the race context of the bubble's timers (runtime, unlockAndRun). Goroutines that do so at once use one context at the same time, which the detector does not allow. A program of ten lines without any of our code dies in the same way, in each of 6 runs; with that context replaced by that of the processor, 3 of 3 runs pass, and 0 of 25 runs of these tests end. A trace of such receives in this package showed one place, some 190 times a run: pause.For with a wait of 0, by confirmRecords of all instances in the same instant, when a request for confirmations had taken a whole interval. The instances and their goroutines end with their tests; nothing leaks.

pause.For now returns at once if there is nothing to wait for. That also mends an answer: with a context that had ended, a wait of 0 reported its end in about half of the calls. The fake servers of the probe tests wait through it too.

--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -16,6 +16,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
 	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
+	"github.com/hornbeamlock/hornbeamlock/internal/pause"
 	"github.com/hornbeamlock/hornbeamlock/internal/request"
 	"github.com/hornbeamlock/hornbeamlock/internal/verdict"
 )
@@ -31,12 +32,10 @@
 
 func (s *probedServers) Status(ctx context.Context, _ catalog.Endpoint) (leadership.ServerStatus, error) {
 	s.probes.Add(1)
-	select {
-	case <-time.After(s.delay):
-		return leadership.ServerStatus{Primary: true}, s.err
-	case <-ctx.Done():
+	if !pause.For(ctx, s.delay) {
 		return leadership.ServerStatus{}, ctx.Err()
 	}
+	return leadership.ServerStatus{Primary: true}, s.err
 }
 
 func (s *probedServers) Dial(context.Context, catalog.Endpoint, string) (backend.Conn, error) {
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -6,8 +6,11 @@
 	"time"
 )
 
-// For waits for d. It returns false if ctx ends first.
+// For waits for d. It returns false if ctx ends first, or has ended before.
 func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
