gateway: the failover test's write is sent once the old sessions have ended

TestFailover failed once in a run of the package beside load, and in 2 of 10 runs of up to 25 repeats: "Condition never satisfied". The write had ended with 40003: it was sent on a connection of the replaced primary, which closed it, so that it may have run, as the caller was told. TestDemotionEndsSessions already waits until these sessions have ended, and so does this test now. It shows the write's error if there is one, and still requires that the write was repeated.

--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -162,14 +162,17 @@
 		_, err := unconfirmed.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (2, 'lost')")
 		requireRefusal(t, err, verdict.CodeCompletionUnknown, verdict.MayHaveRun)
 	})
+	// A write that is sent before the session has ended may have run.
+	require.Eventually(t, func() bool { return fx.group.Servers()[0].ClientSessions() == 0 }, testTimeout, time.Millisecond)
 	written := make(chan error, 1)
 	go func() {
 		_, err := conn.Exec(context.Background(), "INSERT INTO passes (id, holder) VALUES (3, 'new')")
 		written <- err
 	}()
-	require.Eventually(t, func() bool { return fx.counter("gateway_retries_total") > 0 }, testTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return fx.counter("gateway_retries_total") > 0 || len(written) > 0 }, testTimeout, time.Millisecond)
 	fx.sample()
 	require.NoError(t, <-written)
+	require.Positive(t, fx.counter("gateway_retries_total"))
 	require.Equal(t, 2, count(t, conn))
 	require.Equal(t, 2, count(t, unconfirmed))
 }
