backend: a connection is closed after a panic, and its statement ended

Seen: a panic in a statement that this instance runs for another one ends that request only, and its connection was returned to the pool as if it were idle, with an answer still to come. Its statement stayed in progress for the endpoint's health until the instance ended.

Cause: the connection is marked as broken, and the statement as ended, after the exchange returns.

Evidence: TestConnectionOfAPanicIsClosed failed before: the connection stayed open in the pool.

Change: a deferred call does both when the exchange does not return.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -32,6 +32,8 @@
 	// PREPARE is carried out nevertheless if prepares is true, as FAILED allows.
 	refuses  request.Kind
 	prepares bool
+	// panics makes the next exchange panic after its commands were sent.
+	panics bool
 	// log is the endpoint's position, to which each command adds one unless quiet is true.
 	log   uint64
 	quiet bool
@@ -60,6 +62,10 @@
 		return c.e.fail
 	}
 	c.e.sent = append(c.e.sent, commands...)
+	if c.e.panics {
+		c.e.panics = false
+		panic("unexpected")
+	}
 	for _, command := range commands {
 		if !c.e.quiet {
 			c.e.log++
@@ -277,3 +283,24 @@
 		require.Equal(t, 2, e.dials)
 	})
 }
+
+// TestConnectionOfAPanicIsClosed guards against the reuse of a connection whose answer is still to
+// come, and an endpoint that is held for unresponsive, after a panic that ended one request only.
+func TestConnectionOfAPanicIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeEndpoint{limit: 1, panics: true}
+		p := newPools(t, e, 1)
+		pooled, err := p.Acquire(t.Context(), testEndpoint, "a", Turn{})
+		require.NoError(t, err)
+		require.Panics(t, func() { _, _, _ = pooled.Run(t.Context(), Needs{}, read()) })
+		pooled.Release()
+		require.Zero(t, e.open)
+		time.Sleep(time.Minute)
+		require.True(t, p.cfg.Health.Usable("s1"))
+		again, err := p.Acquire(t.Context(), testEndpoint, "a", Turn{})
+		require.NoError(t, err)
+		defer again.Release()
+		_, _, err = again.Run(t.Context(), Needs{}, read())
+		require.NoError(t, err)
+	})
+}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -154,6 +154,7 @@
 	errUnattributed  = errors.New("backend: an answer does not belong to the statement")
 	errIncomplete    = errors.New("backend: the endpoint has not answered every command")
 	errBarrier       = errors.New("backend: the endpoint has not refused a transaction at a position that no log holds")
+	errPanicked      = errors.New("backend: the statement ended with a panic")
 	errOutOfTurn     = errors.New("backend: the endpoint has sent more than one answer for each command")
 )
 
@@ -213,6 +214,13 @@
 // exchange sends commands, attributes the answers, and records how the endpoint responds.
 func (pc *PooledConn) exchange(ctx context.Context, commands []request.Command) ([]request.Answer, error) {
 	done := pc.pool.health.startStatement(pc.Endpoint.ID)
+	returned := false
+	defer func() {
+		if !returned { // after a panic an answer may still come
+			pc.broken = true
+			done(errPanicked, false)
+		}
+	}()
 	answers := make([]request.Answer, 0, len(commands))
 	isRejected := false
 	err := pc.conn.Exchange(ctx, commands, func(answer request.Answer) bool {
@@ -232,6 +240,7 @@
 	if err == nil && !isRejected && len(answers) < len(commands) {
 		err = errIncomplete
 	}
+	returned = true
 	done(err, isRejected || slices.ContainsFunc(answers, CannotServe))
 	if isRejected {
 		pc.unattributed = true
