edge: a panic at a connection owner rolls its transaction back

Seen: after a panic in a statement of another instance's transaction, the transaction stayed busy at its connection owner until the owner ended, with its connection and whatever it had written open at the endpoint, and counted against the owner's limit of transactions.

Cause: the end of the statement was recorded after it returned, and the HTTP server ends only the request that panics.

Evidence: TestPanicAtOwnerRollsBack failed before: the transaction was not rolled back within 5 s.

Change: the end is recorded by a deferred call, which rolls back what has no result.

--- a/internal/edge/owner_begin.go
+++ b/internal/edge/owner_begin.go
@@ -201,6 +201,8 @@
 	if tx == nil {
 		return result, nil
 	}
+	stillOpen := false // also after a panic, which ends the request only
+	defer func() { i.transactions.settle(tx, stillOpen, i.configuration.Get().TransactionIdle+ownerIdleMargin) }()
 	statementCtx, cancel := context.WithTimeout(ctx, m.Timeout)
 	defer cancel()
 	if step.Begin != nil {
@@ -209,8 +211,7 @@
 		result = i.continueForOther(statementCtx, tx, m)
 	}
 	// Without the requester nobody receives the answer, so that the transaction cannot go on.
-	stillOpen := result.Error == "" && !result.BeginRefused && result.Answer.Transaction != request.Idle && ctx.Err() == nil
-	i.transactions.settle(tx, stillOpen, i.configuration.Get().TransactionIdle+ownerIdleMargin)
+	stillOpen = result.Error == "" && !result.BeginRefused && result.Answer.Transaction != request.Idle && ctx.Err() == nil
 	return result, nil
 }
 
--- a/internal/edge/owner_transaction_test.go
+++ b/internal/edge/owner_transaction_test.go
@@ -540,3 +540,16 @@
 		}
 	}))
 }
+
+// TestPanicAtOwnerRollsBack guards against a transaction that stays open at the endpoint after a panic
+// that ended one request only.
+func TestPanicAtOwnerRollsBack(t *testing.T) {
+	f := newTransactionFixture(t)
+	begun, err := f.begin(statementOf(request.Write, "W1"))
+	require.NoError(t, err)
+	f.server.before = func(request.Command) { panic("unexpected") }
+	sent, err := f.run(begun.Conn, statementOf(request.Write, "W2"))
+	require.NoError(t, err)
+	require.True(t, sent)
+	f.requireRolledBack()
+}
