--- a/internal/pipeline/fixture_test.go
+++ b/internal/pipeline/fixture_test.go
@@ -67,12 +67,15 @@
 	received map[string]int
 	// dialling, if set, is called before a connection is opened.
 	dialling func()
+	// opened counts the open connections.
+	opened atomic.Int64
 }
 
 func (s *fakeServers) Dial(_ context.Context, e catalog.Endpoint, _ string) (backend.Conn, error) {
 	if s.dialling != nil {
 		s.dialling()
 	}
+	s.opened.Add(1)
 	return &fakeConn{servers: s, endpoint: e.ID}, nil
 }
 
@@ -114,7 +117,7 @@
 }
 
 func (c *fakeConn) Reusable() bool { return true }
-func (c *fakeConn) Close()         {}
+func (c *fakeConn) Close()         { c.servers.opened.Add(-1) }
 
 // stateAfter returns the transaction state after a statement that succeeded.
 func stateAfter(kind request.Kind, before request.Transaction) request.Transaction {
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -82,46 +82,53 @@
 			e.awaitChange(ctx, changed)
 			continue
 		}
-		endpoint, ok := cfg.Registry().Endpoints[use.Endpoint]
-		if !ok {
-			use.Release()
-			last = errPrimaryNotRegistered
-			pause.For(ctx, retryBackoff)
-			continue
-		}
-		if err := e.checkEndpoint(r, organisation, endpoint); err != nil {
-			use.Release()
+		final, err := e.tryPrimary(ctx, r, organisation, use, run)
+		last = err
+		switch {
+		case final:
 			return err
-		}
-		if _, viaOwner := e.s.viaOwner(organisation, endpoint, e.s.turn(r, e.startedAt)); !viaOwner && !cfg.Health.Usable(use.Endpoint) {
-			// Other statements probe the endpoint meanwhile; waiting here occupies no
-			// connection and no use of the primary.
-			use.Release()
-			last = errPrimaryUnresponsive
-			if unresponsive := cfg.Health.UnresponsiveFor(use.Endpoint); unresponsive > unresponsiveThreshold {
-				break
-			}
-			pause.For(ctx, retryBackoff)
-			continue
-		}
-		result, err := e.try(ctx, r, organisation, endpoint, attempt{use: use}, run)
-		use.Release()
-		if err == nil {
-			if final, err := e.classify(result); final {
-				return err
+		case errors.Is(err, errPrimaryUnresponsive):
+			if cfg.Health.UnresponsiveFor(use.Endpoint) > unresponsiveThreshold {
+				return e.noEndpointErr(err)
 			}
-			err = result.failure()
-		}
-		last = err
-		if isRefusal(err) && verdict.As(err, verdict.NotRun).Code == verdict.CodeTooManyConnections {
+		case errors.Is(err, errPrimaryNotRegistered):
+		case isRefusal(err) && verdict.As(err, verdict.NotRun).Code == verdict.CodeTooManyConnections:
 			return err
+		default:
+			cfg.Refresh()
 		}
-		cfg.Refresh()
+		// Other statements probe the endpoint meanwhile; waiting here occupies no connection and no
+		// use of the primary.
 		pause.For(ctx, retryBackoff)
 	}
 	return e.noEndpointErr(last)
 }
 
+// tryPrimary makes one attempt at the primary under the use, which it releases, and reports
+// whether its result is final.
+func (e *execution) tryPrimary(ctx context.Context, r catalog.Route, organisation string, use *leadership.Use, run attemptFunc) (final bool, err error) {
+	defer use.Release()
+	cfg := &e.s.p.cfg
+	endpoint, ok := cfg.Registry().Endpoints[use.Endpoint]
+	if !ok {
+		return false, errPrimaryNotRegistered
+	}
+	if err := e.checkEndpoint(r, organisation, endpoint); err != nil {
+		return true, err
+	}
+	if _, viaOwner := e.s.viaOwner(organisation, endpoint, e.s.turn(r, e.startedAt)); !viaOwner && !cfg.Health.Usable(use.Endpoint) {
+		return false, errPrimaryUnresponsive
+	}
+	result, err := e.try(ctx, r, organisation, endpoint, attempt{use: use}, run)
+	if err != nil {
+		return false, err
+	}
+	if final, err := e.classify(result); final {
+		return true, err
+	}
+	return false, result.failure()
+}
+
 // maxReplacementWait limits how long after the start of a primary's replacement statements
 // wait for it to finish. Most replacements finish within this time; one that takes longer is
 // waiting for unreachable instances, so statements fail at once.
@@ -159,8 +166,13 @@
 	if err != nil {
 		return outcome{}, err
 	}
+	kept := false
+	defer func() {
+		if !kept {
+			conn.Release()
+		}
+	}()
 	if err := e.checkConnected(ctx, r, organisation, endpoint, at); err != nil {
-		conn.Release()
 		return outcome{}, err
 	}
 	if at.use == nil {
@@ -170,9 +182,7 @@
 	}
 	at.run, at.conn = conn.Run, conn
 	result := run(ctx, at)
-	if !result.keepConn {
-		conn.Release()
-	}
+	kept = result.keepConn
 	return result, nil
 }
 
--- a/internal/pipeline/verdict_test.go
+++ b/internal/pipeline/verdict_test.go
@@ -124,3 +124,41 @@
 		require.False(t, s.Handle(t.Context(), writeOf("3")).Err.Elsewhere, "it may have run")
 	})
 }
+
+// TestPanicReleasesThePrimary guards against a use of the primary, or a connection to it, that is
+// never given back after a panic that ended one session only.
+func TestPanicReleasesThePrimary(t *testing.T) {
+	begin := request.Statement{ID: "b", Kind: request.Begin, Text: "BEGIN"}
+	for name, c := range map[string]struct {
+		before []request.Statement
+		at     int // the statement at the endpoint that panics
+	}{
+		"write":                         {nil, 1},
+		"begin":                         {[]request.Statement{begin}, 1},
+		"first write of a transaction":  {[]request.Statement{begin}, 2},
+		"second write of a transaction": {[]request.Statement{begin, writeOf("1")}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				received := 0
+				f.servers.answers["p"] = func(ctx context.Context, command request.Command) (request.Answer, error) {
+					if received++; received == c.at {
+						panic("unexpected")
+					}
+					return served(ctx, command)
+				}
+				s := f.open("primary")
+				for _, st := range c.before {
+					require.Nil(t, s.Handle(t.Context(), st).Err)
+				}
+				require.Panics(t, func() { s.Handle(t.Context(), writeOf("x")) })
+				s.Close()
+				began := f.clock()
+				require.NoError(t, f.primaryView.Revoke(t.Context(), "db", 1))
+				require.Equal(t, began, f.clock(), "the primary is still in use")
+				require.Zero(t, f.servers.opened.Load())
+			})
+		})
+	}
+}
