request: what a statement reads, writes and is signed for is told in one place

What only reads was written out in pipeline and backend, what writes in edge, and the kinds whose answers are signed in backend, beside a special case for ROLLBACK at the owner's path: they are methods of Statement and Kind now. In the tests of backend, two connections passed on answers with the same loop, and five checks looked for a statement that was sent in words of their own: one function each.

Nothing that is decided or checked has changed.

--- a/internal/backend/attribution.go
+++ b/internal/backend/attribution.go
@@ -117,11 +117,6 @@
 	return !recorded || last.Less(at)
 }
 
-// isSigned reports whether an endpoint signs its answers to commands of the kind.
-func isSigned(kind request.Kind) bool {
-	return kind == request.Read || kind == request.Write || kind == request.Execute || kind == request.Commit
-}
-
 // stateAfter returns the transaction state after the success of a command.
 func (a *attribution) stateAfter(kind request.Kind) request.Transaction {
 	switch kind {
@@ -161,7 +156,7 @@
 		return taken, ""
 	}
 	a.refused = true
-	uncertain := isSigned(command.Kind) && a.isUncertain() && code != verdict.CodeUndefinedPreparedStmt
+	uncertain := command.Kind.IsSigned() && a.isUncertain() && code != verdict.CodeUndefinedPreparedStmt
 	switch {
 	case (received || uncertain) && a.isHarmless(command, code):
 		return believed, ""
@@ -177,8 +172,7 @@
 // isHarmless reports whether a command can be told as refused even if it has run: it only reads, outside
 // a transaction, or begins one. An endpoint that lags or is busy would otherwise count as failing.
 func (a *attribution) isHarmless(command request.Command, code string) bool {
-	reads := command.Kind == request.Read || command.Kind == request.Execute && !command.Prepared.Writes
-	return (reads || command.Kind == request.Begin) && a.state == request.Idle && (code == verdict.CodeBehind || code == verdict.CodeTooManyConnections)
+	return (command.OnlyReads() || command.Kind == request.Begin) && a.state == request.Idle && (code == verdict.CodeBehind || code == verdict.CodeTooManyConnections)
 }
 
 func (a *attribution) ruleSigned(kind request.Kind, answer request.Answer) (ruling, string) {
@@ -187,7 +181,7 @@
 		return skipped, reasonSignatureRepeated
 	}
 	a.signatures[hash] = struct{}{}
-	if !isSigned(kind) {
+	if !kind.IsSigned() {
 		return rejected, reasonSignatureUnexpected
 	}
 	clear(a.unanswered)
@@ -206,9 +200,9 @@
 	_, received := a.acknowledged[answer.Transaction]
 	isNew := record(a.acknowledged, answer.Transaction, answer.Position)
 	switch {
-	case isSigned(kind) && receivedAny:
+	case kind.IsSigned() && receivedAny:
 		return skipped, reasonUnsignedRepeated
-	case isSigned(kind):
+	case kind.IsSigned():
 		return rejected, reasonSignatureMissing
 	case len(answer.Rows) > 0:
 		return rejected, reasonRowsUnexpected
--- a/internal/backend/attribution_test.go
+++ b/internal/backend/attribution_test.go
@@ -29,9 +29,14 @@
 
 func (c *scriptedConn) Exchange(_ context.Context, commands []request.Command, accept func(request.Answer) (more bool)) error {
 	c.sent = append(c.sent, commands...)
-	for len(c.answers) > 0 {
-		next := c.answers[0]
-		c.answers = c.answers[1:]
+	return deliver(&c.answers, accept)
+}
+
+// deliver passes the answers that have arrived to accept, until that returns false.
+func deliver(arrived *[]request.Answer, accept func(request.Answer) (more bool)) error {
+	for len(*arrived) > 0 {
+		next := (*arrived)[0]
+		*arrived = (*arrived)[1:]
 		if !accept(next) {
 			return nil
 		}
@@ -39,6 +44,11 @@
 	return errNoAnswer
 }
 
+// wasSent reports whether a command of the kind, and no barrier, is among those that were sent.
+func wasSent(sent []request.Command, kind request.Kind) bool {
+	return slices.ContainsFunc(sent, func(command request.Command) bool { return command.Kind == kind && !isBarrier(command) })
+}
+
 func (c *scriptedConn) Reusable() bool { return !c.unread || len(c.sent) == 0 }
 func (c *scriptedConn) Close()         { c.closed = true }
 
@@ -98,7 +108,7 @@
 			raw, conn := newScripted(t)
 			for _, kind := range c.before {
 				answer := unsigned(conn.answers.stateAfter(kind))
-				if isSigned(kind) {
+				if kind.IsSigned() {
 					answer.Signature = kind.String()
 				}
 				raw.answers = []request.Answer{answer}
@@ -361,7 +371,7 @@
 			if c.setup == request.Begin {
 				_, _, _ = conn.Run(t.Context(), Needs{}, commandOf(request.Read))
 			}
-			require.False(t, slices.ContainsFunc(raw.sent, func(command request.Command) bool { return command.Kind == request.Read }), "the statement was sent")
+			require.False(t, wasSent(raw.sent, request.Read), "the statement was sent")
 			conn.Release()
 			require.True(t, raw.closed)
 		})
@@ -386,7 +396,7 @@
 	_, sent, err := conn.Run(t.Context(), Needs{}, commandOf(request.Write))
 	require.Error(t, err)
 	require.False(t, sent)
-	require.False(t, slices.ContainsFunc(raw.sent, func(command request.Command) bool { return command.Kind == request.Write }), "the statement was sent")
+	require.False(t, wasSent(raw.sent, request.Write), "the statement was sent")
 }
 
 // TestUncertainSetInATransactionOfARepeatingEndpoint guards against a statement that runs without a value of its
@@ -403,7 +413,7 @@
 		_, sent, err := conn.Run(t.Context(), Needs{Values: map[string]string{"branch": "1"}}, commandOf(request.Write))
 		require.Equal(t, !known, sent)
 		require.Equal(t, known, err != nil)
-		require.Equal(t, !known, slices.ContainsFunc(raw.sent, func(command request.Command) bool { return command.Kind == request.Write }))
+		require.Equal(t, !known, wasSent(raw.sent, request.Write))
 		conn.Release()
 		require.True(t, raw.closed)
 	}
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -74,7 +73,7 @@
 		if isBarrier(command) {
 			answer.Err = verdict.New(verdict.NotRun, verdict.CodeBehind, "behind")
 		}
-		if isSigned(command.Kind) {
+		if command.Kind.IsSigned() {
 			c.e.signed++
 			answer.Signature = strconv.Itoa(c.e.signed)
 		}
@@ -240,7 +239,7 @@
 			_, sent, err := pooled.Run(t.Context(), c.needs, c.command)
 			require.Equal(t, verdict.NotRun, verdict.Of(err))
 			require.False(t, sent)
-			require.False(t, slices.ContainsFunc(e.sent, func(sent request.Command) bool { return sent.Kind == c.command.Kind }), "the statement was sent")
+			require.False(t, wasSent(e.sent, c.command.Kind), "the statement was sent")
 			pooled.Release()
 			require.Zero(t, e.open, "the connection is kept, with values of no session")
 		})
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -130,8 +130,8 @@
 		pc.broken = true
 		return answer, true, err
 	}
-	setUp, answer := answers[:len(answers)-1], answers[len(answers)-1]
-	err = setupError(setUp)
+	answer = answers[len(answers)-1]
+	err = setupError(answers[:len(answers)-1])
 	pc.inTransaction = answer.Transaction != request.Idle
 	if err == nil && answer.Err == nil && pc.answers.isUncertain() {
 		err = pc.confirm(ctx, pc.confirmation())
--- a/internal/backend/hidden_test.go
+++ b/internal/backend/hidden_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -43,14 +42,7 @@
 			c.arriving = append(c.arriving, answer)
 		}
 	}
-	for len(c.arriving) > 0 {
-		next := c.arriving[0]
-		c.arriving = c.arriving[1:]
-		if !accept(next) {
-			return nil
-		}
-	}
-	return errNoAnswer
+	return deliver(&c.arriving, accept)
 }
 
 func (c *hidingConn) run(command request.Command) request.Answer {
@@ -67,7 +59,7 @@
 	case command.Kind == request.Commit || command.Kind == request.Rollback:
 		c.state = request.Idle
 	}
-	if answer.Err == nil && isSigned(command.Kind) {
+	if answer.Err == nil && command.Kind.IsSigned() {
 		c.signed++
 		answer.Signature = string(rune('a' + c.signed))
 	}
@@ -75,10 +67,6 @@
 	return answer
 }
 
-func (c *hidingConn) has(kind request.Kind) bool {
-	return slices.ContainsFunc(c.sent, func(sent request.Command) bool { return sent.Kind == kind })
-}
-
 func newHiding(t *testing.T, role catalog.Role) (*hidingConn, *PooledConn) {
 	c := &hidingConn{log: 5, late: true}
 	pools := newPools(t, &fakeEndpoint{limit: 1}, 1)
@@ -146,7 +134,7 @@
 	require.True(t, conn.pool.repeats())
 	raw.repeats, raw.fails = before(request.Set, acknowledgedAt(7, request.Open)), failsAt(request.Set)
 	require.Error(t, run(branch("2"), request.Write))
-	require.False(t, raw.has(request.Write), "the statement was sent")
+	require.False(t, wasSent(raw.sent, request.Write), "the statement was sent")
 }
 
 // TestRefusalOfABarrierInATransaction guards against a statement that runs inside another session's
@@ -165,7 +153,7 @@
 	}
 	require.Equal(t, request.Open, raw.state)
 	_, sent, err := conn.Run(t.Context(), Needs{}, commandOf(request.Write))
-	require.False(t, raw.has(request.Write), "the statement was sent")
+	require.False(t, wasSent(raw.sent, request.Write), "the statement was sent")
 	require.Error(t, err)
 	require.False(t, sent)
 }
@@ -203,7 +191,7 @@
 		require.NoError(t, err)
 		raw.sent, raw.repeats, raw.fails = nil, before(request.Set, acknowledgedAt(6, request.Idle)), failsAt(request.Set)
 		answer, sent, err := conn.Run(t.Context(), branch("2"), commandOf(request.Write))
-		require.False(t, raw.has(request.Write), "the statement was sent under another value; told: %v, sent %v, %v", answer.Err, sent, err)
+		require.False(t, wasSent(raw.sent, request.Write), "the statement was sent under another value; told: %v, sent %v, %v", answer.Err, sent, err)
 	})
 	t.Run("error", func(t *testing.T) {
 		raw, conn := newHiding(t, catalog.RoleReplica) // its connections are kept after an error
--- a/internal/backend/repeating_endpoint_test.go
+++ b/internal/backend/repeating_endpoint_test.go
@@ -88,7 +88,7 @@
 		state := c.state
 		answer := c.run(command)
 		answer.Position = c.e.log
-		unsignedError := answer.Err != nil && !isSigned(command.Kind) && !isBarrier(command)
+		unsignedError := answer.Err != nil && !command.Kind.IsSigned() && !isBarrier(command)
 		for len(c.sent) > 0 && c.e.chance(c.e.repeat) {
 			again := c.sent[c.e.random.IntN(len(c.sent))]
 			if c.e.chance(0.5) {
@@ -144,7 +144,7 @@
 func (c *repeatingConn) run(command request.Command) request.Answer {
 	e := c.e
 	fails := e.chance(e.fail)
-	if !isSigned(command.Kind) {
+	if !command.Kind.IsSigned() {
 		fails = e.chance(e.failSetup)
 	}
 	effect := !fails
@@ -213,7 +213,7 @@
 	if fails {
 		return c.refuse(verdict.Ran, verdict.CodeStatementFailed)
 	}
-	if isSigned(command.Kind) {
+	if command.Kind.IsSigned() {
 		e.signed++
 		answer.Signature = fmt.Sprint("signature ", e.signed)
 	}
@@ -279,7 +279,7 @@
 	case answer.Err != nil:
 		return answer, answer.Err.Verdict == verdict.NotRun, answer.Err.Verdict != verdict.NotRun
 	}
-	if !isSigned(command.Kind) {
+	if !command.Kind.IsSigned() {
 		return answer, false, false
 	}
 	p.succeeded++
--- a/internal/edge/owner_statement.go
+++ b/internal/edge/owner_statement.go
@@ -127,8 +127,7 @@
 }
 
 // call sends a message that must not run twice to the owner. With an error, the result's Sent
-// is false only if the endpoint cannot have received the statement. Of the commands that are sent
-// to owners, ROLLBACK alone succeeds without the endpoint's signature.
+// is false only if the endpoint cannot have received the statement.
 func (p ownerPath) call(ctx context.Context, name string, message readMessage) (result readResult, err error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
@@ -157,7 +156,7 @@
 	if err := i.checkOwnerReply(p.owner, p.endpoint.ID, result); err != nil {
 		return result, err
 	}
-	if result.Refused == nil && len(result.Signature) == 0 && message.Command.Kind != request.Rollback {
+	if result.Refused == nil && len(result.Signature) == 0 && message.Command.Kind.IsSigned() {
 		i.countOwnerFallback(fallbackFailed)
 		i.markOwnerFailed(p.owner, p.endpoint.ID, errOwnerUnsigned)
 		return readResult{Sent: true}, errOwnerUnsigned
--- a/internal/edge/owner_transaction.go
+++ b/internal/edge/owner_transaction.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	result, err := p.call(ctx, messageTransaction, message)
 	switch {
-	case err != nil && isReplyLost(result) && writes(first):
+	case err != nil && isReplyLost(result) && first.Writes():
 		return pipeline.Begun{Conn: c, First: unknownWithoutReply(err), Sent: true}, nil
 	case err != nil:
 		if isReplyLost(result) {
@@ -96,7 +96,7 @@
 	result, err := c.path.call(ctx, messageTransaction, message)
 	if err != nil {
 		c.ended = result.Error != "" // the owner rolls back when it reports an error
-		if isReplyLost(result) && writes(command) {
+		if isReplyLost(result) && command.Writes() {
 			return unknownWithoutReply(err), true, nil
 		}
 		return answer, result.Sent, err
@@ -121,16 +121,11 @@
 // noteAnswer records the effect of an answered statement.
 func (c *ownerConn) noteAnswer(command request.Command, result readResult) {
 	c.ended = result.Answer.Transaction == request.Idle
-	if result.Refused == nil && writes(command) {
+	if result.Refused == nil && command.Writes() {
 		c.wrote = true
 	}
 }
 
-// writes reports whether a command writes and does not end the transaction.
-func writes(command request.Command) bool {
-	return command.Kind == request.Write || command.Kind == request.Execute && command.Prepared.Writes
-}
-
 // isReplyLost reports whether a call that has failed was sent, and the owner has said nothing.
 func isReplyLost(result readResult) bool { return result.Sent && result.Error == "" }
 
--- a/internal/pipeline/execution.go
+++ b/internal/pipeline/execution.go
@@ -173,7 +173,7 @@
 		return result
 	}
 	var err error
-	if isReadOnly(e.st) && e.route.Consistency != catalog.PrimaryReads {
+	if e.st.OnlyReads() && e.route.Consistency != catalog.PrimaryReads {
 		err = e.placeRead(ctx, e.route, e.organisation, run)
 	} else {
 		err = e.placePrimary(ctx, e.route, e.organisation, run)
@@ -203,7 +203,7 @@
 
 // runAttempt makes one attempt at a statement outside a transaction.
 func (e *execution) runAttempt(ctx context.Context, at attempt) outcome {
-	noEffect := isReadOnly(e.st)
+	noEffect := e.st.OnlyReads()
 	if at.use != nil && !at.use.Valid() {
 		return outcome{err: errPrimaryUncertain, noEffect: true}
 	}
--- a/internal/pipeline/retry.go
+++ b/internal/pipeline/retry.go
@@ -189,7 +189,7 @@
 // runViaOwner makes an attempt over a connection of the connection owner. A read that gets
 // no answer can be sent again, so that it leaves time for that.
 func (e *execution) runViaOwner(ctx context.Context, at attempt, run attemptFunc) outcome {
-	if e.s.tx == nil && isReadOnly(e.st) {
+	if e.s.tx == nil && e.st.OnlyReads() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, attemptTimeout(ctx))
 		defer cancel()
--- a/internal/pipeline/session.go
+++ b/internal/pipeline/session.go
@@ -160,8 +160,3 @@
 	st.Prepared = prepared
 	return st, nil
 }
-
-// isReadOnly reports whether a statement only reads. An Execute must be resolved first.
-func isReadOnly(st request.Statement) bool {
-	return st.Kind == request.Read || st.Kind == request.Execute && !st.Prepared.Writes
-}
--- a/internal/pipeline/transaction.go
+++ b/internal/pipeline/transaction.go
@@ -181,7 +181,7 @@
 // answer.
 func (e *execution) applyTransactionAnswer(answer request.Answer, valid func() bool) (request.Answer, error) {
 	s, tx := e.s, e.s.tx
-	if answer.Err == nil && !isReadOnly(e.st) && e.st.Kind != request.Commit {
+	if answer.Err == nil && !e.st.OnlyReads() && e.st.Kind != request.Commit {
 		tx.wrote = true
 	}
 	if e.st.Kind != request.Commit {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -35,6 +35,9 @@
 // String returns the name for logs and metrics.
 func (k Kind) String() string { return kindNames[k] }
 
+// IsSigned reports whether an endpoint signs its answers to statements of the kind.
+func (k Kind) IsSigned() bool { return k == Read || k == Write || k == Execute || k == Commit }
+
 // Statement is one statement of a caller.
 type Statement struct {
 	// ID is assigned by the caller; it is empty for statements of the proxy.
@@ -55,6 +58,13 @@
 	Arguments string `json:",omitzero"`
 }
 
+// OnlyReads reports whether the statement reads and has no other effect. An Execute must be resolved first.
+func (s Statement) OnlyReads() bool { return s.Kind == Read || s.Kind == Execute && !s.Prepared.Writes }
+
+// Writes reports whether the statement writes and does not end a transaction. An Execute must be
+// resolved first.
+func (s Statement) Writes() bool { return s.Kind == Write || s.Kind == Execute && s.Prepared.Writes }
+
 // Prepared is the content of a prepared statement.
 type Prepared struct {
 	Writes bool   `json:",omitzero"`
