--- a/review/8/run.sh
+++ b/review/10/run.sh
@@ -6,4 +6,4 @@
 [ -x target/review-2/stand2 ] && [ -x target/hornbeamlockd ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-2/stand2 -case departed-replica -trouble="$trouble" -record review/8/record.txt
+exec target/review-2/stand2 -case departed-replica -trouble="$trouble" -record review/10/record.txt
