leadership: the servers that may hold a commit alone are stored

Cause: a process that has just started took what it had not seen for absent. The replicas that may hold a confirmed commit alone were those that it had seen registered itself. One that had left before the start, whose entry was late, or an earlier run of one that had restarted was not waited for, nor did it know of fewer confirming replicas in force before.

Evidence: no 9057 in the logs of the case, 9012 follows 9010 within one survey; instances that were not restarted wait.

Change: a row of each such service lists the runs of servers that may hold a commit alone, and the least number of replicas that has confirmed each commit. A run is added when it is first seen, and removed by a check that all registered replicas hold what it may have confirmed. A replacement reads the row after the revocation, and with their revocations the other instances tell what they know besides. Without a complete row only the old primary tells. A store that returns from an older copy has no complete row unless most instances remember it. Services without sync-replicas have no row.

--- a/internal/edge/messages.go
+++ b/internal/edge/messages.go
@@ -117,7 +117,7 @@
 // registerHandlers registers the handlers of the messages from other instances.
 func (i *Instance) registerHandlers() {
 	peerlink.Handle(i.server, messageRows, i.handleRows)
-	peerlink.Handle(i.server, messageRevoke, func(ctx context.Context, m epochMessage) (leadership.Confirmations, error) {
+	peerlink.Handle(i.server, messageRevoke, func(ctx context.Context, m epochMessage) (leadership.Revocation, error) {
 		return i.controller.Revoke(ctx, m.Service, m.Epoch)
 	})
 	peerlink.Handle(i.server, messageSettled, func(context.Context, empty) (empty, error) {
@@ -170,8 +170,8 @@
 }
 
 // Revoke implements leadership.Peers.
-func (p peers) Revoke(ctx context.Context, m leadership.Member, service string, epoch uint64) (leadership.Confirmations, error) {
-	var response leadership.Confirmations
+func (p peers) Revoke(ctx context.Context, m leadership.Member, service string, epoch uint64) (leadership.Revocation, error) {
+	var response leadership.Revocation
 	err := p.client.Call(ctx, m.Address, messageRevoke, epochMessage{Service: service, Epoch: epoch}, &response)
 	return response, err
 }
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -68,9 +68,14 @@
 		Fields: []string{"service", "epoch", "reason", "servers"},
 		Action: "Bring one of the servers or the old primary back; see docs/operations/edge.md for servers that are lost.",
 	}
+	ReplicaSetStored = Event{
+		Number: 9062, Name: "edge.replica_set_stored", Level: zapcore.InfoLevel,
+		Text:   "the servers that may hold acknowledged commits alone were stored",
+		Fields: []string{"service", "servers", "confirming"},
+	}
 	RecordsUnreadable = Event{
 		Number: 9058, Name: "edge.records_unreadable", Level: zapcore.ErrorLevel,
-		Text:   "records of primaries cannot be read; their services have no primary until they can",
+		Text:   "rows of services cannot be read: without its record a service has no primary, without its replica set a replacement needs the old one",
 		Fields: []string{"rows"}, Action: "Find out who wrote the rows, and restore their values.",
 	}
 	ReplacementDone = Event{
@@ -223,7 +228,7 @@
 var edgeEvents = []Event{
 	StoreFailing, StoreBack, ConfigurationApplied, ConfigurationUnreadable,
 	RegistryChanged, RegistryEntryIgnored, ReadinessChanged, EndpointRelayed, IdleSessionsClosed,
-	ReplacementBegun, PrimaryRevoked, PromotionOrdered, ReplacementWaits, RecordsUnreadable, ReplacementDone, ReplacementFailed,
+	ReplacementBegun, PrimaryRevoked, PromotionOrdered, ReplacementWaits, ReplicaSetStored, RecordsUnreadable, ReplacementDone, ReplacementFailed,
 	PrimaryRecordChanged, PrimaryUnresponsive, RequestRefused, RequestUnknown, RequestLate, MessagePassed, AnswerNotTaken, LinesDropped, ConnectionOwnerFailed,
 	SettingsApplied, SettingsRefused, EvacuationLearnt, EvacuationEnded, EvacuationBlocked,
 	EdgeRegistered, EdgeRemoved, InstanceAdmitted, ConnectionOwnerLeaving, LimitContended,
--- a/internal/generation/model_ports_test.go
+++ b/internal/generation/model_ports_test.go
@@ -87,9 +87,9 @@
 	}
 }
 
-func (i *modelInstance) Revoke(ctx context.Context, m leadership.Member, service string, epoch uint64) (leadership.Confirmations, error) {
+func (i *modelInstance) Revoke(ctx context.Context, m leadership.Member, service string, epoch uint64) (leadership.Revocation, error) {
 	if err := i.reach(m.Name); err != nil {
-		return leadership.Confirmations{}, err
+		return leadership.Revocation{}, err
 	}
 	return i.m.instance(m.Name).controller.Revoke(ctx, service, epoch)
 }
--- a/internal/leadership/confirmed.go
+++ b/internal/leadership/confirmed.go
@@ -16,24 +16,10 @@
 // acknowledged. The log of a promoted server must then hold every acknowledged commit.
 func (r *replacement) commitsAreConfirmed() bool { return r.c.cfg.SyncReplicas(r.service) > 0 }
 
-// incarnation is one run of a server. A server that restarts has nothing of the log that it held
-// before.
-type incarnation struct {
-	id        string
-	startedAt int64
-}
-
-func (i incarnation) compare(other incarnation) int {
-	return cmp.Or(cmp.Compare(i.id, other.id), cmp.Compare(i.startedAt, other.startedAt))
-}
-
-func incarnationOf(e catalog.Endpoint) incarnation {
-	return incarnation{id: e.ID, startedAt: e.StartedAt}
-}
-
 // confirmedLog tells how far the acknowledged commits of a primary may reach. Each of them is held
 // by the primary and by at least confirming of the replicas, so that all are known once fewer
-// than confirming replicas have not reported their position, or once the primary has.
+// than confirming replicas have not reported their position, or once the primary has. If confirming
+// is 0, the replicas are not known, and only the primary tells.
 type confirmedLog struct {
 	primary string
 	// replicas are the runs of servers that may have confirmed commits.
@@ -64,6 +50,8 @@
 		return end, nil
 	case responded:
 		return whole, nil
+	case l.confirming == 0:
+		return end, append(missing, cmp.Or(l.primary, unknownEndpoint))
 	default:
 		return end, missing
 	}
@@ -95,7 +83,7 @@
 
 // confirmedLog returns what the servers have reported so far, found included.
 func (r *replacement) confirmedLog(found survey) confirmedLog {
-	registered, departed, confirming := r.c.departures.of(r.service, r.c.cfg.Registry, r.c.cfg.SyncReplicas)
+	registered, departed, confirming := r.c.replicas.of(r.service, &r.c.cfg)
 	l := confirmedLog{primary: r.oldPrimary, confirming: confirming, required: r.record.Required, responses: make(map[incarnation]response)}
 	if l.primary == "" {
 		// No record tells which server was the primary that has left.
--- a/internal/leadership/confirmed_model_test.go
+++ b/internal/leadership/confirmed_model_test.go
@@ -27,16 +27,18 @@
 
 // confirmedModel plays random faults to the servers of a service whose replicas confirm commits:
 // crashes, restarts with an empty log, replicas that are deaf, busy, draining, cut off from the
-// instances or without an entry, orders without effect. Its primary commits all the time, and a commit is acknowledged
+// instances or without an entry, orders without effect. Instances restart with an empty memory. Its primary commits all the time, and a commit is acknowledged
 // once enough replicas have received it while the primary may be used.
 type confirmedModel struct {
-	f       *fleet
-	random  *rand.Rand
-	primary string
-	deaf    map[string]time.Duration // when a replica receives the log again
-	acked   position.Position        // the last acknowledged commit
-	checked int                      // orders that were checked
-	writes  uint64
+	f      *fleet
+	random *rand.Rand
+	// restarts draws which instances restart, and when.
+	restarts *rand.Rand
+	primary  string
+	deaf     map[string]time.Duration // when a replica receives the log again
+	acked    position.Position        // the last acknowledged commit
+	checked  int                      // orders that were checked
+	writes   uint64
 }
 
 // step plays one step; the caller holds f.mu.
@@ -60,6 +62,9 @@
 	if m.random.IntN(40) == 0 {
 		m.disturb(now)
 	}
+	if m.restarts.IntN(150) == 0 {
+		m.restart()
+	}
 }
 
 // replicate sends the log to replicas, of which some are a commit behind.
@@ -73,6 +78,36 @@
 	}
 }
 
+// restart restarts one instance or all, which forget what they have seen. A server counts once a
+// running instance has recorded it.
+func (m *confirmedModel) restart() {
+	names := slices.Sorted(maps.Keys(m.f.instances))
+	if one := m.restarts.IntN(2 * len(names)); one < len(names) {
+		names = names[one : one+1]
+	} else if !m.recorded() {
+		return
+	}
+	for _, name := range names {
+		m.f.instances[name].stop()
+		m.f.instances[name] = m.f.newInstance(name)
+		m.f.instances[name].start()
+	}
+}
+
+// recorded reports whether the stored replica set includes all registered servers.
+func (m *confirmedModel) recorded() bool {
+	row := m.f.rows[replicaSetPrefix+"db"]
+	set, err := decodeReplicaSet(row.Value, row.Revision)
+	require.NoError(m.f.t, err)
+	stored := set.endpoints("db")
+	for id, s := range m.f.servers {
+		if _, ok := stored[incarnation{id: id, startedAt: s.startedAt}]; !ok && !m.f.unregistered[id] {
+			return false
+		}
+	}
+	return true
+}
+
 // received returns the ends of the replicas' logs in the primary's term, longest first.
 func (m *confirmedModel) received(p *server) []position.Position {
 	var ends []position.Position
@@ -136,11 +171,11 @@
 	promotions := 0
 	for seed := *confirmedFirst; seed < *confirmedFirst+*confirmedSeeds; seed++ {
 		synctest.Test(t, func(t *testing.T) {
-			m := &confirmedModel{f: newFleet(t), random: rand.New(rand.NewPCG(seed, 43)), primary: "s1", deaf: make(map[string]time.Duration), writes: 9}
-			m.f.syncReplicas = 1 + int(seed%2)
+			m := &confirmedModel{f: newFleet(t), random: rand.New(rand.NewPCG(seed, 43)), restarts: rand.New(rand.NewPCG(seed, 44)), primary: "s1", deaf: make(map[string]time.Duration), writes: 9}
 			for n := range seed % 3 {
 				m.f.servers[fmt.Sprintf("s%d", 4+n)] = &server{status: m.f.servers["s2"].status}
 			}
+			m.f.confirmCommits(1 + int(seed%2))
 			for _, name := range []string{"a", "b", "c"} {
 				m.f.instances[name] = m.f.newInstance(name)
 			}
--- a/internal/leadership/confirmed_test.go
+++ b/internal/leadership/confirmed_test.go
@@ -1,6 +1,7 @@
 package leadership
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "b", "c")
 		time.Sleep(1070 * time.Millisecond)
-		f.set(func() { f.syncReplicas, f.draining["s2"], f.servers["s1"].down = 1, true, true })
+		f.set(func() {
+			f.confirmCommits(1)
+			f.draining["s2"], f.servers["s1"].down = true, true
+		})
 		time.Sleep(1100 * time.Millisecond)
 		require.Len(t, f.ordered(), 1)
 		require.Equal(t, "s2", f.ordered()[0].Endpoint, "a replica without an acknowledged commit was promoted")
@@ -62,6 +66,12 @@
 			f.instances[name].start()
 		}
 	}
+	joins := func(f *fleet) {
+		f.servers["s1"].status.Received = at(1, 10)
+		f.servers["s4"] = &server{status: ServerStatus{Term: 1, Received: at(1, 10)}}
+	}
+	configured := func(is bool) func(*fleet) { return func(f *fleet) { f.unconfigured = !is } }
+	unrecorded := func(f *fleet) { delete(f.rows, replicaSetPrefix+"db") }
 	catchUp := func(f *fleet) { f.servers["s3"].status.Received = at(1, 9) }
 	for _, c := range []struct {
 		name       string
@@ -114,6 +124,49 @@
 			{both(down("s2"), registered("s1", false), restartInstances), 15 * time.Second, "", 1},
 			{both(registered("s1", true), return1, func(f *fleet) { f.servers["s1"].status.Primary = false }), 8 * time.Second, "s1", 2},
 		}},
+		{"its entry has lapsed, and all instances restart", 0, []step{
+			{both(registered("s2", false), down("s2")), 5 * time.Second, "s1", 0},
+			{both(crash, restartInstances), 15 * time.Second, "", 0},
+			{return1, 5 * time.Second, "s1", 0},
+		}},
+		{"its entry is late when the instances start", 0, []step{
+			{both(registered("s2", false), crash, restartInstances), 10 * time.Second, "", 0}, {registered("s2", true), 4 * time.Second, "s2", 1},
+		}},
+		{"it has gone, the other has caught up, and all instances restart", 0, []step{
+			{both(registered("s2", false), down("s2"), catchUp), 3 * time.Second, "s1", 0}, {both(crash, restartInstances), 4 * time.Second, "s3", 1},
+		}},
+		{"it has restarted with less, and so do all instances", 0, []step{
+			{restart, time.Second, "s1", 0}, {both(crash, restartInstances), 10 * time.Second, "", 0},
+		}},
+		{"the replicas were never recorded, and all instances restart", 0, []step{
+			{both(unrecorded, registered("s2", false), crash, restartInstances), 10 * time.Second, "", 0}, {return1, 4 * time.Second, "s1", 0},
+		}},
+		{"another replica has confirmed a commit alone and left, and all instances restart", 0, []step{
+			{joins, time.Second, "s1", 0},
+			{both(down("s4"), registered("s4", false), crash, restartInstances), 10 * time.Second, "", 0},
+			{return1, 4 * time.Second, "s1", 0},
+		}},
+		{"another replica has confirmed a commit alone, and was recorded a moment ago", 0, []step{
+			{both(joins, func(f *fleet) { f.confirmCommits(1) }, down("s4"), registered("s4", false), crash), 10 * time.Second, "", 0},
+		}},
+		{"more replicas should confirm than there were until one has joined", 2, []step{
+			{func(f *fleet) {
+				f.unregistered["s3"] = true
+				f.storeReplicas(1, "s1", "s2")
+			}, 2 * time.Second, "s1", 0},
+			{both(registered("s3", true), down("s2")), 2 * time.Second, "s1", 0},
+			{crash, 10 * time.Second, "", 0},
+		}},
+		{"fewer replicas confirm while no instance runs that knew more", 2, []step{
+			{confirming(1), time.Second, "s1", 0}, {both(confirming(2), restartInstances, down("s2"), crash), 10 * time.Second, "", 0},
+		}},
+		{"the instances have no configuration for a while after their start", 0, []step{
+			{both(configured(false), restartInstances), 2 * time.Second, "s1", 0},
+			{both(configured(true), restartInstances, crash), 4 * time.Second, "s2", 1},
+		}},
+		{"the operators have not demanded confirmed commits for a while", 0, []step{
+			{confirming(0), 2 * time.Second, "s1", 0}, {both(confirming(1), crash, restartInstances), 10 * time.Second, "", 0}, {return1, 4 * time.Second, "s1", 0},
+		}},
 		{"the operators no longer demand confirmed commits", 0, []step{
 			{both(down("s2"), crash), 10 * time.Second, "", 0}, {confirming(0), 4 * time.Second, "s3", 1},
 		}},
@@ -121,7 +174,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, "a", "b", "c")
-				f.set(func() { f.syncReplicas = max(1, c.confirming) })
+				f.set(func() { f.confirmCommits(max(1, c.confirming)) })
 				// The steps are between the refreshes of the fixture, which have no order.
 				time.Sleep(1070 * time.Millisecond)
 				for i, s := range c.steps {
@@ -135,12 +188,51 @@
 	}
 }
 
+// storeless cuts one instance off from the store, and from nothing else.
+type storeless string
+
+func (storeless) delay(context.Context)       {}
+func (s storeless) lost(from, to string) bool { return from == string(s) && to == "store" }
+func (storeless) reaches(string, string) bool { return true }
+
+// TestInstancesTellOfUnrecordedServers guards against a promotion by instances that have restarted,
+// while another one knows of a replica that could not be recorded and holds a commit alone.
+func TestInstancesTellOfUnrecordedServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.confirmCommits(1)
+		for _, name := range []string{"a", "b", "c"} {
+			f.instances[name] = f.newInstance(name)
+		}
+		for _, i := range f.instances {
+			i.start()
+		}
+		time.Sleep(1070 * time.Millisecond)
+		f.set(func() {
+			f.faults, f.storeDown = storeless("c"), true
+			f.servers["s1"].status.Received = at(1, 10)
+			f.servers["s4"] = &server{status: ServerStatus{Term: 1, Received: at(1, 10)}}
+		})
+		time.Sleep(time.Second)
+		f.set(func() {
+			f.storeDown, f.unregistered["s4"], f.servers["s4"].down, f.servers["s1"].down = false, true, true, true
+			for _, name := range []string{"a", "b"} {
+				f.instances[name].stop()
+				f.instances[name] = f.newInstance(name)
+				f.instances[name].start()
+			}
+		})
+		time.Sleep(20 * time.Second)
+		require.Empty(t, f.ordered(), "a server without an acknowledged commit was promoted")
+	})
+}
+
 // TestRepeatedOrderNeedsTheLog guards against repeating an order without effect for a server that has
 // lost its log since.
 func TestRepeatedOrderNeedsTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, "a", "b", "c")
-		f.set(func() { f.syncReplicas = 1 })
+		f.set(func() { f.confirmCommits(1) })
 		time.Sleep(1070 * time.Millisecond)
 		f.set(func() { f.servers["s1"].down, f.lostOrders = true, 1 })
 		for len(f.ordered()) == 0 {
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -84,8 +84,8 @@
 	attestedAt time.Duration // guarded by attesting; before the first request of attested was sent
 	// alerted receives a value when another instance suspects a primary.
 	alerted chan struct{}
-	// departures tracks the replicas that may hold confirmed commits after they have left.
-	departures departures
+	// replicas tracks the servers that may hold confirmed commits.
+	replicas replicas
 
 	mu sync.Mutex
 	// running holds the replacement that this instance runs for a service; guarded by mu.
@@ -101,6 +101,10 @@
 	// reportedAt is when this instance last sent suspect reports on a service; guarded
 	// by mu.
 	reportedAt map[string]time.Duration
+	// recording holds the services whose replica set is being stored, and recordNotBefore the
+	// earliest time of the next attempt; guarded by mu.
+	recording       map[string]bool
+	recordNotBefore map[string]time.Duration
 }
 
 // suspect is a primary that does not respond to another instance.
@@ -121,8 +125,9 @@
 		return nil, trace.Wrap(err)
 	}
 	return &Controller{
-		cfg: cfg, attesting: make(chan struct{}, 1), alerted: make(chan struct{}, 1), departures: departures{services: make(map[string]*departedReplicas)}, running: make(map[string]*replacement), conditions: make(map[string]condition),
+		cfg: cfg, attesting: make(chan struct{}, 1), alerted: make(chan struct{}, 1), replicas: replicas{services: make(map[string]*serviceReplicas)}, running: make(map[string]*replacement), conditions: make(map[string]condition),
 		notBefore: make(map[string]time.Duration), suspects: make(map[string]suspect), reportedAt: make(map[string]time.Duration),
+		recording: make(map[string]bool), recordNotBefore: make(map[string]time.Duration),
 	}, nil
 }
 
@@ -131,7 +136,7 @@
 	t, ctx := tomb.WithContext(ctx)
 	t.Go(func() error { return c.pollServices(ctx, t) })
 	t.Go(func() error { return c.confirmRecords(ctx) })
-	t.Go(func() error { return c.watchDepartures(ctx) })
+	t.Go(func() error { return c.checkReplicas(ctx) })
 	if c.cfg.Announce != nil {
 		t.Go(func() error { return c.watchReliance(ctx) })
 	}
@@ -151,18 +156,18 @@
 }
 
 // Revoke revokes the primary of all epochs before epoch, on behalf of the instance
-// that replaces it, and returns when this instance last confirmed the records of others. This
-// instance's own replacement of an earlier epoch issues no further promotion orders.
-func (c *Controller) Revoke(ctx context.Context, service string, epoch uint64) (Confirmations, error) {
+// that replaces it. This instance's own replacement of an earlier epoch issues no further promotion
+// orders.
+func (c *Controller) Revoke(ctx context.Context, service string, epoch uint64) (Revocation, error) {
 	c.mu.Lock()
 	if r := c.running[service]; r != nil && r.epoch.Load() < epoch {
 		r.superseded.Store(true)
 	}
 	c.mu.Unlock()
 	if err := c.cfg.PrimaryView.Revoke(ctx, service, epoch); err != nil {
-		return Confirmations{}, trace.Wrap(err)
+		return Revocation{}, trace.Wrap(err)
 	}
-	return c.cfg.PrimaryView.confirmations(), nil
+	return Revocation{Confirmations: c.cfg.PrimaryView.confirmations(), Unrecorded: c.replicas.unrecordedRuns(service, &c.cfg)}, nil
 }
 
 // KnownEpochs returns the epochs known to PrimaryView, and those of the replacements that this
@@ -183,7 +188,8 @@
 func (c *Controller) pollServices(ctx context.Context, t *tomb.Tomb) error {
 	for ctx.Err() == nil {
 		changed := c.cfg.PrimaryView.Changed()
-		c.departures.observe(c.cfg.Registry, c.cfg.SyncReplicas)
+		c.replicas.observe(&c.cfg, c.cfg.Clock())
+		c.recordReplicas(ctx, t)
 		for _, name := range c.serviceNames() {
 			if cause := c.reasonToReplace(name); cause != reasonNone {
 				c.start(ctx, t, name, cause)
--- a/internal/leadership/evacuation_test.go
+++ b/internal/leadership/evacuation_test.go
@@ -46,7 +46,10 @@
 	}
 	crash := func(syncReplicas int) func(*fleet) {
 		return func(f *fleet) {
-			f.syncReplicas, f.servers["s1"].down, f.evacuated["s2"] = syncReplicas, true, true
+			if syncReplicas > 0 {
+				f.confirmCommits(syncReplicas)
+			}
+			f.servers["s1"].down, f.evacuated["s2"] = true, true
 		}
 	}
 	catchUp := func(f *fleet) { f.servers["s2"].status.Received.Offset = 9 }
--- a/internal/leadership/fleet_ports_test.go
+++ b/internal/leadership/fleet_ports_test.go
@@ -114,13 +114,13 @@
 	return nil
 }
 
-func (i *instance) Revoke(ctx context.Context, m Member, service string, epoch uint64) (Confirmations, error) {
+func (i *instance) Revoke(ctx context.Context, m Member, service string, epoch uint64) (Revocation, error) {
 	if err := i.deliver(ctx, m); err != nil {
-		return Confirmations{}, err
+		return Revocation{}, err
 	}
 	given, err := i.f.instance(m.Name).controller.Revoke(ctx, service, epoch)
 	if err != nil {
-		return Confirmations{}, err
+		return Revocation{}, err
 	}
 	pause.For(ctx, i.f.slow[m.Name])
 	return given, i.returned(ctx, m)
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -37,6 +37,7 @@
 	evacuated         map[string]bool // endpoints whose failure domain is evacuated
 	unregistered      map[string]bool
 	syncReplicas      int
+	unconfigured      bool            // the instances have no configuration
 	cut               map[string]bool // instances that reach only servers
 	loseNextResponse  bool            // the response to the next commit is lost
 	otherReplacements int             // replacements of other services that take fence numbers first
@@ -133,7 +134,7 @@
 	cfg := Config{
 		Self: name, FailureDomain: domainOf(name), PrimaryView: i.view, Refresh: i.refresh, Registry: f.registry,
 		Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
-		IsConfigured: func(service string) bool { return service == "db" },
+		IsConfigured: func(service string) bool { return service == "db" && f.configured() },
 		SyncReplicas: func(string) int { return f.confirming() },
 		Table:        i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
 		RegistryComplete: func() bool { return i.reach("store") == nil },
@@ -188,12 +189,41 @@
 	return f.remoteLifetime
 }
 
+// configured reports whether the instances have read a configuration.
+func (f *fleet) configured() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.unconfigured
+}
+
+// confirming returns the number of confirming replicas by the configuration, 0 if none was read.
 func (f *fleet) confirming() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.unconfigured {
+		return 0
+	}
 	return f.syncReplicas
 }
 
+// confirmCommits makes replicas confirm commits, as they have for long: the stored replica set lists
+// all servers. The caller holds f.mu.
+func (f *fleet) confirmCommits(syncReplicas int) {
+	f.syncReplicas = syncReplicas
+	f.storeReplicas(min(syncReplicas, len(f.servers)-1), slices.Sorted(maps.Keys(f.servers))...)
+}
+
+// storeReplicas stores a replica set. The caller holds f.mu.
+func (f *fleet) storeReplicas(confirming int, ids ...string) {
+	set := replicaSet{Confirming: confirming}
+	for _, id := range ids {
+		set.Runs = append(set.Runs, ServerRun{ID: id, StartedAt: f.servers[id].startedAt, Primary: f.servers[id].status.Primary})
+	}
+	f.revision++
+	w := encodeRow(replicaSetPrefix+"db", set)
+	f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: f.revision}
+}
+
 func (f *fleet) members() []Member {
 	var list []Member
 	f.mu.Lock()
--- a/internal/leadership/generation.go
+++ b/internal/leadership/generation.go
@@ -1,6 +1,7 @@
 package leadership
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/google/uuid"
@@ -30,7 +31,8 @@
 
 // PlanRestoration returns the rows to be stored in a new generation of the store, ordered by key. A
 // primary is kept only if it is certain that none of its successors is forgotten. All others are
-// marked as being replaced, so that the servers are asked which one is the primary.
+// marked as being replaced, so that the servers are asked which one is the primary. A replica set that
+// may lack a server is marked as incomplete.
 func PlanRestoration(r generation.Restoration, registry *catalog.Registry) ([]follow.Row, error) {
 	records, err := latestRecords(r.Remembered.Rows, r.Stored)
 	if err != nil {
@@ -60,9 +62,26 @@
 		write := encodeRow(servicePrefix+service, record)
 		rows[write.Key] = follow.Row{Key: write.Key, Value: write.Value}
 	}
+	if !r.Certain {
+		for _, row := range append(slices.Clone(r.Stored), r.Remembered.Rows...) {
+			if service, ok := strings.CutPrefix(row.Key, replicaSetPrefix); ok {
+				write := encodeRow(row.Key, incompleteSet(service, row))
+				rows[write.Key] = follow.Row{Key: write.Key, Value: write.Value}
+			}
+		}
+	}
 	return follow.SortRows(rows), nil
 }
 
+// incompleteSet returns the replica set of a row as one that may lack what was recorded since.
+func incompleteSet(service string, row follow.Row) replicaSet {
+	stored, err := decodeReplicaSet(row.Value, row.Version)
+	if err != nil {
+		return replicaSet{}
+	}
+	return replicaSet{Runs: serverRuns(stored.endpoints(service))}
+}
+
 // latestRecords returns the record with the highest epoch of each service. One that is stored but
 // not remembered is by a commit that was performed late.
 func latestRecords(remembered, stored []follow.Row) (map[string]Record, error) {
--- a/internal/leadership/order.go
+++ b/internal/leadership/order.go
@@ -23,6 +23,12 @@
 	if r.base.Ordered != "" && r.base.Phase == Replacing && !pause.For(ctx, earlierOrderDelay) {
 		return catalog.Endpoint{}, 0, trace.Wrap(ctx.Err())
 	}
+	if r.commitsAreConfirmed() {
+		// The set includes every server that has confirmed a commit before the revocation.
+		if err := r.readReplicaSet(ctx); err != nil {
+			return catalog.Endpoint{}, 0, trace.Wrap(err)
+		}
+	}
 	o := order{r: r}
 	deadline := r.c.cfg.Clock() + promotionTimeout + catchUpTimeout
 	for r.c.cfg.Clock() < deadline && ctx.Err() == nil {
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -62,11 +62,19 @@
 	ConfirmedOnly bool
 }
 
+// Revocation is what an instance knows once it has revoked a primary.
+type Revocation struct {
+	// Confirmations tell when the instance last confirmed the records of others.
+	Confirmations
+	// Unrecorded are the servers that may have confirmed commits and that the instance has not
+	// seen in the stored replica set.
+	Unrecorded []ServerRun `json:"unrecorded,omitempty"`
+}
+
 // Peers calls other instances.
 type Peers interface {
-	// Revoke makes the member revoke the primary of all epochs before epoch. It returns when
-	// the member last confirmed the records of others.
-	Revoke(ctx context.Context, m Member, service string, epoch uint64) (Confirmations, error)
+	// Revoke makes the member revoke the primary of all epochs before epoch.
+	Revoke(ctx context.Context, m Member, service string, epoch uint64) (Revocation, error)
 	// NotifySettled notifies the member that the rows have changed.
 	NotifySettled(ctx context.Context, m Member) error
 	// Reaches reports whether the endpoint responds to the member.
--- a/internal/leadership/primaryview.go
+++ b/internal/leadership/primaryview.go
@@ -16,6 +16,7 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
 	"github.com/hornbeamlock/hornbeamlock/internal/lease"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
 // drainTimeout is how long statements in flight at a primary may take to end before
@@ -317,6 +318,14 @@
 	return r, ok
 }
 
+// replicaSets returns the stored replica sets, which must not be changed, and the revision of a set
+// that is not stored.
+func (v *PrimaryView) replicaSets() (sets map[string]storedReplicaSet, absent platform.Revision) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.records.replicaSets, v.records.absent
+}
+
 // isLatestIntent reports whether, by a record that is still fresh, the intent of r is
 // the latest one of its service. A later holder waits until this record has expired,
 // and an epoch has only one holder. If the store has returned from an older copy since the
--- a/internal/leadership/record.go
+++ b/internal/leadership/record.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
 
@@ -80,11 +81,15 @@
 type records struct {
 	fenceState fenceState
 	services   map[string]Record
-	asOf       time.Duration
+	// replicaSets holds the sets of the services whose replicas confirm commits.
+	replicaSets map[string]storedReplicaSet
+	asOf        time.Duration
 	// generation is the generation of the store in which the rows were read.
 	generation uint64
-	loaded     bool
-	members    Membership
+	// absent is the revision of a row that does not exist in that generation.
+	absent  platform.Revision
+	loaded  bool
+	members Membership
 }
 
 // Membership describes the registered instances according to a copy of the rows.
@@ -107,13 +112,23 @@
 // affected. Such rows are returned as unreadable. The row with the last fence number has to be
 // readable.
 func decodeRecords(s follow.Snapshot) (r records, unreadable []string, err error) {
-	r = records{services: make(map[string]Record), asOf: s.AsOf, generation: s.Version.Generation(), loaded: s.Loaded()}
+	r = records{services: make(map[string]Record), replicaSets: make(map[string]storedReplicaSet), asOf: s.AsOf, generation: s.Version.Generation(), loaded: s.Loaded()}
+	if r.absent, err = platform.NewRevision(r.generation, 0); err != nil {
+		return r, nil, trace.Wrap(err)
+	}
 	for _, row := range s.Rows {
 		if row.Key == fenceKey {
 			if err := json.Unmarshal(row.Value, &r.fenceState); err != nil {
 				return r, nil, trace.BadParameter("row %s: %v", row.Key, err)
 			}
 		}
+		if service, ok := strings.CutPrefix(row.Key, replicaSetPrefix); ok {
+			set, err := decodeReplicaSet(row.Value, row.Version)
+			if err != nil {
+				unreadable = append(unreadable, row.Key)
+			}
+			r.replicaSets[service] = set
+		}
 		service, ok := strings.CutPrefix(row.Key, servicePrefix)
 		if !ok {
 			continue
--- a/internal/leadership/revoke.go
+++ b/internal/leadership/revoke.go
@@ -40,7 +40,8 @@
 		go func() {
 			given, ok := r.revokeMember(revokeCtx, m)
 			if ok {
-				revoked <- revocation{member: m.Name, confirmed: given, received: r.c.cfg.Clock()}
+				r.c.replicas.learn(r.service, given.Unrecorded)
+				revoked <- revocation{member: m.Name, confirmed: given.Confirmations, received: r.c.cfg.Clock()}
 			}
 		}()
 	}
@@ -129,7 +130,7 @@
 
 // revokeMember repeats the request until the member has revoked the primary or ctx
 // ends.
-func (r *replacement) revokeMember(ctx context.Context, m Member) (given Confirmations, ok bool) {
+func (r *replacement) revokeMember(ctx context.Context, m Member) (given Revocation, ok bool) {
 	if m.Name == r.c.cfg.Self {
 		given, err := r.c.Revoke(ctx, r.service, r.epoch.Load())
 		if err != nil {
@@ -147,7 +148,7 @@
 		r.c.cfg.Log.Debug("an instance has not revoked the primary yet", zap.String("member", m.Name), zap.Error(err))
 		pause.For(ctx, retryInterval)
 	}
-	return Confirmations{}, false
+	return Revocation{}, false
 }
 
 // watchOldPrimary polls the old primary during the revocation, and passes it to found
