leadership: a service that leaves the configuration keeps its confirmed commits

Where the configuration loses a service while its primary is replaced, the number of confirming replicas read as 0, and the longest log that answered was promoted without the commits that only a silent replica had confirmed.

Cause: no entry in the configuration was taken for one without sync-replicas.

Change: a replacement goes by the number of the last configuration that had the service. 'the configuration lacks the service while its primary is replaced' of TestConfirmedCommitsAreKept fails before (s3 is promoted) and passes after.

Conclusion: a replacement ends by what was promised when it began; operators give commits up by setting sync-replicas to 0, as before.

--- a/internal/leadership/confirmed.go
+++ b/internal/leadership/confirmed.go
@@ -14,7 +14,9 @@
 
 // commitsAreConfirmed reports whether replicas of the service confirm a commit before it is
 // acknowledged. The log of a promoted server must then hold every acknowledged commit.
-func (r *replacement) commitsAreConfirmed() bool { return r.c.cfg.SyncReplicas(r.service) > 0 }
+func (r *replacement) commitsAreConfirmed() bool {
+	return r.c.replicas.syncReplicas(r.service, &r.c.cfg) > 0
+}
 
 // confirmedLog tells how far the acknowledged commits of a primary may reach. Each of them is held
 // by the primary and by at least confirming of the replicas, so that all are known once fewer
--- a/internal/leadership/confirmed_test.go
+++ b/internal/leadership/confirmed_test.go
@@ -164,6 +164,9 @@
 			{both(configured(false), restartInstances), 2 * time.Second, "s1", 0},
 			{both(configured(true), restartInstances, crash), 4 * time.Second, "s2", 1},
 		}},
+		{"the configuration lacks the service while its primary is replaced", 0, []step{
+			{both(down("s2"), crash), time.Second, "", 0}, {configured(false), 8 * time.Second, "", 0},
+		}},
 		{"the operators have not demanded confirmed commits for a while", 0, []step{
 			{confirming(0), 2 * time.Second, "s1", 0}, {both(confirming(1), crash, restartInstances), 10 * time.Second, "", 0}, {return1, 4 * time.Second, "s1", 0},
 		}},
--- a/internal/leadership/replicas.go
+++ b/internal/leadership/replicas.go
@@ -201,6 +201,20 @@
 	return replicaSet{Runs: serverRuns(runs), Confirming: min(stored.Confirming, s.confirming())}
 }
 
+// syncReplicas returns how many replicas confirm a commit of the service, by the last configuration
+// that had it.
+func (r *replicas) syncReplicas(service string, c *Config) int {
+	if c.IsConfigured(service) {
+		return c.SyncReplicas(service)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.services[service]; s != nil {
+		return s.syncReplicas
+	}
+	return 0
+}
+
 // of returns the registered servers of a service, the departed ones that may hold confirmed
 // commits, and the least number of replicas that has confirmed each of its commits.
 func (r *replicas) of(service string, c *Config) (registered, departed []catalog.Endpoint, confirming int) {
