leadership, edge: a primary whose entry is late is not replaced

Cause: an entry that was missing for 0.5 s by the first copy that a process had read stood for a server that is gone. The 2 s in which servers register again protected only entries that the process had seen itself. Besides, the copy on which the decision rests may be older than the entry that it lacks.

Change: a recorded primary that this instance has not seen registered since must be missing for 2.5 s, as for services without a record. For either reason the registry is read once more before a replacement begins. Any failed read of the store begins the wait anew.

Conclusion: safe, at no cost for instances that have run; a primary that is lost for good beside a restart of all is replaced up to 2 s later.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -207,6 +207,24 @@
 	require.Equal(t, []string{"s1"}, read())
 }
 
+// TestRegistryIsIncompleteWhileTheStoreFails guards against concluding from missing entries that there
+// was no outage, if it ends between two reads of the registry and only other reads have failed.
+func TestRegistryIsIncompleteWhileTheStoreFails(t *testing.T) {
+	fleet := &fakeRows{}
+	i := newInstance(t, &fakeRows{}, &fakeRows{}, fleet, lease.BootClock)
+	require.NoError(t, i.followers[registrySet].Refresh(t.Context()))
+	require.True(t, i.registryComplete())
+	fleet.down.Store(true)
+	var running sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	defer running.Wait()
+	defer cancel()
+	running.Go(func() { _ = i.fleet.Run(ctx) })
+	require.Eventually(t, func() bool { return !i.registryComplete() }, 2*time.Second, 10*time.Millisecond)
+	fleet.down.Store(false)
+	require.Eventually(t, i.registryComplete, 4*time.Second, 10*time.Millisecond)
+}
+
 func TestDecodeMembers(t *testing.T) {
 	members := decodeMembers([]follow.Row{
 		{Key: "member/b", Value: []byte(`{"name":"x","address":"127.0.0.1:2","retired":true}`), Version: 7},
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -209,7 +209,7 @@
 func (i *Instance) buildLeadership() (err error) {
 	i.controller, err = leadership.New(leadership.Config{
 		Self: i.cfg.Name, FailureDomain: i.cfg.FailureDomain, PrimaryView: i.primaryView, Refresh: i.fleet.Refresh, Registry: i.registry.Get,
-		RegistryComplete: i.registryComplete, Members: i.leadershipMembers, FreshMembers: i.freshMembers,
+		RegistryComplete: i.registryComplete, RefreshRegistry: i.refreshRegistry, Members: i.leadershipMembers, FreshMembers: i.freshMembers,
 		Reaches: i.reaches, Table: i.cfg.Ports.Table, Servers: i.cfg.Ports.Servers, Promoter: i.cfg.Ports.Promoter,
 		Peers: peers{client: i.client, name: i.cfg.Name}, Health: i.health, IsConfigured: i.isConfigured, SyncReplicas: i.syncReplicas, Announce: i.announceReliance, Silent: i.recordRemoteSilence,
 		Clock: i.cfg.Clock, Log: i.cfg.Log,
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
@@ -10,13 +11,12 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/catalog"
 	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
+	"github.com/hornbeamlock/hornbeamlock/internal/leadership"
 	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
 
-// missingGrace is how long an entry may be missing before its endpoint counts as
-// unregistered: entries that expired during an outage of the store are renewed within that
-// time.
-const missingGrace = 2 * time.Second
+// missingGrace is how long an entry may be missing before its endpoint counts as unregistered.
+const missingGrace = leadership.RegistrationGrace
 
 // maxIgnoredReports limits the lines on ignored entries for one copy of the registry.
 const maxIgnoredReports = 20
@@ -122,9 +122,15 @@
 	}
 }
 
+// refreshRegistry reads the registry now.
+func (i *Instance) refreshRegistry(ctx context.Context) error {
+	return i.followers[registrySet].RefreshSince(ctx, i.cfg.Clock())
+}
+
 // registryComplete reports whether the copy of the registry is recent enough to conclude
-// from a missing entry that its endpoint is unregistered.
+// from a missing entry that its endpoint is unregistered. Any failed read counts, since an outage
+// may end before the next read of the registry.
 func (i *Instance) registryComplete() bool {
 	f := i.followers[registrySet]
-	return f.StoreServing() && f.Snapshot().Age(i.cfg.Clock()) < 2*registryInterval
+	return f.StoreServing() && !i.outage.Failing() && f.Snapshot().Age(i.cfg.Clock()) < 2*registryInterval
 }
--- a/internal/leadership/controller.go
+++ b/internal/leadership/controller.go
@@ -43,13 +43,16 @@
 	// suspectReportInterval is the minimum time between one instance's suspect
 	// reports on a service.
 	suspectReportInterval = time.Second
+	// RegistrationGrace is the time after its or the store's return within which an endpoint
+	// that is alive has registered. It counts as gone after that.
+	RegistrationGrace = 2 * time.Second
 	// missingThreshold is how long an entry must be missing from the registry before
 	// its endpoint counts as unregistered.
 	missingThreshold = 500 * time.Millisecond
-	// unknownThreshold is how long no registered endpoint may report itself as the primary of a
-	// service without a record before one is promoted. An endpoint that is alive has registered
-	// within 2 s of its or the store's return, and counts as gone after that.
-	unknownThreshold = 2*time.Second + missingThreshold
+	// unseenThreshold is the same for an endpoint that this instance has not seen registered
+	// as the primary: the store may just have returned. It applies to services without a known
+	// primary as well.
+	unseenThreshold = RegistrationGrace + missingThreshold
 	// attemptBackoff is the wait of one instance after an attempt on a service.
 	attemptBackoff = time.Second
 	// peerTimeout bounds a request to one instance.
@@ -101,6 +104,8 @@
 	// reportedAt is when this instance last sent suspect reports on a service; guarded
 	// by mu.
 	reportedAt map[string]time.Duration
+	// registered holds the primary of each service that was last seen registered; guarded by mu.
+	registered map[string]Primary
 	// recording holds the services whose replica set is being stored, and recordNotBefore the
 	// earliest time of the next attempt; guarded by mu.
 	recording       map[string]bool
@@ -127,7 +132,7 @@
 	return &Controller{
 		cfg: cfg, attesting: make(chan struct{}, 1), alerted: make(chan struct{}, 1), replicas: replicas{services: make(map[string]*serviceReplicas)}, running: make(map[string]*replacement), conditions: make(map[string]condition),
 		notBefore: make(map[string]time.Duration), suspects: make(map[string]suspect), reportedAt: make(map[string]time.Duration),
-		recording: make(map[string]bool), recordNotBefore: make(map[string]time.Duration),
+		registered: make(map[string]Primary), recording: make(map[string]bool), recordNotBefore: make(map[string]time.Duration),
 	}, nil
 }
 
@@ -270,14 +275,17 @@
 	primary, err := c.cfg.PrimaryView.Primary(service)
 	switch {
 	case errors.Is(err, errNoPrimary) && c.cfg.RegistryComplete():
-		return reasonUnknown, unknownThreshold
+		return reasonUnknown, unseenThreshold
 	case err != nil:
 		return reasonNone, 0
 	}
 	e, registered := c.cfg.Registry().Endpoints[primary.Endpoint]
+	seen := c.hasBeenRegistered(service, primary, registered)
 	switch {
-	case !registered && c.cfg.RegistryComplete():
+	case !registered && c.cfg.RegistryComplete() && seen:
 		return reasonUnregistered, missingThreshold
+	case !registered && c.cfg.RegistryComplete():
+		return reasonUnregistered, unseenThreshold
 	case registered && e.Draining:
 		return reasonDraining, 0
 	case c.cfg.Health.UnresponsiveFor(primary.Endpoint) >= unresponsiveThreshold, c.isSuspect(service, primary.Endpoint):
@@ -289,6 +297,17 @@
 	}
 }
 
+// hasBeenRegistered reports whether this instance has seen the primary registered since it was
+// recorded, which it is now if registered is true.
+func (c *Controller) hasBeenRegistered(service string, primary Primary, registered bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if registered {
+		c.registered[service] = primary
+	}
+	return c.registered[service] == primary
+}
+
 // rank returns this instance's index among the ranked members, limited to maxRanks.
 func (c *Controller) rank() int {
 	index := slices.IndexFunc(c.ranked(), func(m Member) bool { return m.Name == c.cfg.Self })
@@ -357,10 +376,24 @@
 		if c.isHolderActive(ctx, r.base) {
 			return nil
 		}
+	case reasonUnregistered, reasonUnknown:
+		if missing, err := c.isStillMissing(ctx, r); !missing {
+			return trace.Wrap(err)
+		}
 	}
 	return trace.Wrap(r.run(ctx))
 }
 
+// isStillMissing reads the registry and reports whether the cause holds by that copy. The copy on
+// which the decision was based may be older than the entry that it lacks.
+func (c *Controller) isStillMissing(ctx context.Context, r *replacement) (bool, error) {
+	if err := c.cfg.RefreshRegistry(ctx); err != nil {
+		return false, trace.Wrap(err, "reading the registry")
+	}
+	cause, _ := c.assess(r.service)
+	return cause == r.cause, nil
+}
+
 // isHolderActive asks the holder of an unfinished replacement whether it is still
 // running it.
 func (c *Controller) isHolderActive(ctx context.Context, r Record) bool {
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -36,6 +36,7 @@
 	draining          map[string]bool
 	evacuated         map[string]bool // endpoints whose failure domain is evacuated
 	unregistered      map[string]bool
+	oldRegistry       *catalog.Registry // the copy of all instances until one refreshes it, if set
 	syncReplicas      int
 	unconfigured      bool            // the instances have no configuration
 	cut               map[string]bool // instances that reach only servers
@@ -137,7 +138,7 @@
 		IsConfigured: func(service string) bool { return service == "db" && f.configured() },
 		SyncReplicas: func(string) int { return f.confirming() },
 		Table:        i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
-		RegistryComplete: func() bool { return i.reach("store") == nil },
+		RegistryComplete: func() bool { return i.reach("store") == nil }, RefreshRegistry: i.refreshRegistry,
 		Reaches: func(_ context.Context, endpoint string) bool {
 			return f.isUp(name, endpoint) && !f.probeIsUnanswered(endpoint)
 		},
@@ -237,9 +238,26 @@
 	return list
 }
 
+// refreshRegistry implements Config.RefreshRegistry.
+func (i *instance) refreshRegistry(context.Context) error {
+	if err := i.reach("store"); err != nil {
+		return err
+	}
+	i.f.set(func() { i.f.oldRegistry = nil })
+	return nil
+}
+
 func (f *fleet) registry() *catalog.Registry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.oldRegistry != nil {
+		return f.oldRegistry
+	}
+	return f.currentRegistry()
+}
+
+// currentRegistry returns the registered servers. The caller holds mu.
+func (f *fleet) currentRegistry() *catalog.Registry {
 	var list []catalog.Endpoint
 	for _, id := range slices.Sorted(maps.Keys(f.servers)) {
 		if f.unregistered[id] {
--- a/internal/leadership/ports.go
+++ b/internal/leadership/ports.go
@@ -110,6 +110,9 @@
 	// RegistryComplete reports whether an entry that is missing from the registry
 	// was removed for good.
 	RegistryComplete func() bool
+	// RefreshRegistry reads the registry from the store and applies it; if nil, Registry is always
+	// current.
+	RefreshRegistry func(ctx context.Context) error
 	// Members returns the instances known to be registered and not retired, including
 	// this one.
 	Members func() []Member
@@ -150,6 +153,9 @@
 	if c.RegistryComplete == nil {
 		c.RegistryComplete = func() bool { return true }
 	}
+	if c.RefreshRegistry == nil {
+		c.RefreshRegistry = func(context.Context) error { return nil }
+	}
 	if c.IsConfigured == nil {
 		c.IsConfigured = func(string) bool { return true }
 	}
