leadership: one replica that receives nothing does not keep a departed one waited for

After a replica of a service with sync-replicas 1 had restarted and received the whole log again, a crash of the primary was answered by refusals until the primary returned, if another replica was receiving nothing at that time.

Cause: the earlier run of the restarted replica was given up only once all registered replicas held what it may have confirmed. As many as confirm a commit suffice: then each acknowledged commit is held by that many of the runs that remain, and a promotion waits for enough of those.

'it has restarted and caught up, while the other receives nothing' of TestConfirmedCommitsAreKept fails before.

Result: the case passes; a set with fewer holders than sync-replicas counts on as many as there are, so that the other wrong way, one holder for two, stays safe (trial).

--- a/internal/leadership/confirmed_test.go
+++ b/internal/leadership/confirmed_test.go
@@ -101,6 +101,12 @@
 			{both(catchUp, func(f *fleet) { f.servers["s2"].status.Received = at(1, 9) }), 2 * time.Second, "s1", 0},
 			{crash, 3 * time.Second, "s2", 1},
 		}},
+		{"it has restarted and caught up, while the other receives nothing", 0, []step{
+			{func(f *fleet) { f.servers["s2"].startedAt = 7 }, 2 * time.Second, "s1", 0}, {both(crash, restartInstances), 4 * time.Second, "s2", 1},
+		}},
+		{"two replicas confirm each commit, one has restarted, and one of them receives nothing", 2, []step{
+			{func(f *fleet) { f.servers["s2"].startedAt = 7 }, 2 * time.Second, "s1", 0}, {crash, 4 * time.Second, "s2", 1},
+		}},
 		{"it has restarted with nothing, and its entry does not tell yet", 0, []step{
 			{both(crash, func(f *fleet) { f.servers["s2"].status.Received = position.Position{} }), 10 * time.Second, "", 0},
 		}},
--- a/internal/leadership/replicacheck.go
+++ b/internal/leadership/replicacheck.go
@@ -65,11 +65,11 @@
 		}
 		return replicaSet{}, false
 	}
-	holders, all := s.holders(primary, found)
-	if !all {
+	holders, enough := s.holders(primary, found)
+	if !enough {
 		return replicaSet{}, false
 	}
-	// All registered replicas hold what the silent runs may have confirmed.
+	// Enough registered replicas hold what the silent runs may have confirmed.
 	s.begun = false
 	for run := range silent {
 		if _, ok := s.silent[run]; ok {
@@ -95,20 +95,21 @@
 	return false
 }
 
-// holders returns the number of registered replicas, and whether there are any and all hold the log
-// up to the checkpoint.
-func (s *serviceReplicas) holders(primary string, found survey) (count int, all bool) {
+// holders returns the number of registered replicas that hold the log up to the checkpoint, and
+// whether as many do as confirm a commit.
+func (s *serviceReplicas) holders(primary string, found survey) (count int, enough bool) {
+	registered := 0
 	for run := range s.registered {
 		if run.id == primary {
 			continue
 		}
+		registered++
 		resp, ok := found.response(run.id)
-		if !ok || incarnationOf(resp.endpoint) != run || resp.status.Received.Less(s.checkpoint) {
-			return 0, false
+		if ok && incarnationOf(resp.endpoint) == run && !resp.status.Received.Less(s.checkpoint) {
+			count++
 		}
-		count++
 	}
-	return count, count > 0
+	return count, count > 0 && count >= min(s.syncReplicas, registered)
 }
 
 // checkReplicas checks the replicas of services until ctx ends.
