leadership: a target's log is looked at again once the order is recorded

A server of a service with sync-replicas that restarts without its log while its promotion is being recorded was promoted all the same, and the commits that it had confirmed were lost.

Evidence: TestOrderedServerStillHoldsTheLog has the server restart in that commit; before, its promotion is ordered.

Change: with confirmed commits the order is sent only after another survey that chooses the same target. One status request more, only for such services.

Result: the test and those of the package pass.

Conclusion: what remains is the time from a status to the order's arrival.

--- a/internal/leadership/confirmed_test.go
+++ b/internal/leadership/confirmed_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
 
@@ -256,3 +258,28 @@
 		require.Equal(t, "s2", f.primary("a"))
 	})
 }
+
+// TestOrderedServerStillHoldsTheLog guards against ordering the promotion of a server that has lost its
+// log while the order was recorded, for which the store may take seconds.
+func TestOrderedServerStillHoldsTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, "a", "b", "c")
+		f.set(func() { f.confirmCommits(1) })
+		time.Sleep(1070 * time.Millisecond)
+		f.set(func() {
+			f.servers["s1"].down = true
+			f.onCommit = func(write platform.Write) {
+				if strings.Contains(string(write.Value), `"ordered":"s2"`) {
+					f.servers["s2"].startedAt, f.servers["s2"].status.Received = 7, position.Position{}
+				}
+			}
+		})
+		time.Sleep(10 * time.Second)
+		require.Empty(t, f.ordered(), "a server without an acknowledged commit was promoted")
+		f.set(func() {
+			f.onCommit, f.servers["s1"].down, f.servers["s2"].status.Received = nil, false, at(1, 9)
+		})
+		time.Sleep(10 * time.Second)
+		require.Equal(t, "s2", f.primary("a"))
+	})
+}
--- a/internal/leadership/fleet_ports_test.go
+++ b/internal/leadership/fleet_ports_test.go
@@ -62,6 +62,9 @@
 	}
 	i.f.revision++
 	for _, w := range writes {
+		if i.f.onCommit != nil {
+			i.f.onCommit(w)
+		}
 		i.f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: i.f.revision}
 	}
 	if i.f.loseNextResponse {
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -38,10 +38,11 @@
 	unregistered      map[string]bool
 	oldRegistry       *catalog.Registry // the copy of all instances until one refreshes it, if set
 	syncReplicas      int
-	unconfigured      bool            // the instances have no configuration
-	cut               map[string]bool // instances that reach only servers
-	loseNextResponse  bool            // the response to the next commit is lost
-	otherReplacements int             // replacements of other services that take fence numbers first
+	unconfigured      bool                 // the instances have no configuration
+	cut               map[string]bool      // instances that reach only servers
+	loseNextResponse  bool                 // the response to the next commit is lost
+	onCommit          func(platform.Write) // is called for each write of a commit, if set
+	otherReplacements int                  // replacements of other services that take fence numbers first
 	// observers are the instances that notice servers being down, nil for all; slow holds
 	// the extra time that instances take to revoke a primary.
 	observers map[string]bool
--- a/internal/leadership/order.go
+++ b/internal/leadership/order.go
@@ -79,32 +79,37 @@
 		return response{}, false, nil
 	}
 	o.previousTerm = r.newestTerm(found)
-	if err := r.recordOrder(ctx, choice.ID); err != nil {
+	written, err := r.recordOrder(ctx, choice.ID)
+	if err != nil {
 		return response{}, false, trace.Wrap(err)
 	}
+	if written && r.commitsAreConfirmed() {
+		// The store may have taken long. The next survey tells whether the server still has its log.
+		return response{}, false, nil
+	}
 	return response{}, false, o.issue(ctx, choice)
 }
 
 // recordOrder records the order before it is issued, for an instance that may have to
-// continue the replacement.
-func (r *replacement) recordOrder(ctx context.Context, target string) error {
+// continue the replacement. It returns false if the order was recorded before.
+func (r *replacement) recordOrder(ctx context.Context, target string) (written bool, err error) {
 	if r.record.Ordered == target && !r.record.Required.Less(r.required) {
-		return nil
+		return false, nil
 	}
 	current, rows, err := r.readRecords(ctx)
 	if err != nil {
-		return trace.Wrap(err)
+		return false, trace.Wrap(err)
 	}
 	if current.services[r.service] != r.record {
-		return trace.CompareFailed("another instance has taken over")
+		return false, trace.CompareFailed("another instance has taken over")
 	}
 	next := r.record
 	next.Ordered, next.Required, next.Attempt = target, r.record.Required.Max(r.required), uuid.NewString()
 	if err := r.commit(ctx, rows, []platform.Write{encodeRow(servicePrefix+r.service, next)}, next); err != nil {
-		return trace.Wrap(err)
+		return false, trace.Wrap(err)
 	}
 	r.record = next
-	return nil
+	return true, nil
 }
 
 // issue orders the promotion. After a refusal by the platform another target may be
