--- a/internal/leadership/replicas.go
+++ b/internal/leadership/replicas.go
@@ -11,8 +11,8 @@
 )
 
 // replicas tracks the servers of services with confirmed commits: those that are registered, and
-// those that have left the registry or restarted and may hold a commit alone, until all replicas
-// that remain hold what the primary held after the departure.
+// those that have left the registry or restarted and may hold a commit alone, until enough of the
+// others hold what the primary held after the departure.
 type replicas struct {
 	mu       sync.Mutex
 	services map[string]*serviceReplicas
@@ -45,6 +45,7 @@
 	silent     map[incarnation]struct{}
 }
 
+// noLowered is the value of serviceReplicas.lowered if the stored set shows the least number.
 const noLowered = -1
 
 // observe compares the registered servers and the stored sets with those observed before.
