leadership: cases of a service without a record whose instances restart

Cells that nothing played: a primary that was never replaced is lost with its entry while all instances restart, with confirmed commits: the replica with the commits answers, is unreachable, or has no entry yet.

--- a/internal/leadership/confirmed_test.go
+++ b/internal/leadership/confirmed_test.go
@@ -143,6 +143,17 @@
 		{"it has gone, the other has caught up, and all instances restart", 0, []step{
 			{both(registered("s2", false), down("s2"), catchUp), 3 * time.Second, "s1", 0}, {both(crash, restartInstances), 4 * time.Second, "s3", 1},
 		}},
+		{"a primary that was never replaced is lost with its entry while the instances restart", 0, []step{
+			{both(crash, registered("s1", false), restartInstances), 10 * time.Second, "s2", 1},
+		}},
+		{"so is one, and the replica with the commit is unreachable", 0, []step{
+			{both(crash, registered("s1", false), down("s2"), restartInstances), 10 * time.Second, "", 0},
+			{func(f *fleet) { f.servers["s2"].down = false }, 5 * time.Second, "s2", 1},
+		}},
+		{"so is one, and the entry of the replica with the commit is late", 0, []step{
+			{both(crash, registered("s1", false), registered("s2", false), restartInstances), 10 * time.Second, "", 0},
+			{registered("s2", true), 5 * time.Second, "s2", 1},
+		}},
 		{"it has restarted with less, and so do all instances", 0, []step{
 			{restart, time.Second, "s1", 0}, {both(crash, restartInstances), 10 * time.Second, "", 0},
 		}},
