edge: lines for the instances through which rows are read

Change: event 9063 tells when another instance reads a set of rows for this one, which instances were asked in vain before, why, and how long each took. Event 9003 names that instance and the age of the copy that is replaced. A copy carries the name of the instance that passed it on.

A copy counts as current for as long as the instance that passes it on does not say otherwise, however old it is.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -91,6 +91,8 @@
 	// readerSkippedUntil holds, by instance, the time until which one that failed as a
 	// domain reader is skipped.
 	readerSkippedUntil *blackboard.Table[string, time.Duration]
+	// readers holds, by set, the instance that reads the rows for this one; "" if none does.
+	readers *blackboard.Table[string, string]
 
 	// followersOfSelf holds, by name, the instances that follow this one as their domain reader.
 	followersOfSelf *blackboard.Table[string, followerState]
@@ -147,6 +149,7 @@
 		server:             peerlink.NewServer(),
 		client:             peerlink.NewClient(cfg.Dial, cfg.Metrics),
 		readerSkippedUntil: blackboard.NewTable[string, time.Duration](),
+		readers:            blackboard.NewTable[string, string](),
 		followersOfSelf:    blackboard.NewTable[string, followerState](),
 		owners:             blackboard.NewCell[map[string]member](nil),
 		ownerSkippedUntil:  blackboard.NewTable[string, time.Duration](),
@@ -276,6 +279,7 @@
 		event.ConfigurationUnreadable.Emit(i.cfg.Log, zap.Error(err))
 		return
 	}
+	before := i.followers[configurationSet].Snapshot()
 	if now := i.configuration.Get(); c.Version <= now.Version {
 		return
 	}
@@ -284,7 +288,8 @@
 	i.assignOwners()
 	event.ConfigurationApplied.Emit(i.cfg.Log, zap.Uint64("version", c.Version),
 		zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)),
-		zap.String("origin", string(s.Origin)), zap.Uint64("store_version", uint64(s.Version)), zap.Duration("age", s.Age(i.cfg.Clock())))
+		zap.String("origin", string(s.Origin)), zap.String("reader", s.Reader), zap.Uint64("store_version", uint64(s.Version)),
+		zap.Duration("age", s.Age(i.cfg.Clock())), zap.Duration("replaced_age", before.Age(i.cfg.Clock())))
 }
 
 // applyFleet applies a copy of the fleet's rows: records of primaries and registered
--- a/internal/edge/rows.go
+++ b/internal/edge/rows.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
 
+	"github.com/hornbeamlock/hornbeamlock/internal/event"
 	"github.com/hornbeamlock/hornbeamlock/internal/follow"
 	"github.com/hornbeamlock/hornbeamlock/internal/platform"
 )
@@ -170,23 +173,45 @@
 // reader: the first instance of the failure domain, by name, that answers and that the
 // store serves.
 func (i *Instance) domainReaderRows(ctx context.Context, set string, known follow.Snapshot, wait time.Duration, fresh bool) (follow.Snapshot, bool) {
+	var rejected []string
 	for _, m := range i.members.Get() {
 		switch {
 		case m.FailureDomain != i.cfg.FailureDomain || m.Retired:
 			continue
 		case m.Name == i.cfg.Name:
+			i.recordReader(set, "", known, rejected)
 			return follow.Snapshot{}, false
 		}
-		switch s, outcome := i.requestRowsFrom(ctx, m, known, i.followRequest(set, known, wait, fresh)); outcome {
+		asked := i.cfg.Clock()
+		s, outcome := i.requestRowsFrom(ctx, m, known, i.followRequest(set, known, wait, fresh))
+		switch outcome {
 		case snapshotTaken:
+			i.recordReader(set, m.Name, s, rejected)
 			return s, true
 		case snapshotTooLarge:
 			return follow.Snapshot{}, false
+		case readerSkipped:
+		default:
+			rejected = append(rejected, fmt.Sprintf("%s: %s after %v", m.Name, outcome, i.cfg.Clock()-asked))
 		}
 	}
+	i.recordReader(set, "", known, rejected)
 	return follow.Snapshot{}, false
 }
 
+// recordReader logs which instance reads a set of rows for this one, if that has changed; "" if
+// this one reads the store itself. rejected names the instances that were asked before, why they
+// were not followed and how long each of them took.
+func (i *Instance) recordReader(set, reader string, s follow.Snapshot, rejected []string) {
+	previous, known := i.readers.Get(set)
+	if known && previous == reader {
+		return
+	}
+	i.readers.Put(set, reader)
+	event.DomainReaderChanged.Emit(i.cfg.Log, zap.String("set", set), zap.String("reader", reader), zap.String("previous", previous),
+		zap.Strings("rejected", rejected), zap.Uint64("version", uint64(s.Version)), zap.Duration("age", s.Age(i.cfg.Clock())))
+}
+
 // followRequest returns the request to a domain reader for the next copy after a known one.
 func (i *Instance) followRequest(set string, known follow.Snapshot, wait time.Duration, fresh bool) rowsRequest {
 	return rowsRequest{
@@ -195,23 +220,29 @@
 	}
 }
 
-// readerOutcome is the outcome of a request to a possible domain reader.
-type readerOutcome uint8
+// readerOutcome is the outcome of a request to a possible domain reader. After each one other than
+// snapshotTaken and snapshotTooLarge the next instance by name has to be tried.
+type readerOutcome string
 
 const (
-	// readerUnusable means that the next instance by name has to be tried.
-	readerUnusable readerOutcome = iota
 	// snapshotTaken means that the request returned a copy.
-	snapshotTaken
+	snapshotTaken readerOutcome = "copy taken"
 	// snapshotTooLarge means that the store has to be read, for this version only.
-	snapshotTooLarge
+	snapshotTooLarge readerOutcome = "copy too large"
+	// readerSkipped means that no request was sent, shortly after one that failed.
+	readerSkipped      readerOutcome = "skipped"
+	readerUnresponsive readerOutcome = "no answer"
+	// readerUnserved means that the store does not serve the instance, as far as it knows.
+	readerUnserved readerOutcome = "not served by the store"
+	readerBehind   readerOutcome = "older copy"
+	readerOutdated readerOutcome = "copy not confirmed recently"
 )
 
 // requestRowsFrom requests rows from one instance, which may wait for a newer copy. An
 // instance that fails or has no recent copy is skipped for readerBackoff.
 func (i *Instance) requestRowsFrom(ctx context.Context, m member, known follow.Snapshot, request rowsRequest) (follow.Snapshot, readerOutcome) {
 	if !i.readerAvailable(m.Name) {
-		return follow.Snapshot{}, readerUnusable
+		return follow.Snapshot{}, readerSkipped
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.Wait+readerTimeout)
 	defer cancel()
@@ -221,11 +252,11 @@
 	if err == nil && response.TooLarge {
 		return follow.Snapshot{}, snapshotTooLarge
 	}
-	if err != nil || !response.StoreServing || response.Version < known.Version || response.Age > maxReaderAge[request.Set] {
+	if failure := readerFailure(err, response, known, request.Set); failure != "" {
 		i.markReaderFailed(m.Name)
-		return follow.Snapshot{}, readerUnusable
+		return follow.Snapshot{}, failure
 	}
-	s := follow.Snapshot{Rows: response.Rows, Version: response.Version, AsOf: sent + response.HeldFor - response.Age}
+	s := follow.Snapshot{Rows: response.Rows, Version: response.Version, Reader: m.Name, AsOf: sent + response.HeldFor - response.Age}
 	switch {
 	case response.Delta != nil:
 		s.Rows = response.Delta.Apply(known.Rows)
@@ -240,6 +271,22 @@
 	return s, snapshotTaken
 }
 
+// readerFailure returns why an instance cannot be the domain reader after its response, "" if it can.
+func readerFailure(err error, response rowsResponse, known follow.Snapshot, set string) readerOutcome {
+	switch {
+	case err != nil:
+		return readerUnresponsive
+	case !response.StoreServing:
+		return readerUnserved
+	case response.Version < known.Version:
+		return readerBehind
+	case response.Age > maxReaderAge[set]:
+		return readerOutdated
+	default:
+		return ""
+	}
+}
+
 // readerAvailable reports whether the instance may be asked for its copies: one that failed
 // is skipped for readerBackoff.
 func (i *Instance) readerAvailable(name string) bool {
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -18,7 +18,7 @@
 	ConfigurationApplied = Event{
 		Number: 9003, Name: "edge.configuration_applied", Level: zapcore.InfoLevel,
 		Text:   "configuration version in force",
-		Fields: []string{"version", "routes", "organisations", "origin", "store_version", "age"},
+		Fields: []string{"version", "routes", "organisations", "origin", "reader", "store_version", "age", "replaced_age"},
 	}
 	ConfigurationUnreadable = Event{
 		Number: 9004, Name: "edge.configuration_unreadable", Level: zapcore.ErrorLevel,
@@ -215,6 +215,12 @@
 		Fields: []string{"confirmed_only"},
 		Action: "None, unless it repeats with confirmed_only false: then most instances do not respond to this one in time.",
 	}
+	DomainReaderChanged = Event{
+		Number: 9063, Name: "edge.domain_reader_changed", Level: zapcore.InfoLevel,
+		Text:   "a set of rows is read through another instance of the failure domain, or by this one if reader is empty",
+		Fields: []string{"set", "reader", "previous", "rejected", "version", "age"},
+		Action: "None, unless it repeats: then rejected tells which instances were asked in vain, why, and how long each of them took.",
+	}
 	EdgeRegistered = Event{
 		Number: 9030, Name: "edge.member_registered", Level: zapcore.InfoLevel,
 		Text: "this instance is registered in the platform's store", Fields: []string{"incarnation", "address"},
@@ -233,4 +239,5 @@
 	SettingsApplied, SettingsRefused, EvacuationLearnt, EvacuationEnded, EvacuationBlocked,
 	EdgeRegistered, EdgeRemoved, InstanceAdmitted, ConnectionOwnerLeaving, LimitContended,
 	CopyDropped, CopiesUsable, SessionRefused, ConfigurationKept, StoreReturned, GenerationRestored, RelianceAnnounced,
+	DomainReaderChanged,
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -75,6 +75,9 @@
 	Rows    []Row
 	Version platform.Revision
 	Origin  Origin
+	// Reader is the name of the instance that passed the copy on, if Origin is
+	// OriginDomainReader.
+	Reader string
 	// AsOf is a time, by the boot-time clock, at which the store held nothing newer;
 	// negative before the first read.
 	AsOf time.Duration
