follow: the test of the domain reader counts waits again

Cause: waitableStore.Await took a uint64 where follow.Waiter has a platform.Revision, so that the fake was no Waiter. The test compared the number of waits before and after, both always 0: it could not fail.

Change: the right type, and an assertion at compile time.

Measured: passes on the unchanged code.

Conclusion: the behaviour was right; now something holds it.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -50,7 +50,9 @@
 // waitableStore is a fakeStore that implements Waiter.
 type waitableStore struct{ *fakeStore }
 
-func (s waitableStore) Await(ctx context.Context, _ uint64, wait time.Duration) (bool, error) {
+var _ Waiter = waitableStore{}
+
+func (s waitableStore) Await(ctx context.Context, _ platform.Revision, wait time.Duration) (bool, error) {
 	s.mu.Lock()
 	s.awaits++
 	s.mu.Unlock()
