follow: a copy that is not confirmed in time is confirmed at the store

While the store did not answer three of four instances of a failure domain, a client of the fourth wrote to the old service of a moved route up to 4.7 s after the acknowledgement, bound 3 s.

Cause: an instance took the copy of its domain reader for current for as long as the reader did not say otherwise. The reader itself learns that the store is silent after a wait and a read have timed out, 3.5 s, and every further reader in the row is waited for in the same way. No age bounded the copy of the configuration, and none of the three sets was bounded by the follower's own clock.

Evidence: event 9063 of the commit before: readers held the instance for seconds with copies of 9.8 s, its own read took 0.4 ms.

Change: a wait for a change that the store ends without one confirms the copy, so that the age of the configuration is that of its evidence. An instance that follows a reader bounds the age by its own clock: one poll interval or wait and an allowance, half of the configuration's bound. After that it asks the store, for the configuration with one call without rows. A reader whose copy is too old is passed over but not skipped for seconds, one that the store does not serve answers at once, and only the reader that is followed already is waited for.

Conclusion: the number of readers in a row does not matter any more.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -145,8 +145,8 @@
 		{Name: "b", FailureDomain: "a", Address: reader(rowsResponse{Version: 9, StoreServing: true})},
 		{Name: "edge-1", FailureDomain: "a"},
 	})
-	_, ok := i.domainReaderRows(t.Context(), configurationSet, follow.Snapshot{Version: 8}, 0, false)
-	require.False(t, ok)
+	_, outcome := i.domainReaderRows(t.Context(), configurationSet, follow.Snapshot{Version: 8}, 0, false)
+	require.Equal(t, follow.CopyTooLarge, outcome)
 	require.Equal(t, 1, asked)
 }
 
@@ -171,9 +171,9 @@
 			})
 			asked := i.cfg.Clock()
 			// The newer version ends the wait at once; the long limit only allows for a busy machine.
-			s, ok := i.domainReaderRows(t.Context(), fleetSet, known, maxRowsWait, true)
-			if !ok || s.Version != 2 || s.AsOf < asked {
-				t.Errorf("%v: version %d, %s before it was asked for", ok, s.Version, asked-s.AsOf)
+			s, outcome := i.domainReaderRows(t.Context(), fleetSet, known, maxRowsWait, true)
+			if outcome != follow.CopyTaken || s.Version != 2 || s.AsOf < asked {
+				t.Errorf("%v: version %d, %s before it was asked for", outcome, s.Version, asked-s.AsOf)
 			}
 		})
 	}
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -221,10 +221,24 @@
 	stopOne map[string]context.CancelFunc
 	began   time.Time
 	ctx     context.Context // ends with the fleet
+	// configure, if set, changes the configuration of an instance before it starts, and wrap the
+	// handler of its peers' requests.
+	configure func(*Config)
+	wrap      func(name string, h http.Handler) http.Handler
 }
 
 // startFleet starts n instances in six failure domains at the same time.
 func startFleet(t *testing.T, n int) *memoryFleet {
+	f := newFleet(t)
+	for k := range n {
+		domain := string(rune('a' + k%6))
+		f.instances = append(f.instances, f.start(fmt.Sprintf("edge-%s-%d", domain, k), domain, fmt.Sprintf("10.0.%d.%d:1", k/250, k%250)))
+	}
+	return f
+}
+
+// newFleet returns a fleet without instances.
+func newFleet(t *testing.T) *memoryFleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &memoryFleet{
 		t: t, store: &memoryStore{latency: 4 * time.Millisecond, rows: make(map[string]platform.Row)},
@@ -233,16 +247,12 @@
 	}
 	f.store.rows["config"] = platform.Row{Key: "config", Revision: 1, Value: []byte("x")}
 	f.store.version = 1
-	for k := range n {
-		domain := string(rune('a' + k%6))
-		f.instances = append(f.instances, f.start(fmt.Sprintf("edge-%s-%d", domain, k), domain, fmt.Sprintf("10.0.%d.%d:1", k/250, k%250)))
-	}
 	return f
 }
 
 // start starts an instance.
 func (f *memoryFleet) start(name, domain, address string) *Instance {
-	i, err := New(Config{
+	config := Config{
 		Name: name, FailureDomain: domain, PeerAddress: address,
 		Allowance: quota.Allowance{Window: time.Second}, Dial: f.network.dialFrom(domain), Log: zap.NewNop(), Metrics: metrics.NewSet(),
 		Clock: func() time.Duration { return time.Since(f.began) + time.Hour },
@@ -254,11 +264,18 @@
 			DecodeRegistry: func([]follow.Row, func(string, error)) *catalog.Registry { return catalog.NewRegistry(nil) },
 			Table:          f.store, Dialer: stubPorts{}, Servers: stubPorts{}, Promoter: stubPorts{},
 		},
-	})
+	}
+	if f.configure != nil {
+		f.configure(&config)
+	}
+	i, err := New(config)
 	require.NoError(f.t, err)
 	ctx, stopOne := context.WithCancel(f.ctx)
 	f.stopOne[name] = stopOne
 	server := &http.Server{Handler: i.Handler()}
+	if f.wrap != nil {
+		server.Handler = f.wrap(name, i.Handler())
+	}
 	listener := f.network.listen(address, domain)
 	f.running.Go(func() { _ = server.Serve(listener) })
 	f.running.Go(func() { _ = i.Run(ctx) })
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -76,9 +76,9 @@
 	reportedReason atomic.Pointer[string]
 	refreshLimiter *rate.Limiter
 	// fleetFingerprint is that of the rows applied last. Only applyFleet uses it, one call at
-	// a time.
-	fleetFingerprint string
-	evacuation       evacuation
+	// a time; so does applyConfiguration configurationFingerprint.
+	fleetFingerprint, configurationFingerprint string
+	evacuation                                 evacuation
 	// operatorRows is used under the lock of the follower of the configuration.
 	operatorRows *follow.Reconciler
 	warmup       warmup
@@ -190,6 +190,7 @@
 	} {
 		c.Peers, c.DomainReader, c.Outage, c.Clock, c.Log = i.requestRows, i.domainReaderRows, i.outage, i.cfg.Clock, i.cfg.Log
 		c.DroppedCopies = i.cfg.Metrics.Labelled("edge_copies_dropped_total")
+		c.UnconfirmedCopies = i.cfg.Metrics.Labelled("edge_copies_unconfirmed_total")
 		if c.Timeout == 0 {
 			c.Timeout = storeTimeout
 		}
@@ -272,8 +273,13 @@
 }
 
 // applyConfiguration puts a configuration into force if it can be decoded and is newer than
-// the current one.
+// the current one. Most copies only show that it is unchanged.
 func (i *Instance) applyConfiguration(s follow.Snapshot) {
+	fingerprint := s.Fingerprint()
+	if fingerprint == i.configurationFingerprint {
+		return
+	}
+	i.configurationFingerprint = fingerprint
 	i.applyEvacuation(i.cfg.Ports.DecodeEvacuated(s.Rows))
 	c, err := i.cfg.Ports.DecodeConfiguration(s.Rows)
 	if err != nil {
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -103,9 +103,11 @@
 // defaultConfigurationBound is the default of Config.ConfigurationBound.
 const defaultConfigurationBound = 5 * time.Second
 
-// configurationWait returns the length of one wait for a change of the configuration. A wait
-// that is never answered ends within half of the bound, with its follow.AnswerAllowance; the
-// other half is for the read of the store and for the instances that follow this one.
+// configurationWait returns the length of one wait for a change of the configuration. With its
+// follow.AnswerAllowance it is half of the bound: as long as a wait that is never answered lasts,
+// and as long as a copy may stay unconfirmed at an instance that follows a domain reader. The other
+// half is for the question whether the copy is current, which may take another allowance, and
+// for the read of the rows.
 func (c *Config) configurationWait() time.Duration {
 	return min(c.ConfigurationBound/2-follow.AnswerAllowance, maxConfigurationWait)
 }
--- a/internal/edge/rows.go
+++ b/internal/edge/rows.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -30,14 +29,6 @@
 	peerFanout = 3
 )
 
-// maxReaderAge bounds the age of a domain reader's copy, by set: its poll interval and a
-// slow answer of the store.
-var maxReaderAge = map[string]time.Duration{
-	configurationSet: math.MaxInt64, // read again only when it changes
-	registrySet:      registryInterval + storeTimeout/2,
-	fleetSet:         fleetInterval + storeTimeout/2,
-}
-
 // rowsRequest requests a copy of a set of rows.
 type rowsRequest struct {
 	Set          string            `json:"set"`
@@ -94,7 +85,7 @@
 	}
 	changed := follower.Changed()
 	s := follower.Snapshot()
-	if s.Version <= m.AboveVersion && m.Wait > 0 {
+	if s.Version <= m.AboveVersion && m.Wait > 0 && follower.StoreServing() {
 		timer := time.NewTimer(min(m.Wait, maxRowsWait))
 		defer timer.Stop()
 		select {
@@ -171,32 +162,37 @@
 
 // domainReaderRows implements follow.DomainSource. It returns the next copy of the domain
 // reader: the first instance of the failure domain, by name, that answers and that the
-// store serves.
-func (i *Instance) domainReaderRows(ctx context.Context, set string, known follow.Snapshot, wait time.Duration, fresh bool) (follow.Snapshot, bool) {
+// store serves. It waits only at the reader that is followed already: another one is asked for the
+// copy that it has, since it may be one of many that do not answer.
+func (i *Instance) domainReaderRows(ctx context.Context, set string, known follow.Snapshot, wait time.Duration, fresh bool) (follow.Snapshot, follow.ReaderOutcome) {
 	var rejected []string
+	current, _ := i.readers.Get(set)
 	for _, m := range i.members.Get() {
-		switch {
-		case m.FailureDomain != i.cfg.FailureDomain || m.Retired:
+		if m.Name == i.cfg.Name || ctx.Err() != nil {
+			break
+		}
+		if m.FailureDomain != i.cfg.FailureDomain || m.Retired {
 			continue
-		case m.Name == i.cfg.Name:
-			i.recordReader(set, "", known, rejected)
-			return follow.Snapshot{}, false
+		}
+		request := i.followRequest(set, known, wait, fresh)
+		if m.Name != current && !fresh {
+			request.Wait = 0
 		}
 		asked := i.cfg.Clock()
-		s, outcome := i.requestRowsFrom(ctx, m, known, i.followRequest(set, known, wait, fresh))
+		s, outcome := i.requestRowsFrom(ctx, m, known, request)
 		switch outcome {
 		case snapshotTaken:
 			i.recordReader(set, m.Name, s, rejected)
-			return s, true
+			return s, follow.CopyTaken
 		case snapshotTooLarge:
-			return follow.Snapshot{}, false
+			return follow.Snapshot{}, follow.CopyTooLarge
 		case readerSkipped:
 		default:
 			rejected = append(rejected, fmt.Sprintf("%s: %s after %v", m.Name, outcome, i.cfg.Clock()-asked))
 		}
 	}
 	i.recordReader(set, "", known, rejected)
-	return follow.Snapshot{}, false
+	return follow.Snapshot{}, follow.NoReader
 }
 
 // recordReader logs which instance reads a set of rows for this one, if that has changed; "" if
@@ -239,23 +235,29 @@
 )
 
 // requestRowsFrom requests rows from one instance, which may wait for a newer copy. An
-// instance that fails or has no recent copy is skipped for readerBackoff.
+// instance that fails is skipped for readerBackoff, unless ctx has ended the request. One without a
+// recent copy is not skipped, since it may be about to read the store itself.
 func (i *Instance) requestRowsFrom(ctx context.Context, m member, known follow.Snapshot, request rowsRequest) (follow.Snapshot, readerOutcome) {
 	if !i.readerAvailable(m.Name) {
 		return follow.Snapshot{}, readerSkipped
 	}
-	ctx, cancel := context.WithTimeout(ctx, request.Wait+readerTimeout)
+	limited, cancel := context.WithTimeout(ctx, request.Wait+readerTimeout)
 	defer cancel()
 	sent := i.cfg.Clock()
 	var response rowsResponse
-	err := i.client.Call(ctx, m.Address, messageRows, request, &response)
+	err := i.client.Call(limited, m.Address, messageRows, request, &response)
 	if err == nil && response.TooLarge {
 		return follow.Snapshot{}, snapshotTooLarge
 	}
-	if failure := readerFailure(err, response, known, request.Set); failure != "" {
-		i.markReaderFailed(m.Name)
+	if failure := i.readerFailure(err, response, known, request.Set); failure != "" {
+		if failure != readerOutdated && ctx.Err() == nil {
+			i.markReaderFailed(m.Name)
+		}
 		return follow.Snapshot{}, failure
 	}
+	if response.Same && response.Version < known.Version {
+		return known, snapshotTaken // this instance has asked the store later than the reader
+	}
 	s := follow.Snapshot{Rows: response.Rows, Version: response.Version, Reader: m.Name, AsOf: sent + response.HeldFor - response.Age}
 	switch {
 	case response.Delta != nil:
@@ -272,15 +274,15 @@
 }
 
 // readerFailure returns why an instance cannot be the domain reader after its response, "" if it can.
-func readerFailure(err error, response rowsResponse, known follow.Snapshot, set string) readerOutcome {
+func (i *Instance) readerFailure(err error, response rowsResponse, known follow.Snapshot, set string) readerOutcome {
 	switch {
 	case err != nil:
 		return readerUnresponsive
 	case !response.StoreServing:
 		return readerUnserved
-	case response.Version < known.Version:
+	case response.Version < known.Version && !response.Same:
 		return readerBehind
-	case response.Age > maxReaderAge[set]:
+	case response.Age > i.followers[set].MaxAge():
 		return readerOutdated
 	default:
 		return ""
--- a/internal/event/edge.go
+++ b/internal/event/edge.go
@@ -221,6 +221,12 @@
 		Fields: []string{"set", "reader", "previous", "rejected", "version", "age"},
 		Action: "None, unless it repeats: then rejected tells which instances were asked in vain, why, and how long each of them took.",
 	}
+	CopyUnconfirmed = Event{
+		Number: 9064, Name: "edge.copy_unconfirmed", Level: zapcore.InfoLevel,
+		Text:   "the instance that reads a set of rows for this one has not shown in time that the copy is current; the store is asked",
+		Fields: []string{"set", "reader", "version", "age"},
+		Action: "None, unless it repeats: then event 9063 tells which instances of the failure domain fail as readers, and how.",
+	}
 	EdgeRegistered = Event{
 		Number: 9030, Name: "edge.member_registered", Level: zapcore.InfoLevel,
 		Text: "this instance is registered in the platform's store", Fields: []string{"incarnation", "address"},
@@ -239,5 +245,5 @@
 	SettingsApplied, SettingsRefused, EvacuationLearnt, EvacuationEnded, EvacuationBlocked,
 	EdgeRegistered, EdgeRemoved, InstanceAdmitted, ConnectionOwnerLeaving, LimitContended,
 	CopyDropped, CopiesUsable, SessionRefused, ConfigurationKept, StoreReturned, GenerationRestored, RelianceAnnounced,
-	DomainReaderChanged,
+	DomainReaderChanged, CopyUnconfirmed,
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -8,7 +8,9 @@
 // keeps of the one before.
 //
 // Invariants: the version of the copy never decreases, and AsOf is never later than
-// the time at which the store was called, whichever instance called it.
+// the time at which the store answered, whichever instance called it. While the store serves
+// this instance, a copy that was not confirmed for Follower.MaxAge is confirmed or read at the
+// store by this instance itself, by its own clock and whatever the domain reader does.
 package follow
 
 import (
@@ -54,10 +56,11 @@
 // Waiter is a Source that can wait for a change.
 type Waiter interface {
 	Source
-	// Await returns true when a row has changed after version, and false when
-	// none has changed within wait. If the history since version is no longer
-	// available, or the store is of another generation, that counts as a change.
-	Await(ctx context.Context, version platform.Revision, wait time.Duration) (bool, error)
+	// Await returns true when a row has changed after version. If none has within wait, it
+	// returns false and the version up to which none has; it must not return earlier. If the
+	// history since version is no longer available, or the store is of another generation,
+	// that counts as a change.
+	Await(ctx context.Context, version platform.Revision, wait time.Duration) (changed bool, unchangedUpTo platform.Revision, err error)
 }
 
 // Origin is where an instance got a copy from.
@@ -103,10 +106,21 @@
 func (s Snapshot) Age(now time.Duration) time.Duration { return now - s.AsOf }
 
 // DomainSource waits for the next snapshot of the domain reader, or, if fresh is true,
-// for one that it reads from the store after the request. It returns false if this
-// instance is the domain reader itself, if the reader does not respond, or if the store
-// does not serve the reader.
-type DomainSource func(ctx context.Context, set string, known Snapshot, wait time.Duration, fresh bool) (Snapshot, bool)
+// for one that it reads from the store after the request.
+type DomainSource func(ctx context.Context, set string, known Snapshot, wait time.Duration, fresh bool) (Snapshot, ReaderOutcome)
+
+// ReaderOutcome is the outcome of a request to the domain reader.
+type ReaderOutcome uint8
+
+const (
+	// NoReader means that this instance is the domain reader itself, that no possible reader
+	// responds, or that the store does not serve them.
+	NoReader ReaderOutcome = iota
+	// CopyTaken means that the request returned a copy.
+	CopyTaken
+	// CopyTooLarge means that the reader has a newer copy that it does not pass on.
+	CopyTooLarge
+)
 
 // PeerSource requests the copy of another instance, with its version and age. Rows are
 // nil if that version is not above the one given.
@@ -130,6 +144,9 @@
 	// DroppedCopies counts, by set, the copies that were not used although they were read
 	// later than the current one; nil if nobody reads it.
 	DroppedCopies *expvar.Map
+	// UnconfirmedCopies counts, by set, how often the domain reader did not confirm the copy in
+	// time; nil if nobody reads it.
+	UnconfirmedCopies *expvar.Map
 	// Interval is the time between two reads, or the maximum wait of one Await.
 	Interval time.Duration
 	// DomainReaderWait bounds one request to the domain reader, which passes on a new copy
@@ -158,6 +175,9 @@
 	startupPeersTimeout = 300 * time.Millisecond
 	// peerRequestThreshold is the age of a copy from which other instances are asked.
 	peerRequestThreshold = 500 * time.Millisecond
+	// readerSearchTimeout bounds the search for a domain reader between two waits for a change.
+	// It is part of the AnswerAllowance, since the copy is not confirmed meanwhile.
+	readerSearchTimeout = 350 * time.Millisecond
 	// minRefreshInterval is the minimum time between reads by RefreshSince: at most ten a
 	// second for a failure domain, however many of its instances request a refresh.
 	minRefreshInterval = 100 * time.Millisecond
@@ -177,6 +197,9 @@
 	if c.DroppedCopies == nil {
 		c.DroppedCopies = new(expvar.Map)
 	}
+	if c.UnconfirmedCopies == nil {
+		c.UnconfirmedCopies = new(expvar.Map)
+	}
 	if c.Outage == nil {
 		c.Outage = NewOutage()
 	}
@@ -208,8 +231,11 @@
 	// the store, 0 before the first.
 	waitEndedAt atomic.Int64
 	drops       drops // guarded by mu
-	// awaited is the version from which the last wait for a change asked. Only Run uses it.
+	// awaited is the version from which the last wait asked that ended with a change or an error.
+	// Only Run uses it.
 	awaited platform.Revision
+	// following is true while the copies come from a domain reader. Only Run uses it.
+	following bool
 }
 
 // New returns a Follower without a copy.
@@ -242,10 +268,21 @@
 	}
 }
 
+// MaxAge returns the age up to which a copy of a domain reader counts as current: the longest time
+// between two confirmations by the store, with an allowance for the answer.
+func (f *Follower) MaxAge() time.Duration { return f.cfg.Interval + AnswerAllowance }
+
 // Run keeps the copy up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if f.followDomainReader(ctx) {
+		triggered := f.takeTrigger()
+		outcome := f.followDomainReader(ctx, triggered)
+		wasFollowing := f.following
+		if f.following = outcome == CopyTaken; f.following {
+			continue
+		}
+		if wasFollowing && outcome == NoReader && !triggered && f.confirm(ctx) {
+			f.waitForNextRead(ctx)
 			continue
 		}
 		if err := f.tryRefresh(ctx); err != nil {
@@ -260,30 +297,78 @@
 	return nil
 }
 
+func (f *Follower) takeTrigger() bool {
+	select {
+	case <-f.trigger:
+		return true
+	default:
+		return false
+	}
+}
+
 // defaultDomainReaderWait is the default of Config.DomainReaderWait.
 const defaultDomainReaderWait = time.Second
 
-// followDomainReader applies the next copy of the domain reader. It returns false if this
-// instance has to read the store itself.
-func (f *Follower) followDomainReader(ctx context.Context) bool {
+// followDomainReader applies the next copy of the domain reader, unless the current one reaches
+// MaxAge before. While the store does not serve this instance, it has no better way to a copy, and
+// waits for the domain reader regardless of that.
+func (f *Follower) followDomainReader(ctx context.Context, triggered bool) ReaderOutcome {
 	known := f.Snapshot()
 	if f.cfg.DomainReader == nil || !known.Loaded() {
-		return false
+		return NoReader
 	}
-	wait, triggered := f.cfg.DomainReaderWait, false
-	select {
-	case <-f.trigger:
-		wait, triggered = 0, true
-	default:
+	if f.StoreServing() {
+		remaining := f.MaxAge() - known.Age(f.cfg.Clock())
+		if remaining <= 0 {
+			f.recordUnconfirmed(known)
+			return NoReader
+		}
+		limited, cancel := context.WithTimeout(ctx, remaining)
+		defer cancel()
+		defer func() {
+			if ctx.Err() == nil && limited.Err() != nil {
+				f.recordUnconfirmed(known)
+			}
+		}()
+		return f.takeReaderCopy(limited, known, triggered)
+	}
+	return f.takeReaderCopy(ctx, known, triggered)
+}
+
+// takeReaderCopy requests the next copy of the domain reader and applies it.
+func (f *Follower) takeReaderCopy(ctx context.Context, known Snapshot, triggered bool) ReaderOutcome {
+	wait := f.cfg.DomainReaderWait
+	if triggered {
+		wait = 0
 	}
-	s, ok := f.cfg.DomainReader(ctx, f.cfg.Set, known, wait, triggered)
-	if !ok {
-		return false
+	s, outcome := f.cfg.DomainReader(ctx, f.cfg.Set, known, wait, triggered)
+	if outcome != CopyTaken {
+		return outcome
+	}
+	if s.Version > known.Version || s.AsOf > known.AsOf {
+		s.Origin = OriginDomainReader
+		f.publish(s)
 	}
-	s.Origin = OriginDomainReader
-	f.publish(s)
 	f.storeServed()
-	return true
+	return CopyTaken
+}
+
+// recordUnconfirmed records that the domain reader has not confirmed the copy in time.
+func (f *Follower) recordUnconfirmed(s Snapshot) {
+	f.cfg.UnconfirmedCopies.Add(f.cfg.Set, 1)
+	event.CopyUnconfirmed.Emit(f.cfg.Log, zap.String("set", f.cfg.Set), zap.String("reader", s.Reader),
+		zap.Uint64("version", uint64(s.Version)), zap.Duration("age", s.Age(f.cfg.Clock())))
+}
+
+// confirm asks the store whether the copy is still current, which costs less than reading the
+// rows. It returns false if the rows have to be read.
+func (f *Follower) confirm(ctx context.Context) bool {
+	waiter, ok := f.cfg.Source.(Waiter)
+	if !ok || f.cfg.Outage.Failing() {
+		return false
+	}
+	changed, err := f.await(ctx, waiter, 0)
+	return !changed && err == nil
 }
 
 // tryRefresh reads the store, unless the backoff after a failure has not ended yet.
@@ -365,21 +450,18 @@
 		f.sleepUnlessTriggered(ctx, jitter(f.cfg.Interval))
 		return
 	}
-	if version := f.Snapshot().Version; version == f.awaited {
+	if f.Snapshot().Version == f.awaited {
 		// The last wait ended for a change that the read after it does not show.
 		f.sleepUnlessTriggered(ctx, outagePollInterval)
-	} else {
-		f.awaited = version
 	}
 	for ctx.Err() == nil {
-		changed, err := f.await(ctx, waiter)
-		if changed || err != nil || f.hasDomainReader(ctx) {
+		version := f.Snapshot().Version
+		if changed, err := f.await(ctx, waiter, f.cfg.Interval); changed || err != nil {
+			f.awaited = version
 			return
 		}
-		select {
-		case <-f.trigger:
+		if f.hasDomainReader(ctx) || f.takeTrigger() {
 			return
-		default:
 		}
 	}
 }
@@ -389,18 +471,43 @@
 	if f.cfg.DomainReader == nil {
 		return false
 	}
-	_, ok := f.cfg.DomainReader(ctx, f.cfg.Set, f.Snapshot(), 0, false)
-	return ok
+	ctx, cancel := context.WithTimeout(ctx, readerSearchTimeout)
+	defer cancel()
+	_, outcome := f.cfg.DomainReader(ctx, f.cfg.Set, f.Snapshot(), 0, false)
+	return outcome == CopyTaken
 }
 
-func (f *Follower) await(ctx context.Context, waiter Waiter) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Interval+AnswerAllowance)
+// await waits for a change of the rows, and records if there was none.
+func (f *Follower) await(ctx context.Context, waiter Waiter, wait time.Duration) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+AnswerAllowance)
 	defer cancel()
-	changed, err := waiter.Await(ctx, f.Snapshot().Version, f.cfg.Interval)
-	if err == nil {
-		f.waitEndedAt.Store(int64(f.cfg.Clock()))
+	sent := f.cfg.Clock()
+	changed, version, err := waiter.Await(ctx, f.Snapshot().Version, wait)
+	if err != nil {
+		return false, trace.Wrap(err)
 	}
-	return changed, err
+	f.waitEndedAt.Store(int64(f.cfg.Clock()))
+	if !changed {
+		asOf := sent
+		if f.cfg.Clock() >= sent+wait {
+			asOf += wait
+		}
+		f.renew(version, asOf)
+	}
+	return changed, nil
+}
+
+// renew records that the rows have not changed up to a version, which was the newest one at asOf
+// or later.
+func (f *Follower) renew(version platform.Revision, asOf time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.snapshot.Get()
+	if version < s.Version || version.Generation() != s.Version.Generation() {
+		return // a newer copy was read meanwhile
+	}
+	s.Version, s.Origin, s.Reader, s.AsOf = version, OriginStore, "", max(s.AsOf, asOf)
+	f.snapshot.Set(s)
 }
 
 // refreshFromPeers applies the copy of another instance if it is newer.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -52,12 +52,12 @@
 
 var _ Waiter = waitableStore{}
 
-func (s waitableStore) Await(ctx context.Context, _ platform.Revision, wait time.Duration) (bool, error) {
+func (s waitableStore) Await(ctx context.Context, version platform.Revision, wait time.Duration) (bool, platform.Revision, error) {
 	s.mu.Lock()
 	s.awaits++
 	s.mu.Unlock()
 	pause.For(ctx, wait)
-	return false, nil
+	return false, version, ctx.Err()
 }
 
 func newClock() func() time.Duration {
@@ -115,15 +115,18 @@
 		store := &fakeStore{}
 		var mu sync.Mutex
 		known := false
-		domainReader := func(ctx context.Context, _ string, s Snapshot, wait time.Duration, _ bool) (Snapshot, bool) {
+		clock := newClock()
+		domainReader := func(ctx context.Context, _ string, s Snapshot, wait time.Duration, _ bool) (Snapshot, ReaderOutcome) {
 			mu.Lock()
 			defer mu.Unlock()
-			if known {
-				pause.For(ctx, wait)
+			if !known {
+				return Snapshot{}, NoReader
 			}
-			return s, known
+			pause.For(ctx, wait)
+			s.AsOf = clock()
+			return s, CopyTaken
 		}
-		start(t, Config{Set: "a", Source: waitableStore{store}, DomainReader: domainReader, Clock: newClock(), Interval: 6 * time.Second})
+		start(t, Config{Set: "a", Source: waitableStore{store}, DomainReader: domainReader, Clock: clock, Interval: 6 * time.Second})
 		time.Sleep(time.Second)
 		mu.Lock()
 		known = true
@@ -168,12 +171,12 @@
 		var served atomic.Bool
 		f := start(t, Config{
 			Set: "registry", Source: store, Clock: clock, Interval: time.Second,
-			DomainReader: func(ctx context.Context, _ string, known Snapshot, wait time.Duration, _ bool) (Snapshot, bool) {
+			DomainReader: func(ctx context.Context, _ string, known Snapshot, wait time.Duration, _ bool) (Snapshot, ReaderOutcome) {
 				if !served.Load() {
-					return Snapshot{}, false
+					return Snapshot{}, NoReader
 				}
 				pause.For(ctx, max(wait, time.Millisecond))
-				return Snapshot{Rows: known.Rows, Version: known.Version, AsOf: clock()}, true
+				return Snapshot{Rows: known.Rows, Version: known.Version, AsOf: clock()}, CopyTaken
 			},
 		})[0]
 		time.Sleep(100 * time.Millisecond)
@@ -190,11 +193,13 @@
 // changedStore is a fakeStore that answers each wait at once that there is a change.
 type changedStore struct{ *fakeStore }
 
-func (s changedStore) Await(context.Context, platform.Revision, time.Duration) (bool, error) {
+func (s changedStore) Await(context.Context, platform.Revision, time.Duration) (bool, platform.Revision, error) {
 	time.Sleep(time.Millisecond)
-	return true, nil
+	return true, 0, nil
 }
 
+var _ Waiter = changedStore{}
+
 // Guards against reads of the store without a pause, when each wait for a change ends at once
 // although the reads show none.
 func TestChangesThatReadsDoNotShowAreSpaced(t *testing.T) {
@@ -206,3 +211,63 @@
 		require.LessOrEqual(t, calls, int(10*time.Second/outagePollInterval)+2)
 	})
 }
+
+// scriptedStore is a fakeStore whose waits for a change are answered by a function.
+type scriptedStore struct {
+	*fakeStore
+	await func(version platform.Revision, wait time.Duration) (bool, platform.Revision, error)
+}
+
+var _ Waiter = scriptedStore{}
+
+func (s scriptedStore) Await(_ context.Context, version platform.Revision, wait time.Duration) (bool, platform.Revision, error) {
+	return s.await(version, wait)
+}
+
+// Guards against a copy that counts as confirmed at a later time, or up to another version, than the
+// store has confirmed it.
+func TestUnchangedWaitConfirmsTheCopy(t *testing.T) {
+	otherGeneration, err := platform.NewRevision(1, 90)
+	require.NoError(t, err)
+	const wait = time.Second
+	for _, c := range []struct {
+		name    string
+		took    time.Duration
+		upTo    platform.Revision
+		newer   platform.Revision // read while the wait is in progress; 0 if nothing is
+		version platform.Revision
+		// asOf is the time from the begin of the wait at which the copy is confirmed.
+		asOf time.Duration
+	}{
+		{"held for the whole wait", wait, 7, 0, 7, wait},
+		{"answered late", wait + AnswerAllowance/2, 7, 0, 7, wait},
+		{"answered early", wait / 10, 7, 0, 7, 0},
+		{"a newer copy was read meanwhile", wait, 7, 9, 9, wait / 2},
+		{"an older copy was read meanwhile", wait, 7, 5, 7, wait},
+		{"of another generation", wait, otherGeneration, 0, 3, -time.Second / 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := newClock()
+				var f *Follower
+				store := scriptedStore{&fakeStore{}, func(platform.Revision, time.Duration) (bool, platform.Revision, error) {
+					time.Sleep(c.took / 2)
+					if c.newer > 0 {
+						f.publish(Snapshot{Version: c.newer, Origin: OriginStore, AsOf: clock()})
+					}
+					time.Sleep(c.took - c.took/2)
+					return false, c.upTo, nil
+				}}
+				f, err := New(Config{Set: "a", Source: store, Clock: clock, Interval: wait, Apply: func(Snapshot) {}})
+				require.NoError(t, err)
+				began := clock()
+				f.publish(Snapshot{Version: 3, Origin: OriginStore, AsOf: began - time.Second/2})
+				changed, err := f.await(t.Context(), store, wait)
+				require.NoError(t, err)
+				require.False(t, changed)
+				require.Equal(t, c.version, f.Snapshot().Version)
+				require.Equal(t, c.asOf, f.Snapshot().AsOf-began)
+			})
+		})
+	}
+}
