edge: more ways in which readers fail, in the tests of the bounds

Change: two faults, a change after the failed readers have been retired, every second change too large; the event only where a reader was followed. A test that a reader with the same rows and an older version is followed.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -450,3 +450,30 @@
 	require.Equal(t, awareResponse{Listed: true}, reader.unawareOf(joining))
 	require.False(t, reader.unawareOf(memberMessage{Name: "joining", Address: "127.0.0.1:6"}).Listed, "another address")
 }
+
+// Guards against skipping a domain reader as behind when it has the same rows and only this instance
+// has asked the store later.
+func TestReaderWithTheSameRowsIsFollowed(t *testing.T) {
+	configuration := &fakeRows{rows: []follow.Row{{Key: "config", Version: 3}}, version: 5}
+	reader := newInstance(t, configuration, &fakeRows{}, &fakeRows{}, nil)
+	require.NoError(t, reader.followers[configurationSet].Refresh(t.Context()))
+	server := httptest.NewServer(reader.Handler())
+	defer server.Close()
+	m := member{Name: "edge-0", FailureDomain: "a", Address: server.Listener.Addr().String()}
+	for _, c := range []struct {
+		name  string
+		known follow.Snapshot
+		want  readerOutcome
+	}{
+		{"same rows, later question", follow.Snapshot{Rows: configuration.rows, Version: 9}, snapshotTaken},
+		{"newer rows", follow.Snapshot{Rows: []follow.Row{{Key: "config", Version: 8}}, Version: 9}, readerBehind},
+	} {
+		follower := newInstance(t, &fakeRows{}, &fakeRows{}, &fakeRows{}, nil)
+		s, outcome := follower.requestRowsFrom(t.Context(), m, c.known, follower.followRequest(configurationSet, c.known, 0, false))
+		require.Equal(t, c.want, outcome, c.name)
+		require.Equal(t, c.want == snapshotTaken, follower.readerAvailable(m.Name), c.name)
+		if c.want == snapshotTaken {
+			require.Equal(t, c.known, s, "neither its version nor its age changes")
+		}
+	}
+}
--- a/internal/edge/reader_bound_test.go
+++ b/internal/edge/reader_bound_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,7 +18,7 @@
 var largeFleets = flag.Bool("large-fleets", false, "play fleets of up to 300 instances")
 
 // readerFaults are the ways in which the instances that read for their failure domain fail.
-var readerFaults = []pathFault{storeSilent, storeRefuses, storeSlow, waitsSilent, frozen, stopped, restarted}
+var readerFaults = []pathFault{storeSilent, storeRefuses, storeSlow, waitsSilent, frozen, stopped, restarted, peersSilent, peersSlow}
 
 // drainBound is the time from the store's acknowledgement of an entry that is draining within which
 // the last statement reaches its endpoint.
@@ -49,15 +50,19 @@
 func TestConfigurationIsInForceInTimeBehindFailedReaders(t *testing.T) {
 	forReaderFaults(t, func(t *testing.T, f *readerFleet, failing int, fault pathFault) {
 		bound := f.instances[0].cfg.ConfigurationBound
-		moments := []time.Duration{20 * time.Millisecond, bound / 2, bound / 4, bound}
+		moments := []time.Duration{20 * time.Millisecond, bound / 2, bound / 4, bound, 2 * retireThreshold}
 		if failing > 4 && !*largeFleets {
 			moments = moments[:2]
 		}
 		for n, after := range moments {
 			version := uint64(n + 2)
+			value := strconv.FormatUint(version, 10)
+			if n%2 == 1 { // too large to be passed on
+				value = strings.Repeat(" ", maxForwardedBytes) + value
+			}
 			f.fail(failing, fault)
 			time.Sleep(after)
-			f.store.put("config", strconv.FormatUint(version, 10))
+			f.store.put("config", value)
 			took, last := timeUntil(f.inTouch(failing), 4*bound, func(i *Instance) bool { return i.configuration.Get().Version >= version })
 			require.LessOrEqual(t, took, bound, "a change %v after the fault, %s", after, last)
 			time.Sleep(bound)
--- a/internal/edge/reader_fleet_test.go
+++ b/internal/edge/reader_fleet_test.go
@@ -29,8 +29,14 @@
 	frozen       pathFault = "process frozen"
 	stopped      pathFault = "process stopped"
 	restarted    pathFault = "process restarted"
+	// peersSilent and peersSlow concern the answers to other instances only.
+	peersSilent pathFault = "peers get no answer"
+	peersSlow   pathFault = "peers get late answers"
 )
 
+// latePeerAnswer is the delay of an answer to another instance, close to its timeout.
+const latePeerAnswer = readerTimeout * 5 / 6
+
 // slowAnswer is the delay of a slow store, close to the timeout of a call.
 const slowAnswer = storeTimeout * 9 / 10
 
@@ -212,7 +218,10 @@
 	f.wrap = func(name string, h http.Handler) http.Handler {
 		path := f.paths[name]
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			for path.get() == frozen && f.ctx.Err() == nil {
+			if path.get() == peersSlow {
+				time.Sleep(latePeerAnswer)
+			}
+			for fault := path.get(); (fault == frozen || fault == peersSilent) && f.ctx.Err() == nil; fault = path.get() {
 				time.Sleep(pollInterval)
 			}
 			h.ServeHTTP(w, r)
@@ -227,11 +236,11 @@
 	return f
 }
 
-// decodeVersion decodes a configuration that consists of its version.
+// decodeVersion decodes a configuration that consists of its version, after any blanks.
 func decodeVersion(rows []follow.Row) (*catalog.Configuration, error) {
 	for _, row := range rows {
 		if row.Key == "config" {
-			version, err := strconv.ParseUint(string(row.Value), 10, 64)
+			version, err := strconv.ParseUint(strings.TrimSpace(string(row.Value)), 10, 64)
 			return &catalog.Configuration{Version: version, Organisations: map[string]catalog.Organisation{"shop": {Name: "shop", Rate: 100, Burst: 100}}}, err
 		}
 	}
@@ -292,7 +301,7 @@
 // close ends the fleet, and the requests at frozen processes.
 func (f *readerFleet) close() {
 	f.memoryFleet.close()
-	time.Sleep(2 * pollInterval)
+	time.Sleep(latePeerAnswer + 2*pollInterval)
 }
 
 // storeCalls returns the number of calls of the store by all instances.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -276,8 +276,8 @@
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		triggered := f.takeTrigger()
-		outcome := f.followDomainReader(ctx, triggered)
 		wasFollowing := f.following
+		outcome := f.followDomainReader(ctx, triggered)
 		if f.following = outcome == CopyTaken; f.following {
 			continue
 		}
@@ -319,18 +319,17 @@
 	}
 	if f.StoreServing() {
 		remaining := f.MaxAge() - known.Age(f.cfg.Clock())
-		if remaining <= 0 {
-			f.recordUnconfirmed(known)
-			return NoReader
-		}
 		limited, cancel := context.WithTimeout(ctx, remaining)
 		defer cancel()
 		defer func() {
-			if ctx.Err() == nil && limited.Err() != nil {
+			if f.following && ctx.Err() == nil && limited.Err() != nil {
 				f.recordUnconfirmed(known)
 			}
 		}()
-		return f.takeReaderCopy(limited, known, triggered)
+		if remaining <= 0 {
+			return NoReader
+		}
+		ctx = limited
 	}
 	return f.takeReaderCopy(ctx, known, triggered)
 }
