follow: the read that decides on a missing entry does not wait for the reader

What callers would have seen: statements at an endpoint whose entry is gone for longer than 7 s.

Cause: an entry counts as gone by a copy that is read after it has been missing for 2 s. The read is triggered at that time, but an instance that waits at its domain reader took the trigger only after that wait, up to 2.75 s later. Its reader usually has the same read due, but not if it has started since. With a refresh shortly before, the sum exceeds the bound.

Evidence: TestMissingEntryIsReadAgainOnTime sets up that order and fails in 5 of 5 runs before.

Change: TriggerNow ends the wait at the domain reader; the read of a missing entry uses it. A request that was ended says nothing about the reader. Event 9064 is written for copies that become too old during a wait, too: the check used a context that had been replaced (TestSilentReaderCostsOneQuestion).

Conclusion: from the removal to the last use at most 3.0 s + read, 2 s and a read.

--- a/internal/edge/reader_bound_test.go
+++ b/internal/edge/reader_bound_test.go
@@ -105,6 +105,35 @@
 	})
 }
 
+// Guards against an endpoint that stays registered after the time for which its entry may be missing:
+// behind a reader that has never seen the entry, the read that is due waited for that reader.
+func TestMissingEntryIsReadAgainOnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startReaderFleet(t, 3*time.Second, 2, 1)
+		defer f.close()
+		f.requireStarted()
+		reader, follower := f.instances[0], f.instances[1]
+		registry := follower.followers[registrySet]
+		f.fail(1, stopped)
+		time.Sleep(settleTime)
+		for asOf := registry.Snapshot().AsOf; registry.Snapshot().AsOf == asOf; {
+			time.Sleep(pollInterval)
+		}
+		f.store.remove("server/s1")
+		f.restart(reader)
+		for len(registry.Snapshot().Rows) > 0 {
+			time.Sleep(pollInterval)
+		}
+		time.Sleep(missingGrace - 100*time.Millisecond)
+		followed, _ := follower.readers.Get(registrySet)
+		require.Equal(t, reader.cfg.Name, followed)
+		require.NoError(t, follower.refreshRegistry(t.Context()))
+		require.Len(t, follower.registry.Get().Endpoints, 1, "retained")
+		time.Sleep(200 * time.Millisecond)
+		require.Empty(t, follower.registry.Get().Endpoints)
+	})
+}
+
 // Guards against records of primaries that expire at an instance which the store serves, while the
 // instances that read for it fail.
 func TestRecordsStayUsableBehindFailedReaders(t *testing.T) {
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -66,7 +66,7 @@
 		if !known {
 			since = now
 			i.missingSince[id] = since
-			time.AfterFunc(missingGrace, i.followers[registrySet].Trigger)
+			time.AfterFunc(missingGrace, i.followers[registrySet].TriggerNow)
 		}
 		if now-since < missingGrace {
 			kept = append(kept, e)
--- a/internal/edge/rows.go
+++ b/internal/edge/rows.go
@@ -191,7 +191,9 @@
 			rejected = append(rejected, fmt.Sprintf("%s: %s after %v", m.Name, outcome, i.cfg.Clock()-asked))
 		}
 	}
-	i.recordReader(set, "", known, rejected)
+	if ctx.Err() == nil { // otherwise the request was ended, and nothing follows about the readers
+		i.recordReader(set, "", known, rejected)
+	}
 	return follow.Snapshot{}, follow.NoReader
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -120,6 +120,8 @@
 	CopyTaken
 	// CopyTooLarge means that the reader has a newer copy that it does not pass on.
 	CopyTooLarge
+	// interrupted means that TriggerNow has ended the request.
+	interrupted
 )
 
 // PeerSource requests the copy of another instance, with its version and age. Rows are
@@ -224,6 +226,7 @@
 	// refreshing is a semaphore for the one call of RefreshSince that may read.
 	refreshing chan struct{}
 	trigger    chan struct{}
+	interrupt  chan struct{}
 	// failingSince is the boot time since which the store has not served this
 	// instance, 0 while it serves it.
 	failingSince atomic.Int64
@@ -245,7 +248,7 @@
 	}
 	return &Follower{
 		cfg: cfg, snapshot: blackboard.NewCell(Snapshot{AsOf: -1}), trigger: make(chan struct{}, 1),
-		refreshing: make(chan struct{}, 1),
+		interrupt: make(chan struct{}, 1), refreshing: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -260,7 +263,7 @@
 // its domain reader.
 func (f *Follower) StoreServing() bool { return f.failingSince.Load() == 0 }
 
-// Trigger starts the next read at once.
+// Trigger starts the next read at once, or after a wait at the domain reader that is in progress.
 func (f *Follower) Trigger() {
 	select {
 	case f.trigger <- struct{}{}:
@@ -268,6 +271,15 @@
 	}
 }
 
+// TriggerNow starts the next read at once, and ends a wait at the domain reader.
+func (f *Follower) TriggerNow() {
+	f.Trigger()
+	select {
+	case f.interrupt <- struct{}{}:
+	default:
+	}
+}
+
 // MaxAge returns the age up to which a copy of a domain reader counts as current: the longest time
 // between two confirmations by the store, with an allowance for the answer.
 func (f *Follower) MaxAge() time.Duration { return f.cfg.Interval + AnswerAllowance }
@@ -278,6 +290,9 @@
 		triggered := f.takeTrigger()
 		wasFollowing := f.following
 		outcome := f.followDomainReader(ctx, triggered)
+		if outcome == interrupted {
+			continue // with the trigger
+		}
 		if f.following = outcome == CopyTaken; f.following {
 			continue
 		}
@@ -317,21 +332,20 @@
 	if f.cfg.DomainReader == nil || !known.Loaded() {
 		return NoReader
 	}
-	if f.StoreServing() {
-		remaining := f.MaxAge() - known.Age(f.cfg.Clock())
-		limited, cancel := context.WithTimeout(ctx, remaining)
-		defer cancel()
-		defer func() {
-			if f.following && ctx.Err() == nil && limited.Err() != nil {
-				f.recordUnconfirmed(known)
-			}
-		}()
-		if remaining <= 0 {
-			return NoReader
-		}
-		ctx = limited
+	if !f.StoreServing() {
+		return f.takeReaderCopy(ctx, known, triggered)
 	}
-	return f.takeReaderCopy(ctx, known, triggered)
+	remaining := f.MaxAge() - known.Age(f.cfg.Clock())
+	limited, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+	outcome := NoReader
+	if remaining > 0 {
+		outcome = f.takeReaderCopy(limited, known, triggered)
+	}
+	if outcome == NoReader && f.following && ctx.Err() == nil && limited.Err() != nil {
+		f.recordUnconfirmed(known)
+	}
+	return outcome
 }
 
 // takeReaderCopy requests the next copy of the domain reader and applies it.
@@ -340,7 +354,11 @@
 	if triggered {
 		wait = 0
 	}
+	ctx, release := f.untilInterrupted(ctx)
 	s, outcome := f.cfg.DomainReader(ctx, f.cfg.Set, known, wait, triggered)
+	if wasInterrupted := release(); wasInterrupted && outcome == NoReader {
+		return interrupted
+	}
 	if outcome != CopyTaken {
 		return outcome
 	}
@@ -352,6 +370,26 @@
 	return CopyTaken
 }
 
+// untilInterrupted returns a context that TriggerNow ends, and a function that releases it and
+// reports whether TriggerNow has ended it.
+func (f *Follower) untilInterrupted(ctx context.Context) (context.Context, func() bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.interrupt:
+			cancel()
+			ended <- true
+		case <-ctx.Done():
+			ended <- false
+		}
+	}()
+	return ctx, func() bool {
+		cancel()
+		return <-ended
+	}
+}
+
 // recordUnconfirmed records that the domain reader has not confirmed the copy in time.
 func (f *Follower) recordUnconfirmed(s Snapshot) {
 	f.cfg.UnconfirmedCopies.Add(f.cfg.Set, 1)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -271,3 +272,42 @@
 		})
 	}
 }
+
+// Guards against an instance that reads all rows, or none, when its domain reader falls silent: it asks
+// once, without rows, whether its copy is current, and counts that.
+func TestSilentReaderCostsOneQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, clock, unconfirmed := &fakeStore{}, newClock(), new(expvar.Map)
+		var silent atomic.Bool
+		questions := 0
+		f := start(t, Config{
+			Set: "a", Clock: clock, Interval: time.Second, UnconfirmedCopies: unconfirmed,
+			Source: scriptedStore{store, func(version platform.Revision, wait time.Duration) (bool, platform.Revision, error) {
+				require.Zero(t, wait)
+				questions++
+				return false, version, nil
+			}},
+			DomainReader: func(ctx context.Context, _ string, known Snapshot, wait time.Duration, _ bool) (Snapshot, ReaderOutcome) {
+				if silent.Load() && wait > 0 {
+					<-ctx.Done()
+					silent.Store(false)
+					return Snapshot{}, NoReader
+				}
+				pause.For(ctx, wait)
+				known.AsOf = clock()
+				return known, CopyTaken
+			},
+		})[0]
+		time.Sleep(10 * time.Second)
+		reads, _ := store.count()
+		silent.Store(true)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			require.LessOrEqual(t, f.Snapshot().Age(clock()), f.MaxAge())
+		}
+		after, _ := store.count()
+		require.Equal(t, reads, after, "reads of all rows")
+		require.Equal(t, 1, questions)
+		require.Equal(t, "1", unconfirmed.Get("a").String())
+	})
+}
