follow: the reason why rows are read after an unanswered wait is logged

Cause: reading the change as a newcomer: the error of a wait for a change was dropped without a line, as before this change, and three comments said less than they should.

Conclusion: no decision changes.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -75,10 +75,11 @@
 	silenceCheckAt time.Duration
 	reportedReason atomic.Pointer[string]
 	refreshLimiter *rate.Limiter
-	// fleetFingerprint is that of the rows applied last. Only applyFleet uses it, one call at
-	// a time; so does applyConfiguration configurationFingerprint.
-	fleetFingerprint, configurationFingerprint string
-	evacuation                                 evacuation
+	// fleetFingerprint and configurationFingerprint are those of the rows applied last. Only
+	// applyFleet and applyConfiguration use them, one call at a time.
+	fleetFingerprint         string
+	configurationFingerprint string
+	evacuation               evacuation
 	// operatorRows is used under the lock of the follower of the configuration.
 	operatorRows *follow.Reconciler
 	warmup       warmup
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -56,10 +56,9 @@
 // Waiter is a Source that can wait for a change.
 type Waiter interface {
 	Source
-	// Await returns true when a row has changed after version. If none has within wait, it
-	// returns false and the version up to which none has; it must not return earlier. If the
-	// history since version is no longer available, or the store is of another generation,
-	// that counts as a change.
+	// Await returns true when a row has changed after version, and after wait false, with the
+	// version up to which none has. If the history since version is no longer available, or the
+	// store is of another generation, that counts as a change.
 	Await(ctx context.Context, version platform.Revision, wait time.Duration) (changed bool, unchangedUpTo platform.Revision, err error)
 }
 
@@ -225,8 +224,9 @@
 	history  history    // guarded by mu
 	// refreshing is a semaphore for the one call of RefreshSince that may read.
 	refreshing chan struct{}
-	trigger    chan struct{}
-	interrupt  chan struct{}
+	// trigger holds a value while a read is due at once, interrupt one while a wait at the domain
+	// reader is to end for it.
+	trigger, interrupt chan struct{}
 	// failingSince is the boot time since which the store has not served this
 	// instance, 0 while it serves it.
 	failingSince atomic.Int64
@@ -521,13 +521,14 @@
 	sent := f.cfg.Clock()
 	changed, version, err := waiter.Await(ctx, f.Snapshot().Version, wait)
 	if err != nil {
+		f.cfg.Log.Debug("a wait for a change was not answered; the rows are read", zap.String("set", f.cfg.Set), zap.Duration("wait", wait), zap.Error(err))
 		return false, trace.Wrap(err)
 	}
 	f.waitEndedAt.Store(int64(f.cfg.Clock()))
 	if !changed {
 		asOf := sent
 		if f.cfg.Clock() >= sent+wait {
-			asOf += wait
+			asOf += wait // the store has held the wait to its end
 		}
 		f.renew(version, asOf)
 	}
