edge: a domain reader sends a confirmation that its follower has missed

What callers saw: nothing.

Cause: a confirmation does not change the version of the copy. One that came between two requests of a follower was not news for the next request, which waited for the one after it, up to a second later.

Change: the request tells the age of the copy that its sender has. A reader whose copy is more than the time of a request younger answers at once.

Measured: TestMissedConfirmationIsSentAtOnce fails without the comparison.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -477,3 +478,30 @@
 		}
 	}
 }
+
+// Guards against a domain reader that holds back a confirmation: one that came between two requests of
+// an instance, whose copy then became too old in calm.
+func TestMissedConfirmationIsSentAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		clock := func() time.Duration { return time.Since(began) + time.Hour }
+		reader := newInstance(t, &fakeRows{version: 5}, &fakeRows{}, &fakeRows{}, clock)
+		require.NoError(t, reader.followers[configurationSet].Refresh(t.Context()))
+		for _, c := range []struct {
+			name     string
+			knownAge time.Duration
+			held     time.Duration
+		}{
+			{"confirmed since", time.Second, 0},
+			{"the same confirmation", 200 * time.Millisecond, 400 * time.Millisecond},
+			{"an earlier version does not tell", 0, 400 * time.Millisecond},
+		} {
+			asked := clock()
+			response, err := reader.handleRows(t.Context(), rowsRequest{Set: configurationSet, AboveVersion: 5, KnownAge: c.knownAge, Wait: 400 * time.Millisecond})
+			require.NoError(t, err)
+			require.Equal(t, c.held, clock()-asked, c.name)
+			require.Equal(t, c.held, response.HeldFor, c.name)
+			require.NoError(t, reader.followers[configurationSet].Refresh(t.Context()))
+		}
+	})
+}
--- a/internal/edge/rows.go
+++ b/internal/edge/rows.go
@@ -23,6 +23,10 @@
 	// configuration with a thousand routes, sent to each of seventeen instances, would fill
 	// a link of 10 Mbit/s for seconds.
 	maxForwardedBytes = 32 << 10
+	// minYounger is by how much a copy has to be younger than that of an instance that waits for
+	// news to be sent at once: it was confirmed while the instance did not wait. It is more than a
+	// request takes on its way.
+	minYounger = readerTimeout
 	// readerBackoff is how long a domain reader is skipped after it has failed.
 	readerBackoff = 3 * time.Second
 	// peerFanout is the number of instances that are asked for rows at once.
@@ -41,8 +45,11 @@
 	AcceptsDelta bool `json:"delta,omitempty"`
 	// Follower is set by an instance that follows this one as its domain reader.
 	Follower *followerIdentity `json:"follower,omitempty"`
-	// Wait is how long to wait for a copy with a version above AboveVersion.
+	// Wait is how long to wait for a copy with a version above AboveVersion, or for one that was
+	// confirmed later than the sender's.
 	Wait time.Duration `json:"wait_ns,omitempty"`
+	// KnownAge is the age of the sender's copy; 0 if it is not given.
+	KnownAge time.Duration `json:"known_age_ns,omitempty"`
 	// Fresh requires a copy that is read from the store after the request has arrived.
 	Fresh bool `json:"fresh,omitempty"`
 }
@@ -85,7 +92,8 @@
 	}
 	changed := follower.Changed()
 	s := follower.Snapshot()
-	if s.Version <= m.AboveVersion && m.Wait > 0 && follower.StoreServing() {
+	isNews := s.Version > m.AboveVersion || m.KnownAge > s.Age(received)+minYounger
+	if !isNews && m.Wait > 0 && follower.StoreServing() {
 		timer := time.NewTimer(min(m.Wait, maxRowsWait))
 		defer timer.Stop()
 		select {
@@ -214,7 +222,7 @@
 func (i *Instance) followRequest(set string, known follow.Snapshot, wait time.Duration, fresh bool) rowsRequest {
 	return rowsRequest{
 		Set: set, AboveVersion: known.Version, KnownFingerprint: known.Fingerprint(), AcceptsDelta: true, Wait: wait, Fresh: fresh,
-		Follower: &followerIdentity{Name: i.cfg.Name, Incarnation: i.incarnation},
+		KnownAge: known.Age(i.cfg.Clock()), Follower: &followerIdentity{Name: i.cfg.Name, Incarnation: i.incarnation},
 	}
 }
 
