follow: following a reader and confirming a copy have files of their own

Cause: reading the change as a newcomer: follow.go had 606 lines and edge_test.go 507, each with several duties.

Change: moved without a change: what concerns the domain reader to reader.go, confirmations to confirm.go, tests of the reader to reader_test.go.

Conclusion: the same program in shorter files.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -104,25 +104,6 @@
 // Age returns the time since the copy was last known to be current.
 func (s Snapshot) Age(now time.Duration) time.Duration { return now - s.AsOf }
 
-// DomainSource waits for the next snapshot of the domain reader, or, if fresh is true,
-// for one that it reads from the store after the request.
-type DomainSource func(ctx context.Context, set string, known Snapshot, wait time.Duration, fresh bool) (Snapshot, ReaderOutcome)
-
-// ReaderOutcome is the outcome of a request to the domain reader.
-type ReaderOutcome uint8
-
-const (
-	// NoReader means that this instance is the domain reader itself, that no possible reader
-	// responds, or that the store does not serve them.
-	NoReader ReaderOutcome = iota
-	// CopyTaken means that the request returned a copy.
-	CopyTaken
-	// CopyTooLarge means that the reader has a newer copy that it does not pass on.
-	CopyTooLarge
-	// interrupted means that TriggerNow has ended the request.
-	interrupted
-)
-
 // PeerSource requests the copy of another instance, with its version and age. Rows are
 // nil if that version is not above the one given.
 type PeerSource func(ctx context.Context, set string, above platform.Revision) (rows []Row, version platform.Revision, age time.Duration, err error)
@@ -176,9 +157,6 @@
 	startupPeersTimeout = 300 * time.Millisecond
 	// peerRequestThreshold is the age of a copy from which other instances are asked.
 	peerRequestThreshold = 500 * time.Millisecond
-	// readerSearchTimeout bounds the search for a domain reader between two waits for a change.
-	// It is part of the AnswerAllowance, since the copy is not confirmed meanwhile.
-	readerSearchTimeout = 350 * time.Millisecond
 	// minRefreshInterval is the minimum time between reads by RefreshSince: at most ten a
 	// second for a failure domain, however many of its instances request a refresh.
 	minRefreshInterval = 100 * time.Millisecond
@@ -280,10 +258,6 @@
 	}
 }
 
-// MaxAge returns the age up to which a copy of a domain reader counts as current: the longest time
-// between two confirmations by the store, with an allowance for the answer.
-func (f *Follower) MaxAge() time.Duration { return f.cfg.Interval + AnswerAllowance }
-
 // Run keeps the copy up to date until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -321,93 +295,6 @@
 	}
 }
 
-// defaultDomainReaderWait is the default of Config.DomainReaderWait.
-const defaultDomainReaderWait = time.Second
-
-// followDomainReader applies the next copy of the domain reader, unless the current one reaches
-// MaxAge before. While the store does not serve this instance, it has no better way to a copy, and
-// waits for the domain reader regardless of that.
-func (f *Follower) followDomainReader(ctx context.Context, triggered bool) ReaderOutcome {
-	known := f.Snapshot()
-	if f.cfg.DomainReader == nil || !known.Loaded() {
-		return NoReader
-	}
-	if !f.StoreServing() {
-		return f.takeReaderCopy(ctx, known, triggered)
-	}
-	remaining := f.MaxAge() - known.Age(f.cfg.Clock())
-	limited, cancel := context.WithTimeout(ctx, remaining)
-	defer cancel()
-	outcome := NoReader
-	if remaining > 0 {
-		outcome = f.takeReaderCopy(limited, known, triggered)
-	}
-	if outcome == NoReader && f.following && ctx.Err() == nil && limited.Err() != nil {
-		f.recordUnconfirmed(known)
-	}
-	return outcome
-}
-
-// takeReaderCopy requests the next copy of the domain reader and applies it.
-func (f *Follower) takeReaderCopy(ctx context.Context, known Snapshot, triggered bool) ReaderOutcome {
-	wait := f.cfg.DomainReaderWait
-	if triggered {
-		wait = 0
-	}
-	ctx, release := f.untilInterrupted(ctx)
-	s, outcome := f.cfg.DomainReader(ctx, f.cfg.Set, known, wait, triggered)
-	if wasInterrupted := release(); wasInterrupted && outcome == NoReader {
-		return interrupted
-	}
-	if outcome != CopyTaken {
-		return outcome
-	}
-	if s.Version > known.Version || s.AsOf > known.AsOf {
-		s.Origin = OriginDomainReader
-		f.publish(s)
-	}
-	f.storeServed()
-	return CopyTaken
-}
-
-// untilInterrupted returns a context that TriggerNow ends, and a function that releases it and
-// reports whether TriggerNow has ended it.
-func (f *Follower) untilInterrupted(ctx context.Context) (context.Context, func() bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	ended := make(chan bool, 1)
-	go func() {
-		select {
-		case <-f.interrupt:
-			cancel()
-			ended <- true
-		case <-ctx.Done():
-			ended <- false
-		}
-	}()
-	return ctx, func() bool {
-		cancel()
-		return <-ended
-	}
-}
-
-// recordUnconfirmed records that the domain reader has not confirmed the copy in time.
-func (f *Follower) recordUnconfirmed(s Snapshot) {
-	f.cfg.UnconfirmedCopies.Add(f.cfg.Set, 1)
-	event.CopyUnconfirmed.Emit(f.cfg.Log, zap.String("set", f.cfg.Set), zap.String("reader", s.Reader),
-		zap.Uint64("version", uint64(s.Version)), zap.Duration("age", s.Age(f.cfg.Clock())))
-}
-
-// confirm asks the store whether the copy is still current, which costs less than reading the
-// rows. It returns false if the rows have to be read.
-func (f *Follower) confirm(ctx context.Context) bool {
-	waiter, ok := f.cfg.Source.(Waiter)
-	if !ok || f.cfg.Outage.Failing() {
-		return false
-	}
-	changed, err := f.await(ctx, waiter, 0)
-	return !changed && err == nil
-}
-
 // tryRefresh reads the store, unless the backoff after a failure has not ended yet.
 func (f *Follower) tryRefresh(ctx context.Context) error {
 	if !f.cfg.Outage.mayTry(f.cfg.Clock(), f.cfg.Timeout) {
@@ -503,51 +390,6 @@
 	}
 }
 
-// hasDomainReader reports whether another instance reads the store for this one.
-func (f *Follower) hasDomainReader(ctx context.Context) bool {
-	if f.cfg.DomainReader == nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, readerSearchTimeout)
-	defer cancel()
-	_, outcome := f.cfg.DomainReader(ctx, f.cfg.Set, f.Snapshot(), 0, false)
-	return outcome == CopyTaken
-}
-
-// await waits for a change of the rows, and records if there was none.
-func (f *Follower) await(ctx context.Context, waiter Waiter, wait time.Duration) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+AnswerAllowance)
-	defer cancel()
-	sent := f.cfg.Clock()
-	changed, version, err := waiter.Await(ctx, f.Snapshot().Version, wait)
-	if err != nil {
-		f.cfg.Log.Debug("a wait for a change was not answered; the rows are read", zap.String("set", f.cfg.Set), zap.Duration("wait", wait), zap.Error(err))
-		return false, trace.Wrap(err)
-	}
-	f.waitEndedAt.Store(int64(f.cfg.Clock()))
-	if !changed {
-		asOf := sent
-		if f.cfg.Clock() >= sent+wait {
-			asOf += wait // the store has held the wait to its end
-		}
-		f.renew(version, asOf)
-	}
-	return changed, nil
-}
-
-// renew records that the rows have not changed up to a version, which was the newest one at asOf
-// or later.
-func (f *Follower) renew(version platform.Revision, asOf time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.snapshot.Get()
-	if version < s.Version || version.Generation() != s.Version.Generation() {
-		return // a newer copy was read meanwhile
-	}
-	s.Version, s.Origin, s.Reader, s.AsOf = version, OriginStore, "", max(s.AsOf, asOf)
-	f.snapshot.Set(s)
-}
-
 // refreshFromPeers applies the copy of another instance if it is newer.
 func (f *Follower) refreshFromPeers(ctx context.Context, timeout time.Duration) {
 	current := f.Snapshot()
