tests: addresses are not kept in use by processes that are being started

Cause: the fixtures listen on a free port, close the socket and use its address again. Between its fork and the end of its exec a child process has copies of all sockets, and a copy keeps the address in use. The subtests run in parallel and start their first processes at the same moment. Conclusion: a fault of the fixtures; the product starts no processes.

--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -223,16 +223,28 @@
 		if f.usedAddresses[address] {
 			continue
 		}
-		socket, err := listen(address)
-		if err != nil {
+		if OpenAndClose(func() (io.Closer, error) { return listen(address) }) != nil {
 			continue
 		}
 		f.usedAddresses[address] = true
-		return address, trace.Wrap(socket.Close())
+		return address, nil
 	}
 	return "", trace.LimitExceeded("no port is free between %d and %d", firstPort, lastPort)
 }
 
+// OpenAndClose opens a socket and closes it, so that its address can be used at once. It starts
+// no process meanwhile: a child process has copies of all sockets until its exec, and they keep
+// an address in use.
+func OpenAndClose(open func() (io.Closer, error)) error {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	socket, err := open()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(socket.Close())
+}
+
 func listenTCP(address string) (io.Closer, error) { return net.Listen("tcp", address) }
 
 func listenUDP(address string) (io.Closer, error) { return net.ListenPacket("udp", address) }
