leadership: tests of members that are retired, return, are removed, join and leave

Callers are told that writes are committed at a primary that has been replaced. Cause: a member that is cut off confirms its records with a majority of the members that its copy of the rows shows and that are not retired. A replacement counts the stored rows, retired ones included, as members of which those that have not revoked the primary must be a minority. With three of eight retired, three of the five that are left confirm one another, while the two others and three retired ones that answer again make them three of eight. Change: tests alone; the product is as before. The fixture's instances have copies of the member rows of their own, read together with the records and applied in the order of the reads, and register again when they are retired. One check of the model of expiry is narrowed: uses of an instance that was killed no longer count for the time before an order. A trace shows the case, "a1 used s2 until 370 ms before the order", where a1 was killed 65 ms before it and its new process had not read anything; nothing of a1 could use s2.

--- a/internal/leadership/expiry_model_test.go
+++ b/internal/leadership/expiry_model_test.go
@@ -188,16 +188,26 @@
 	m.slow, m.lossRate = 5*time.Millisecond, 0
 }
 
-// restart replaces an instance by one that remembers nothing. Its statements end with it.
-func (m *expiryModel) restart() {
+// restart replaces an instance by one that remembers nothing, and returns its name. Its statements
+// end with it.
+func (m *expiryModel) restart() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old := m.f.instance(m.names[m.random.IntN(len(m.names))])
-	m.held = slices.DeleteFunc(m.held, func(u *Use) bool { return u.view == old.view })
+	m.endUses(old)
 	old.stop()
 	i := m.f.newInstance(old.name)
 	m.f.set(func() { m.f.instances[old.name] = i })
 	i.start()
+	return old.name
+}
+
+// endUses forgets the uses of an instance that ends. The caller holds mu.
+func (m *expiryModel) endUses(i *instance) {
+	m.held = slices.DeleteFunc(m.held, func(u *Use) bool { return u.view == i.view })
+	for _, last := range m.lastUse {
+		delete(last, i.name)
+	}
 }
 
 // observe records which primaries are used, and checks all orders.
--- a/internal/leadership/fleet_test.go
+++ b/internal/leadership/fleet_test.go
@@ -21,6 +21,10 @@
 	"github.com/hornbeamlock/hornbeamlock/internal/position"
 )
 
+// testJoiningPeriod is how long an instance is joining after its registration: copies of the rows
+// that lack it expire, and with them the last use that they allow.
+const testJoiningPeriod = MaxStoreOutage + MaxRemoteLifetime + 2*time.Second
+
 var errUnreachable = errors.New("the instance or server is unreachable")
 
 // fleet is a fixture of a store, three servers of one service, and instances that use
@@ -48,8 +52,12 @@
 	observers map[string]bool
 	slow      map[string]time.Duration
 	storeDown bool
-	joining   map[string]time.Duration
-	orders    []Promotion
+	// joining holds the time until which copies of the rows may lack an instance. The rows of
+	// retired instances are marked, those of removed ones deleted; both register again once they
+	// read that, but not those that have left.
+	joining                map[string]time.Duration
+	retired, removed, left map[string]bool
+	orders                 []Promotion
 	// lostOrders is the number of further orders that the platform accepts without effect.
 	lostOrders int
 	instances  map[string]*instance
@@ -100,6 +108,11 @@
 	view       *PrimaryView
 	controller *Controller
 	stop       context.CancelFunc
+	// copied are the members that are not retired, as read at copiedAt; guarded by f.mu.
+	copied   []Member
+	copiedAt time.Duration
+	// applying is held while a copy is applied: copies are applied in the order of their reads.
+	applying sync.Mutex
 }
 
 func (f *fleet) clock() time.Duration { return time.Since(f.began) }
@@ -114,7 +127,8 @@
 		},
 		draining: make(map[string]bool), evacuated: make(map[string]bool), unregistered: make(map[string]bool), cut: make(map[string]bool), instances: make(map[string]*instance),
 	}
-	f.confirmedOnly = make(map[string]bool)
+	f.confirmedOnly, f.joining = make(map[string]bool), make(map[string]time.Duration)
+	f.retired, f.removed, f.left = make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.ended = ctx
 	for _, name := range names {
@@ -135,7 +149,7 @@
 	i.view = NewPrimaryView(f.clock, zap.NewNop(), domainOf(name), f.registry)
 	cfg := Config{
 		Self: name, FailureDomain: domainOf(name), PrimaryView: i.view, Refresh: i.refresh, Registry: f.registry,
-		Members: f.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
+		Members: i.members, FreshMembers: func(context.Context) ([]Member, error) { return f.members(), i.reach("store") },
 		IsConfigured: func(service string) bool { return service == "db" && f.configured() },
 		SyncReplicas: func(string) int { return f.confirming() },
 		Table:        i, Servers: i, Promoter: i, Peers: i, Health: i, Clock: f.clock,
@@ -161,6 +175,9 @@
 	i.f.running.Go(func() {
 		for ctx.Err() == nil {
 			_ = i.refresh(ctx)
+			if !i.isListed() {
+				_ = i.register(ctx)
+			}
 			pause.For(ctx, time.Second)
 		}
 	})
@@ -185,12 +202,6 @@
 // domainOf returns the failure domain of an instance: the first letter of its name.
 func domainOf(name string) string { return name[:1] }
 
-func (f *fleet) announced() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.remoteLifetime
-}
-
 // configured reports whether the instances have read a configuration.
 func (f *fleet) configured() bool {
 	f.mu.Lock()
@@ -226,19 +237,44 @@
 	f.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Revision: f.revision}
 }
 
+// members returns the stored rows of the members, also of retired ones.
 func (f *fleet) members() []Member {
-	var list []Member
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storedMembers()
+}
+
+// storedMembers is members for a caller that holds mu.
+func (f *fleet) storedMembers() []Member {
+	var list []Member
 	for name := range f.instances {
+		if f.left[name] || f.removed[name] {
+			continue
+		}
 		list = append(list, Member{
 			Name: name, FailureDomain: domainOf(name), JoiningUntil: f.joining[name], RemoteLifetime: f.remoteLifetime, ConfirmedOnly: f.confirmedOnly[name],
 		})
 	}
-	f.mu.Unlock()
 	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
 
+// isListed reports whether the instance has read its row and found it not to be retired.
+func (i *instance) isListed() bool {
+	return slices.ContainsFunc(i.members(), func(m Member) bool { return m.Name == i.name })
+}
+
+// members implements Config.Members.
+func (i *instance) members() []Member {
+	i.f.mu.Lock()
+	defer i.f.mu.Unlock()
+	if i.copiedAt == 0 {
+		_, stored := i.f.membership(i.name)
+		return stored
+	}
+	return i.copied
+}
+
 // refreshRegistry implements Config.RefreshRegistry.
 func (i *instance) refreshRegistry(context.Context) error {
 	if err := i.reach("store"); err != nil {
@@ -289,21 +325,66 @@
 func (i *instance) refresh(ctx context.Context) error {
 	sent := i.f.clock()
 	i.f.delay(ctx)
-	rows, _, err := i.List(ctx, RowPrefix)
-	if err != nil {
+	if err := i.reach("store"); err != nil {
 		return err
 	}
-	confirmedOnly, count := false, 0
-	i.f.set(func() { confirmedOnly, count = i.f.confirmedOnly[i.name], len(i.f.instances) })
+	snapshot := follow.Snapshot{AsOf: sent}
+	var membership Membership
+	var copied []Member
+	i.f.set(func() {
+		snapshot.Rows = i.f.storedRows()
+		membership, copied = i.f.membership(i.name)
+	})
+	readAt := i.f.clock()
 	i.f.delay(ctx)
-	s := follow.Snapshot{AsOf: sent}
-	for _, row := range rows {
-		s.Rows = append(s.Rows, follow.Row{Key: row.Key, Value: row.Value, Version: row.Revision})
+	i.applying.Lock()
+	defer i.applying.Unlock()
+	if readAt < i.copiedAt {
+		return nil
 	}
-	i.view.Apply(s, Membership{Listed: true, Count: count, RemoteLifetime: i.f.announced(), ConfirmedOnly: confirmedOnly})
+	i.view.Apply(snapshot, membership)
+	i.f.set(func() { i.copied, i.copiedAt = copied, readAt })
 	return nil
 }
 
+// storedRows returns the rows of the services. The caller holds mu.
+func (f *fleet) storedRows() []follow.Row {
+	var rows []follow.Row
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, RowPrefix) {
+			rows = append(rows, follow.Row{Key: row.Key, Value: row.Value, Version: row.Revision})
+		}
+	}
+	return rows
+}
+
+// membership returns what a copy of the stored rows tells an instance. The caller holds mu.
+func (f *fleet) membership(name string) (Membership, []Member) {
+	copied := slices.DeleteFunc(f.storedMembers(), func(m Member) bool { return f.retired[m.Name] })
+	listed := slices.ContainsFunc(copied, func(m Member) bool { return m.Name == name })
+	return Membership{Listed: listed, Count: len(copied), RemoteLifetime: f.remoteLifetime, ConfirmedOnly: f.confirmedOnly[name]}, copied
+}
+
+// register registers an instance again that was retired, and reads the rows afterwards.
+func (i *instance) register(ctx context.Context) error {
+	i.f.delay(ctx)
+	if err := i.reach("store"); err != nil {
+		return err
+	}
+	registers := false
+	i.f.set(func() {
+		if registers = i.f.instances[i.name] == i && !i.f.left[i.name]; registers {
+			delete(i.f.retired, i.name)
+			delete(i.f.removed, i.name)
+			i.f.joining[i.name] = i.f.clock() + testJoiningPeriod
+		}
+	})
+	if !registers {
+		return nil
+	}
+	return i.refresh(ctx)
+}
+
 // unanswered returns err, once ctx ends if the fleet is silent.
 func (f *fleet) unanswered(ctx context.Context, err error) error {
 	f.mu.Lock()
