harness: the test of free addresses starts a process before it measures

Cause: the first start of a process makes package os probe the kernel with a fork that does not take syscall.ForkLock (doCheckClonePidfd). Its child copies the socket too. Change: the test starts one process before; OpenAndClose names the exception. Conclusion: the lock covers all starts but the first.

--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -232,9 +232,10 @@
 	return "", trace.LimitExceeded("no port is free between %d and %d", firstPort, lastPort)
 }
 
-// OpenAndClose opens a socket and closes it, so that its address can be used at once. It starts
-// no process meanwhile: a child process has copies of all sockets until its exec, and they keep
-// an address in use.
+// OpenAndClose opens a socket and closes it, so that its address can be used at once. No process
+// is started meanwhile: a child process has copies of all sockets until its exec, and they keep
+// an address in use. The lock does not cover the first start by this process, with which package
+// os probes the kernel.
 func OpenAndClose(open func() (io.Closer, error)) error {
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
--- a/internal/harness/process_test.go
+++ b/internal/harness/process_test.go
@@ -16,6 +16,8 @@
 	// No connection of another program has this source address.
 	const address = "127.250.0.1:0"
 	const addresses, starters = 5000, 2
+	// The first start of a process probes the kernel with a fork that takes no lock.
+	require.NoError(t, exec.Command("true").Run())
 	stop := make(chan struct{})
 	var started sync.WaitGroup
 	for range starters {
